--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+
+.PHONY: env test lint format demo bench capacity
+
+$(VENV)/installed: requirements.lock
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	touch $@
+
+env: $(VENV)/installed
+
+test: env
+	$(PY) -m pytest
+
+lint: env
+	$(PY) -m black --check --quiet .
+	$(PY) -m ruff check .
+
+format: env
+	$(PY) -m black --quiet .
+	$(PY) -m ruff check --fix .
+
+demo: env
+	$(PY) -m demo
+
+bench: env
+	$(PY) -m bench $(if $(CASES),--cases '$(CASES)')
+
+capacity: env
+	$(PY) -m bench.capacity
--- /dev/null
+++ b/burdocklug/kernel/__init__.py
@@ -0,0 +1,46 @@
+"""The kernel: error kinds, registries, timers, settings and logs. It imports no other package."""
+
+from burdocklug.kernel._errors import (
+    ANSWERS,
+    BurdocklugError,
+    ErrorAnswer,
+    ErrorKind,
+    Ran,
+    answer_for,
+)
+from burdocklug.kernel._logs import configure_logs
+from burdocklug.kernel._registry import Registry
+from burdocklug.kernel._settings import (
+    JobSettings,
+    ListenSettings,
+    PeerSettings,
+    PlatformSettings,
+    ProcessSettings,
+    Settings,
+    SettingsError,
+    check_settings,
+    load_settings,
+)
+from burdocklug.kernel._timers import Subscription, TimerService
+
+__all__ = [
+    "ANSWERS",
+    "BurdocklugError",
+    "ErrorAnswer",
+    "ErrorKind",
+    "JobSettings",
+    "ListenSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "Ran",
+    "Registry",
+    "Settings",
+    "SettingsError",
+    "Subscription",
+    "TimerService",
+    "answer_for",
+    "check_settings",
+    "configure_logs",
+    "load_settings",
+]
--- /dev/null
+++ b/burdocklug/kernel/_errors.py
@@ -0,0 +1,161 @@
+"""The closed list of error kinds, the table from kind to answer, and the exceptions.
+
+The table is the only place that decides an HTTP status, an exit code, whether anything of
+the request may have run, and whether the same request may be sent again.
+"""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["BurdocklugError", "ErrorAnswer", "ErrorKind", "Ran", "ANSWERS", "answer_for"]
+
+
+class Ran(enum.StrEnum):
+    """Whether anything of the failed request was started at an endpoint."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of error that an answer, a log line or an exit code can carry."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    SLOW_SENDER = "slow_sender"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    NOT_FOUND = "not_found"
+    UNAUTHORIZED = "unauthorized"
+    KEY_CONFLICT = "key_conflict"
+    KEY_EXPIRED = "key_expired"
+    SESSION_UNKNOWN = "session_unknown"
+    OWNER_LOST = "owner_lost"
+    CLAIM_UNCERTAIN = "claim_uncertain"
+    SERVICE_UNKNOWN = "service_unknown"
+    TEAM_UNKNOWN = "team_unknown"
+    TASK_IMPOSSIBLE = "task_impossible"
+    QUEUE_FULL = "queue_full"
+    WOULD_MISS_DEADLINE = "would_miss_deadline"
+    SHUTTING_DOWN = "shutting_down"
+    NO_CONFIGURATION = "no_configuration"
+    NO_ENDPOINT = "no_endpoint"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    CANCELLED = "cancelled"
+    TASK_FAILED = "task_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    TICKET_SUPERSEDED = "ticket_superseded"
+    TICKET_CONFLICT = "ticket_conflict"
+    TICKET_TOO_OLD = "ticket_too_old"
+    TICKET_TOO_LARGE = "ticket_too_large"
+    TICKET_UNCERTAIN = "ticket_uncertain"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    PEER_UNREACHABLE = "peer_unreachable"
+    SETTINGS_INVALID = "settings_invalid"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """How one error kind is answered.
+
+    Parameters
+    ----------
+    http_status : int
+        Status code of the HTTP answer.
+    exit_code : int
+        Exit code of the command line.
+    ran : Ran
+        Whether anything of the request ran.
+    retry_after_s : float or None
+        Seconds after which a new attempt makes sense; None where it never does.
+    """
+
+    http_status: int
+    exit_code: int
+    ran: Ran
+    retry_after_s: float | None = None
+
+
+ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(400, 10, Ran.NO),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, 11, Ran.NO),
+    ErrorKind.SLOW_SENDER: ErrorAnswer(408, 12, Ran.NO),
+    ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(405, 13, Ran.NO),
+    ErrorKind.NOT_FOUND: ErrorAnswer(404, 14, Ran.NO),
+    ErrorKind.UNAUTHORIZED: ErrorAnswer(401, 15, Ran.NO),
+    ErrorKind.KEY_CONFLICT: ErrorAnswer(409, 20, Ran.NO),
+    ErrorKind.KEY_EXPIRED: ErrorAnswer(410, 21, Ran.UNKNOWN),
+    ErrorKind.SESSION_UNKNOWN: ErrorAnswer(410, 22, Ran.UNKNOWN),
+    ErrorKind.OWNER_LOST: ErrorAnswer(502, 23, Ran.UNKNOWN),
+    ErrorKind.CLAIM_UNCERTAIN: ErrorAnswer(503, 24, Ran.UNKNOWN, 1.0),
+    ErrorKind.SERVICE_UNKNOWN: ErrorAnswer(404, 30, Ran.NO),
+    ErrorKind.TEAM_UNKNOWN: ErrorAnswer(404, 31, Ran.NO),
+    ErrorKind.TASK_IMPOSSIBLE: ErrorAnswer(422, 32, Ran.NO),
+    ErrorKind.QUEUE_FULL: ErrorAnswer(429, 33, Ran.NO, 1.0),
+    ErrorKind.WOULD_MISS_DEADLINE: ErrorAnswer(429, 34, Ran.NO, 1.0),
+    ErrorKind.SHUTTING_DOWN: ErrorAnswer(503, 35, Ran.NO, 0.1),
+    ErrorKind.NO_CONFIGURATION: ErrorAnswer(503, 36, Ran.NO, 1.0),
+    ErrorKind.NO_ENDPOINT: ErrorAnswer(503, 37, Ran.NO, 1.0),
+    ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, 40, Ran.UNKNOWN),
+    ErrorKind.CANCELLED: ErrorAnswer(409, 41, Ran.UNKNOWN),
+    ErrorKind.TASK_FAILED: ErrorAnswer(502, 42, Ran.YES),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(502, 43, Ran.UNKNOWN),
+    ErrorKind.TICKET_SUPERSEDED: ErrorAnswer(409, 50, Ran.NO),
+    ErrorKind.TICKET_CONFLICT: ErrorAnswer(409, 51, Ran.NO),
+    ErrorKind.TICKET_TOO_OLD: ErrorAnswer(409, 52, Ran.NO),
+    ErrorKind.TICKET_TOO_LARGE: ErrorAnswer(413, 53, Ran.NO),
+    ErrorKind.TICKET_UNCERTAIN: ErrorAnswer(503, 54, Ran.UNKNOWN, 1.0),
+    ErrorKind.PLATFORM_UNAVAILABLE: ErrorAnswer(503, 60, Ran.NO, 2.0),
+    ErrorKind.PEER_UNREACHABLE: ErrorAnswer(502, 61, Ran.UNKNOWN, 1.0),
+    ErrorKind.SETTINGS_INVALID: ErrorAnswer(500, 2, Ran.NO),
+    ErrorKind.INTERNAL: ErrorAnswer(500, 70, Ran.UNKNOWN),
+}
+
+
+def answer_for(kind):
+    """Return the table row of an error kind.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        The kind to look up.
+
+    Returns
+    -------
+    ErrorAnswer
+        Status, exit code and what is known about the request.
+
+    Examples
+    --------
+    >>> answer_for(ErrorKind.QUEUE_FULL).http_status
+    429
+    """
+    return ANSWERS[kind]
+
+
+class BurdocklugError(Exception):
+    """Base of every exception that the package raises on purpose.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        The error kind; it fixes the answer.
+    message : str
+        One line that names the offending value.
+    path : str, optional
+        Path of the fault inside the input, as ``$.tasks[3].payload``.
+    retry_after_s : float, optional
+        Seconds until a retry makes sense; the table's value by default.
+    ran : Ran, optional
+        Overrides the table where more is known about the single case.
+    """
+
+    def __init__(self, kind, message, *, path=None, retry_after_s=None, ran=None):
+        super().__init__(message)
+        self.kind = kind
+        self.message = message
+        self.path = path
+        answer = answer_for(kind)
+        self.retry_after_s = answer.retry_after_s if retry_after_s is None else retry_after_s
+        self.ran = answer.ran if ran is None else ran
--- /dev/null
+++ b/burdocklug/kernel/_settings.py
@@ -0,0 +1,180 @@
+"""Settings of one process: the models, and a check that reports every fault at once."""
+
+import typing
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from burdocklug.kernel._errors import BurdocklugError, ErrorKind
+
+__all__ = [
+    "JobSettings",
+    "ListenSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "Settings",
+    "SettingsError",
+    "check_settings",
+    "load_settings",
+]
+
+MIN_SECRET_CHARS = 16  # shorter secrets can be guessed online
+
+Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,62})$")]
+Secret = typing.Annotated[str, msgspec.Meta(min_length=MIN_SECRET_CHARS)]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+
+
+class ProcessSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Who this process is: its name, its failure domain and the names of the whole fleet."""
+
+    name: Name
+    failure_domain: Name
+    fleet: list[Name] = []
+    log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
+
+
+class ListenSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Addresses this process listens on, each an IP number and a TCP port."""
+
+    callers: Address
+    operators: Address
+    peers: Address
+    max_connections: Count = 1000
+    header_timeout_s: Seconds = 10.0
+    body_timeout_s: Seconds = 10.0
+    max_body_bytes: Count = 8_000_000
+
+
+class PeerSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """How this process finds and trusts its peers; times in seconds."""
+
+    shared_key: Secret
+    seeds: list[Address] = []
+    heartbeat_s: Seconds = 0.5
+    suspect_after_s: Seconds = 2.0
+    dead_after_s: Seconds = 5.0
+    forget_after_s: Seconds = 600.0
+    remote_links: Count = 4
+
+
+class PlatformSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """The platform's key-value service: its addresses and this process's call budget."""
+
+    addresses: list[Address]
+    timeout_s: Seconds = 2.0
+    calls_per_s: Seconds = 20.0
+    watch_s: Seconds = 20.0
+
+
+class JobSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Bounds of the submission ledger and of jobs."""
+
+    max_tasks: Count = 1700
+    max_sessions: Count = 10_000
+    max_records_per_session: Count = 1000
+    max_ledger_bytes: Count = 64_000_000
+    session_idle_s: Seconds = 900.0
+    default_deadline_s: Seconds = 60.0
+    max_deadline_s: Seconds = 3600.0
+    claim_window_s: Seconds = 3600.0
+    shutdown_s: Seconds = 30.0
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """All settings of one process."""
+
+    process: ProcessSettings
+    listen: ListenSettings
+    peers: PeerSettings
+    platform: PlatformSettings
+    operator_token: Secret
+    jobs: JobSettings = JobSettings()
+
+
+class SettingsError(BurdocklugError):
+    """Raised for settings with faults; `faults` holds one line for each.
+
+    Parameters
+    ----------
+    faults : list of str
+        Lines of the form ``path: fault``.
+    """
+
+    def __init__(self, faults):
+        super().__init__(ErrorKind.SETTINGS_INVALID, "; ".join(faults))
+        self.faults = faults
+
+
+def check_settings(data, model=Settings, path="$"):
+    """Yield one line for each fault of `data` against `model`.
+
+    Parameters
+    ----------
+    data : object
+        Plain data as read from YAML.
+    model : type, optional
+        The msgspec model to check against.
+    path : str, optional
+        Path of `data` inside the whole document.
+
+    Examples
+    --------
+    >>> list(check_settings({"name": "p1", "colour": 3}, model=ProcessSettings))
+    ['$.failure_domain: missing', '$.colour: unknown field']
+    """
+    if not isinstance(data, dict):
+        yield f"{path}: expected a mapping, got {type(data).__name__}"
+        return
+    fields = {field.name: field for field in msgspec.structs.fields(model)}
+    for name, field in fields.items():
+        if name in data:
+            yield from _check_field(data[name], field.type, f"{path}.{name}")
+        elif field.required:
+            yield f"{path}.{name}: missing"
+    for name in data:
+        if name not in fields:
+            yield f"{path}.{name}: unknown field"
+
+
+def _check_field(value, kind, path):
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        yield from check_settings(value, kind, path)
+        return
+    try:
+        msgspec.convert(value, kind)
+    except msgspec.ValidationError as exc:
+        fault, _, inner = str(exc).partition(" - at `$")
+        yield f"{path}{inner.rstrip('`')}: {fault}"
+
+
+def load_settings(path):
+    """Read and check a YAML file.
+
+    Parameters
+    ----------
+    path : str or Path
+        The file to read.
+
+    Returns
+    -------
+    Settings
+        The validated settings.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or has faults; every fault is listed.
+    """
+    try:
+        data = yaml.safe_load(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as exc:
+        raise SettingsError([f"{path}: {exc}"]) from exc
+    faults = list(check_settings(data))
+    if faults:
+        raise SettingsError(faults)
+    return msgspec.convert(data, Settings)
--- /dev/null
+++ b/burdocklug/kernel/_timers.py
@@ -0,0 +1,127 @@
+"""Timer service: the one source of time that parts subscribe to.
+
+Decision functions take the time as an argument. Parts that must act at a time subscribe here,
+so that a test can replace `time.monotonic` by a counter and drive every part by hand.
+"""
+
+import heapq
+import itertools
+import time
+from dataclasses import dataclass, field
+
+import structlog
+
+__all__ = ["Subscription", "TimerService"]
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(order=True, slots=True)
+class Subscription:
+    """One callback that waits for its time; `cancel` is idempotent."""
+
+    due_s: float
+    order: int
+    callback: object = field(compare=False)
+    period_s: float | None = field(compare=False, default=None)
+    cancelled: bool = field(compare=False, default=False)
+
+    def cancel(self):
+        """Prevent every later call of the callback."""
+        self.cancelled = True
+        self.callback = None
+
+
+class TimerService:
+    """Calls subscribers when their time has come.
+
+    Parameters
+    ----------
+    now : callable, optional
+        Returns monotonic seconds.
+
+    Examples
+    --------
+    >>> clock = [0.0]
+    >>> timers = TimerService(now=lambda: clock[0])
+    >>> seen = []
+    >>> sub = timers.every(2.0, lambda: seen.append(clock[0]))
+    >>> for clock[0] in (1.0, 2.0, 4.5):
+    ...     _ = timers.run_due()
+    >>> seen
+    [2.0, 4.5]
+    """
+
+    def __init__(self, *, now=time.monotonic):
+        self.now = now
+        self._heap = []
+        self._order = itertools.count()
+        self._wake = None
+
+    def after(self, delay_s, callback):
+        """Call `callback` once, `delay_s` seconds from now, and return its subscription."""
+        return self._push(self.now() + delay_s, callback, None)
+
+    def every(self, period_s, callback):
+        """Call `callback` each `period_s` seconds, first after one period.
+
+        Notes
+        -----
+        A late call does not cause a burst: the next one is due a period after the call.
+        """
+        return self._push(self.now() + period_s, callback, period_s)
+
+    def _push(self, due_s, callback, period_s):
+        sub = Subscription(due_s, next(self._order), callback, period_s)
+        heapq.heappush(self._heap, sub)
+        if self._wake is not None and self._heap[0] is sub:
+            self._wake()
+        return sub
+
+    def next_due_s(self):
+        """Return the time of the earliest live subscription, or None."""
+        while self._heap and self._heap[0].cancelled:
+            heapq.heappop(self._heap)
+        return self._heap[0].due_s if self._heap else None
+
+    def run_due(self):
+        """Call everything that is due and return the number of calls."""
+        now = self.now()
+        calls = 0
+        while (due_s := self.next_due_s()) is not None and due_s <= now:
+            sub = heapq.heappop(self._heap)
+            callback = sub.callback
+            if sub.period_s is not None:
+                sub.due_s = now + sub.period_s
+                heapq.heappush(self._heap, sub)
+            self._call(callback)
+            calls += 1
+        return calls
+
+    def _call(self, callback):
+        try:
+            callback()
+        except Exception:
+            log.exception("timer_callback_failed", callback=repr(callback))
+
+    def serve(self, stopped):
+        """Run due callbacks on the loop until `stopped()` is true.
+
+        Parameters
+        ----------
+        stopped : callable
+            Returns True once the service has to return.
+        """
+        import eventlet
+        from eventlet.event import Event
+
+        idle_s = 1.0
+        while not stopped():
+            self.run_due()
+            due_s = self.next_due_s()
+            wait_s = idle_s if due_s is None else min(idle_s, max(0.0, due_s - self.now()))
+            wake = Event()
+            self._wake = lambda wake=wake: None if wake.ready() else wake.send(None)
+            with eventlet.Timeout(max(wait_s, 0.001), False):
+                wake.wait()
+            self._wake = None
