Link: closing a socket that is being read no longer ends the process

Cause: eventlet wakes the readers of a closed socket by raising EOFError from inside the hub's own loop, where nothing catches it, so the whole link process ended after the first cut. Ruled out: the test's echo server, which also ended at a reset and was mended, without effect on the red test.

--- a/standins/link.py
+++ b/standins/link.py
@@ -35,6 +35,7 @@
 CHUNK_BYTES = 65536
 QUEUED_CHUNKS = 64  # in flight each way of one connection while a delay is set
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CONNECTION_ENDED = (OSError, EOFError)  # eventlet wakes the readers of a closed socket by EOFError
 DIRECTIONS = {
     "both": frozenset({"to_server", "to_client"}),
     "to_server": frozenset({"to_server"}),
@@ -156,7 +157,7 @@
         while data:
             try:
                 data = source.recv(CHUNK_BYTES)
-            except OSError:
+            except CONNECTION_ENDED:
                 data = None  # a reset, passed on as one
             chunks.put((time.monotonic() + self.delay_s, data))
 
@@ -174,7 +175,7 @@
                     self._end(conn, sink, direction)
                     return
                 sink.sendall(data)
-            except OSError:
+            except CONNECTION_ENDED:
                 self._reset(conn)
                 return
             self.bytes[direction] += len(data)
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -14,8 +14,11 @@
 
 
 def echo(conn):
-    while data := conn.recv(1000):
-        conn.sendall(data)
+    try:
+        while data := conn.recv(1000):
+            conn.sendall(data)
+    except ConnectionResetError:
+        pass  # eventlet.serve ends at the first error of a handler
     conn.close()
 
 
