--- /dev/null
+++ b/burdocklug/callers/_routes.py
@@ -0,0 +1,84 @@
+"""Routes of the callers' listener: sessions, jobs, health, metrics."""
+
+import msgspec
+
+from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.web import Response, RouteTable, json_response
+
+__all__ = ["callers_app"]
+
+MAX_WAIT_S = 3600.0
+
+
+class SessionAnswer(msgspec.Struct, frozen=True):
+    """Answer to the opening of a session; the first key is ``<session>~1``."""
+
+    session: str
+    max_tasks: int
+
+
+class HealthAnswer(msgspec.Struct, frozen=True):
+    """Answer to a health check of the balancer."""
+
+    status: str
+
+
+def callers_app(jobs, listen, *, health, metrics):
+    """Return the WSGI application of the callers' listener.
+
+    Parameters
+    ----------
+    jobs : JobService
+        Runs submissions.
+    listen : ListenSettings
+        Bounds of bodies and times.
+    health : callable
+        Returns None, or the BurdocklugError that says why no work is taken.
+    metrics : callable
+        Returns the metrics page as bytes and its content type.
+    """
+    app = RouteTable(max_body_bytes=listen.max_body_bytes, body_timeout_s=listen.body_timeout_s)
+
+    @app.route("POST", "/v1/sessions")
+    def open_session(_req):
+        answer = SessionAnswer(jobs.open_session(), jobs.settings.max_tasks)
+        return json_response(201, answer)
+
+    @app.route("POST", "/v1/jobs")
+    def submit(req):
+        key = req.header("Idempotency-Key")
+        if not key:
+            raise BurdocklugError(
+                ErrorKind.BAD_REQUEST, "the header is missing", path="header Idempotency-Key"
+            )
+        return _response(jobs.submit(key, req.read_body(), wait_s=_wait_s(req)))
+
+    @app.route("GET", "/v1/jobs/{key}")
+    def status(req):
+        return _response(jobs.status(req.params["key"], wait_s=_wait_s(req) or 0.0))
+
+    @app.route("DELETE", "/v1/jobs/{key}")
+    def cancel(req):
+        return _response(jobs.cancel(req.params["key"]))
+
+    @app.route("GET", "/v1/health")
+    def check_health(_req):
+        fault = health()
+        if fault is not None:
+            raise fault
+        return json_response(200, HealthAnswer("serving"))
+
+    @app.route("GET", "/metrics")
+    def show_metrics(_req):
+        body, content_type = metrics()
+        return Response(200, body, content_type)
+
+    return app
+
+
+def _wait_s(req):
+    return req.query_float("wait_s", None, most=MAX_WAIT_S)
+
+
+def _response(answer):
+    return Response(answer.status, answer.body, retry_after_s=answer.retry_after_s)
--- /dev/null
+++ b/burdocklug/daemon/_main.py
@@ -0,0 +1,50 @@
+"""Entry point of ``burdocklugd``: settings, the loop, signals."""
+
+import argparse
+import sys
+import warnings
+
+__all__ = ["main"]
+
+EVENTLET_DEPRECATION = r"\s*Eventlet is deprecated"
+
+
+def main(argv=None):
+    """Run one process until it is told to stop.
+
+    Parameters
+    ----------
+    argv : list of str, optional
+        Arguments; those of the command line by default.
+
+    Returns
+    -------
+    int
+        Exit code: 0 after a graceful shutdown, 2 for settings with faults.
+    """
+    options = _parse_arguments(argv)
+    warnings.filterwarnings("ignore", message=EVENTLET_DEPRECATION)
+    import eventlet
+
+    eventlet.monkey_patch()
+    from burdocklug.kernel import SettingsError, answer_for, configure_logs, load_settings
+
+    try:
+        settings = load_settings(options.settings)
+    except SettingsError as exc:
+        for fault in exc.faults:
+            print(f"burdocklugd: {fault}", file=sys.stderr)
+        return answer_for(exc.kind).exit_code
+    if options.check:
+        return 0
+    configure_logs(level=settings.process.log_level, process=settings.process.name)
+    from burdocklug.daemon._process import run_process
+
+    return run_process(settings)
+
+
+def _parse_arguments(argv):
+    parser = argparse.ArgumentParser(prog="burdocklugd", description=__doc__)
+    parser.add_argument("settings", help="YAML file with this process's settings")
+    parser.add_argument("--check", action="store_true", help="check the settings and exit")
+    return parser.parse_args(argv)
--- /dev/null
+++ b/burdocklug/jobs/_dispatch.py
@@ -0,0 +1,268 @@
+"""Runs the tasks of accepted jobs: queue, slot lease, attempt, answer.
+
+A task waits in its service's queue until the service's router gives a lease on an endpoint's
+slot. One greenlet then runs one attempt. A job ends with its last task, its first failed task,
+its deadline or its cancellation, whichever comes first.
+"""
+
+import itertools
+
+import eventlet
+import structlog
+from burdocklug.endpoints import Attempt
+from burdocklug.retries import Finished, NotRun
+from burdocklug.routing import LeaseOutcome
+
+from burdocklug.jobs._admission import admit_job
+from burdocklug.jobs._jobs import Job, Task, TaskState, encode_complete, encode_error
+from burdocklug.jobs._lanes import Lane
+from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
+
+__all__ = ["Dispatcher"]
+
+log = structlog.get_logger(__name__)
+
+ROUTING_REFRESH_S = 0.25
+PUMP_S = 0.05
+
+
+class Dispatcher:
+    """Runs accepted jobs.
+
+    Parameters
+    ----------
+    context : DispatchContext
+        The parts of the process that dispatching uses.
+    """
+
+    def __init__(self, context):
+        self.ctx = context
+        self.lanes = {}
+        self.jobs = {}
+        self.counts = {
+            "jobs_complete": 0,
+            "jobs_failed": 0,
+            "attempts": 0,
+            "attempts_not_run": 0,
+            "attempts_unknown": 0,
+            "tasks_finished": 0,
+        }
+        self._attempt_numbers = itertools.count(1)
+
+    def start_timers(self):
+        """Subscribe to the timer service."""
+        self.ctx.timers.every(ROUTING_REFRESH_S, self.refresh)
+        self.ctx.timers.every(PUMP_S, self._pump_all)
+        self.ctx.configuration.subscribe(self.refresh)
+
+    def start(self, record, submission):
+        """Accept a job and queue its tasks.
+
+        Parameters
+        ----------
+        record : Record
+            The submission's new record.
+        submission : JobSubmission
+            What to run.
+
+        Raises
+        ------
+        BurdocklugError
+            Where the job is refused; nothing of it ran and nothing is left behind.
+        """
+        now = self.ctx.timers.now()
+        deadline_s = submission.deadline_s or self.ctx.settings.default_deadline_s
+        admit_job(self.ctx, self._lane(submission.service), submission, deadline_s, now)
+        lane = self.lanes[submission.service]
+        job = self._new_job(record, submission, now, deadline_s)
+        for task in job.tasks:
+            cost_s = lane.expected_run_s(task.declared_s)
+            lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now)
+        self._schedule_pump(lane)
+
+    def _new_job(self, record, submission, now, deadline_s):
+        job = Job(
+            key=record.key,
+            service=submission.service,
+            team=submission.team,
+            deadline_s=now + deadline_s,
+            created_s=now,
+            record=record,
+        )
+        job.tasks = [
+            Task(job, index, task.payload, task.declared_s, task.accelerators)
+            for index, task in enumerate(submission.tasks)
+        ]
+        job.unfinished = len(job.tasks)
+        job.timer = self.ctx.timers.after(deadline_s, lambda: self._expire(job))
+        record.job = job
+        self.jobs[job.key] = job
+        return job
+
+    def cancel(self, job):
+        """End a job now; its waiting tasks are dropped and its running ones told to stop."""
+        self._fail(job, BurdocklugError(ErrorKind.CANCELLED, f"job {job.key} was cancelled"))
+
+    def _expire(self, job):
+        fault = f"job {job.key} was not complete by its deadline"
+        self._fail(job, BurdocklugError(ErrorKind.DEADLINE_EXCEEDED, fault))
+
+    def _lane(self, service):
+        lane = self.lanes.get(service)
+        if lane is None and (state := self.ctx.configuration.service(service)) is not None:
+            lane = self.lanes[service] = Lane(service, state, self.ctx)
+            self._refresh_lane(lane)
+        return lane
+
+    def refresh(self):
+        """Pass configuration, members and endpoint health on to the routers."""
+        for lane in list(self.lanes.values()):
+            self._refresh_lane(lane)
+
+    def _refresh_lane(self, lane):
+        now = self.ctx.timers.now()
+        self._send(lane.refresh(now))
+        self._schedule_pump(lane)
+
+    def _pump_all(self):
+        for lane in self.lanes.values():
+            self._pump(lane)
+
+    def _schedule_pump(self, lane):
+        if not lane.pump_scheduled:
+            lane.pump_scheduled = True
+            eventlet.spawn_n(self._pump, lane)
+
+    def _pump(self, lane):
+        lane.pump_scheduled = False
+        now = self.ctx.timers.now()
+        waiting = lane.eligible_tasks()
+        leases, outgoing = lane.router.pump(now, waiting)
+        self._send(outgoing)
+        for lease in leases:
+            self._start_on(lane, lease, now)
+
+    def _start_on(self, lane, lease, now):
+        queued = lane.queue.pop(lane.eligible)
+        if queued is None:
+            lane.router.release(now, lease, LeaseOutcome.FINISHED)
+            return
+        lane.note_started(queued.team)
+        eventlet.spawn_n(self._run_task, lane, lease, queued.task_ref)
+
+    def _send(self, outgoing):
+        for item in outgoing:
+            self.ctx.peers.send(item.to, item.message)
+
+    def receive(self, sender, message):
+        """Take a slot message of a peer."""
+        lane = self._lane(message.service)
+        if lane is None:
+            return
+        self._send(lane.router.receive(self.ctx.timers.now(), sender, message))
+        self._schedule_pump(lane)
+
+    def _run_task(self, lane, lease, task):
+        job = task.job
+        begun_s = self.ctx.timers.now()
+        task.state = TaskState.STARTED
+        task.address = lane.address_of(lease.endpoint)
+        task.attempt_id = f"{self.ctx.incarnation}~{next(self._attempt_numbers):x}"
+        job.in_flight += 1
+        self.counts["attempts"] += 1
+        outcome = self._run_attempt(lane, task, begun_s)
+        job.in_flight -= 1
+        ended_s = self.ctx.timers.now()
+        lane.note_ended(job.team)
+        lane.router.release(ended_s, lease, _lease_outcome(outcome), run_s=ended_s - begun_s)
+        self._settle(lane, task, outcome, ended_s - begun_s)
+        self._schedule_pump(lane)
+
+    def _run_attempt(self, lane, task, now):
+        if task.address is None:
+            return NotRun("refused")
+        deadline_s = min(task.job.deadline_s, now + lane.state.task_timeout_s)
+        attempt = Attempt(
+            task.attempt_id, task.task_id, lane.service, task.payload, deadline_s - now
+        )
+        expected_s = lane.expected_run_s(task.declared_s)
+        return self.ctx.run_attempt(task.address, attempt, expected_s=expected_s)
+
+    def _settle(self, lane, task, outcome, run_s):
+        """Apply the outcome of an attempt to its task and job."""
+        job = task.job
+        if isinstance(outcome, Finished):
+            self.counts["tasks_finished"] += 1
+            lane.note_run(task.declared_s, run_s)
+            job.ran = Ran.YES
+            if not outcome.result.ok:
+                self._fail_task(task, ErrorKind.TASK_FAILED, str(outcome.result.value))
+            else:
+                self._finish_task(task, outcome.result.value)
+        elif isinstance(outcome, NotRun):
+            self.counts["attempts_not_run"] += 1
+            self._requeue(lane, task, outcome)
+        else:
+            self.counts["attempts_unknown"] += 1
+            job.ran = Ran.UNKNOWN if job.ran is Ran.NO else job.ran
+            self._fail_task(task, ErrorKind.OUTCOME_UNKNOWN, outcome.why)
+
+    def _finish_task(self, task, value):
+        job = task.job
+        task.state = TaskState.FINISHED
+        task.value = value
+        job.unfinished -= 1
+        if job.unfinished == 0 and not job.closed:
+            self._close(job)
+            self.counts["jobs_complete"] += 1
+            self._answer(job, encode_complete(job))
+
+    def _requeue(self, lane, task, outcome):
+        job = task.job
+        if job.closed:
+            return
+        task.state = TaskState.QUEUED
+        task.retries += 1
+        delay_s = self.ctx.retry_delay_s(task.retries, outcome.reason)
+        self.ctx.timers.after(delay_s, lambda: self._push_again(lane, task))
+
+    def _push_again(self, lane, task):
+        job = task.job
+        if job.closed:
+            return
+        cost_s = lane.expected_run_s(task.declared_s)
+        now = self.ctx.timers.now()
+        lane.queue.push_front(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now)
+        self._schedule_pump(lane)
+
+    def _fail_task(self, task, kind, why):
+        fault = BurdocklugError(kind, f"task {task.index}: {why}")
+        self._fail(task.job, fault, task=task.index)
+
+    def _fail(self, job, fault, *, task=None):
+        if job.closed:
+            return
+        self._close(job)
+        self.counts["jobs_failed"] += 1
+        ran = Ran.UNKNOWN if job.ran is Ran.NO and job.in_flight else job.ran
+        running = [item for item in job.tasks if item.state is TaskState.STARTED]
+        for item in running:
+            self.ctx.cancel_attempt(item.address, item.attempt_id)
+        self._answer(job, encode_error(fault, key=job.key, ran=ran, task=task))
+
+    def _close(self, job):
+        job.closed = True
+        job.timer.cancel()
+        self.lanes[job.service].queue.cancel_job(job.key)
+        del self.jobs[job.key]
+
+    def _answer(self, job, answer):
+        self.ctx.ledger.finish(job.record, answer.status, answer.body, answer.retry_after_s)
+
+
+def _lease_outcome(outcome):
+    if isinstance(outcome, Finished):
+        return LeaseOutcome.FINISHED
+    if isinstance(outcome, NotRun) and outcome.reason == "full":
+        return LeaseOutcome.FULL
+    return LeaseOutcome.LOST
--- /dev/null
+++ b/burdocklug/jobs/_forwarding.py
@@ -0,0 +1,76 @@
+"""Requests about keys that another process owns.
+
+The owner answers each message within `SLICE_S`, so that a lost message or a silent connection
+costs one slice and not the whole job. Asking again is safe: the owner's ledger is idempotent.
+"""
+
+import time
+
+from burdocklug.peers import PeerNotReached, PeerSilent
+
+from burdocklug.jobs._jobs import Answer, encode_error
+from burdocklug.jobs._messages import AwaitJob, CancelJob, SubmitJob
+from burdocklug.kernel import BurdocklugError, ErrorKind
+
+__all__ = ["Forwarder"]
+
+SLICE_S = 5.0  # longest wait of one message at the owner
+MARGIN_S = 1.0  # added to the wait for the trip
+MAX_SILENT_TRIES = 2
+
+
+class Forwarder:
+    """Passes requests to the owner of a key and the owner's answer back.
+
+    Parameters
+    ----------
+    peers : PeerNetwork
+        Carries the messages.
+    clock : callable, optional
+        Monotonic seconds.
+    """
+
+    def __init__(self, peers, *, clock=time.monotonic):
+        self._peers = peers
+        self._clock = clock
+
+    def submit(self, owner, key_text, body, *, wait_s):
+        """Submit at the owner and wait up to `wait_s` seconds for the end."""
+        until_s = self._clock() + wait_s
+        message = SubmitJob(key_text, body, min(wait_s, SLICE_S))
+        answer = self._ask(owner, message, key_text)
+        return self._wait_until(owner, key_text, answer, until_s)
+
+    def wait(self, owner, key_text, *, wait_s):
+        """Return the state at the owner, waiting up to `wait_s` seconds for the end."""
+        until_s = self._clock() + wait_s
+        answer = self._ask(owner, AwaitJob(key_text, min(wait_s, SLICE_S)), key_text)
+        return self._wait_until(owner, key_text, answer, until_s)
+
+    def cancel(self, owner, key_text):
+        """Cancel at the owner."""
+        return self._ask(owner, CancelJob(key_text), key_text)
+
+    def _wait_until(self, owner, key_text, answer, until_s):
+        while not answer.done and (left_s := until_s - self._clock()) > 0:
+            owner = self._peers.successor_of(owner) or owner
+            answer = self._ask(owner, AwaitJob(key_text, min(left_s, SLICE_S)), key_text)
+        return answer
+
+    def _ask(self, owner, message, key_text):
+        timeout_s = getattr(message, "wait_s", 0.0) + MARGIN_S
+        for _ in range(MAX_SILENT_TRIES):
+            try:
+                reply = self._peers.call(owner, message, timeout_s=timeout_s)
+            except PeerNotReached as exc:
+                return _owner_lost(key_text, owner, exc)
+            except PeerSilent as exc:
+                fault = exc
+                continue
+            return Answer(reply.status, reply.body, reply.done, reply.retry_after_s)
+        return _owner_lost(key_text, owner, fault)
+
+
+def _owner_lost(key_text, owner, fault):
+    message = f"the owner {owner} does not answer: {fault.message}"
+    return encode_error(BurdocklugError(ErrorKind.OWNER_LOST, message), key=key_text)
--- /dev/null
+++ b/burdocklug/jobs/_lanes.py
@@ -0,0 +1,112 @@
+"""One service's lane through this process: its queue, its router and what its tasks cost."""
+
+from burdocklug.limits import FairQueue
+from burdocklug.routing import RouteEndpoint, RouteMember, ServiceRouter
+
+__all__ = ["Lane"]
+
+RATIO_GAIN = 0.05  # weight of the newest task in the ratio of seen to declared run time
+MIN_RATIO = 0.1
+MAX_RATIO = 10.0
+
+
+class Lane:
+    """Waiting and running tasks of one service in this process.
+
+    Parameters
+    ----------
+    service : str
+        The service's name.
+    state : ServiceState
+        Its configuration.
+    ctx : DispatchContext
+        The parts of the process.
+    """
+
+    def __init__(self, service, state, ctx):
+        self.service = service
+        self.state = state
+        self.ctx = ctx
+        self.queue = FairQueue(max_tasks=state.max_queue)
+        self.router = ServiceRouter(
+            service=service,
+            incarnation=ctx.incarnation,
+            failure_domain=ctx.failure_domain,
+            weight=state.weight,
+        )
+        self.pump_scheduled = False
+        self.running = {}
+        self._ratio = 1.0
+        self._addresses = {}
+        self._view = None
+
+    def refresh(self, now):
+        """Take configuration, members and health as they are; return messages to send."""
+        state = self.ctx.configuration.service(self.service)
+        if state is not None:
+            self.state = state
+            self.queue.max_tasks = state.max_queue
+        endpoints = self.ctx.configuration.endpoints(self.service) if state else ()
+        for team in self.running:
+            if (limits := self.ctx.configuration.team(team)) is not None:
+                self.queue.set_weight(team, limits.weight)
+        self._addresses = {endpoint.name: endpoint.address for endpoint in endpoints}
+        routes = [self._route(endpoint, now) for endpoint in endpoints]
+        members = self._members()
+        if (routes, members) == self._view:
+            return []
+        self._view = (routes, members)
+        return self.router.update(now, routes, members)
+
+    def _route(self, endpoint, now):
+        usable = self.ctx.endpoint_usable(endpoint, now)
+        return RouteEndpoint(endpoint.name, endpoint.failure_domain, endpoint.slots, usable)
+
+    def _members(self):
+        own = RouteMember(self.ctx.incarnation, self.ctx.failure_domain)
+        others = [
+            RouteMember(member.incarnation, member.failure_domain)
+            for member in self.ctx.live_members()
+            if member.incarnation != self.ctx.incarnation
+        ]
+        return [own, *sorted(others, key=lambda member: member.incarnation)]
+
+    def address_of(self, endpoint):
+        """Return the address of an endpoint by name, or None once it is removed."""
+        return self._addresses.get(endpoint)
+
+    def eligible(self, team):
+        """Return whether a team may start a task now."""
+        return self.ctx.team_may_start(team)
+
+    def eligible_tasks(self):
+        """Return how many waiting tasks may start now."""
+        return self.queue.eligible_tasks(self.eligible)
+
+    def note_started(self, team):
+        """Count a started task of a team."""
+        self.running[team] = self.running.get(team, 0) + 1
+        self.ctx.note_team_started(team)
+
+    def note_ended(self, team):
+        """Count a task of a team as no longer running."""
+        self.running[team] -= 1
+        self.ctx.note_team_ended(team)
+
+    def note_run(self, declared_s, run_s):
+        """Correct the declared run times by what was seen."""
+        ratio = min(MAX_RATIO, max(MIN_RATIO, run_s / declared_s))
+        self._ratio += RATIO_GAIN * (ratio - self._ratio)
+
+    def expected_run_s(self, declared_s):
+        """Return the run time to expect of a task, in seconds."""
+        return declared_s * self._ratio
+
+    def free_room(self):
+        """Return how many more tasks the queue takes."""
+        return self.queue.room()
+
+    def slots(self):
+        """Return the number of slots of all usable endpoints."""
+        routes = self._view[0] if self._view else ()
+        return sum(route.slots for route in routes if route.usable)
--- /dev/null
+++ b/burdocklug/jobs/_messages.py
@@ -0,0 +1,74 @@
+"""Messages between processes about submissions."""
+
+import msgspec
+
+__all__ = [
+    "AwaitJob",
+    "CancelJob",
+    "HandOver",
+    "HandOverDone",
+    "JobReply",
+    "RecordCopy",
+    "SessionCopy",
+    "SubmitJob",
+]
+
+
+class SubmitJob(msgspec.Struct, tag="submit_job", frozen=True):
+    """Ask the owner of a key to run a submission; `body` is the caller's JSON."""
+
+    key: str
+    body: bytes
+    wait_s: float
+
+
+class AwaitJob(msgspec.Struct, tag="await_job", frozen=True):
+    """Ask the owner of a key for its state, waiting up to `wait_s` seconds for the end."""
+
+    key: str
+    wait_s: float
+
+
+class CancelJob(msgspec.Struct, tag="cancel_job", frozen=True):
+    """Ask the owner of a key to cancel its job."""
+
+    key: str
+
+
+class JobReply(msgspec.Struct, tag="job_reply", frozen=True):
+    """The owner's answer to any of the three requests."""
+
+    status: int
+    body: bytes
+    done: bool
+    retry_after_s: float | None = None
+
+
+class RecordCopy(msgspec.Struct, frozen=True, array_like=True):
+    """A finished record of a ledger that is handed over."""
+
+    sequence: int
+    digest: bytes | None
+    status: int
+    answer: bytes
+
+
+class SessionCopy(msgspec.Struct, frozen=True, array_like=True):
+    """A session of a ledger that is handed over."""
+
+    session: str
+    mark: int
+    records: list[RecordCopy]
+
+
+class HandOver(msgspec.Struct, tag="hand_over", frozen=True):
+    """Sessions and claims of a process that shuts down, for its successor."""
+
+    sessions: list[SessionCopy]
+    claims: list[tuple[str, RecordCopy]]
+
+
+class HandOverDone(msgspec.Struct, tag="hand_over_done", frozen=True):
+    """The successor holds everything of one `HandOver` message."""
+
+    sessions: int
--- a/burdocklug/kernel/__init__.py
+++ b/burdocklug/kernel/__init__.py
@@ -1,5 +1,6 @@
 """The kernel: error kinds, registries, timers, settings and logs. It imports no other package."""
 
+from burdocklug.kernel._error_body import encode_error_body
 from burdocklug.kernel._errors import (
     ANSWERS,
     BurdocklugError,
@@ -9,6 +10,7 @@
     answer_for,
 )
 from burdocklug.kernel._logs import configure_logs
+from burdocklug.kernel._parts import Process, build_parts, part, parts
 from burdocklug.kernel._registry import Registry
 from burdocklug.kernel._settings import (
     JobSettings,
@@ -32,6 +34,7 @@
     "ListenSettings",
     "PeerSettings",
     "PlatformSettings",
+    "Process",
     "ProcessSettings",
     "Ran",
     "Registry",
@@ -40,7 +43,11 @@
     "Subscription",
     "TimerService",
     "answer_for",
+    "build_parts",
     "check_settings",
     "configure_logs",
+    "encode_error_body",
     "load_settings",
+    "part",
+    "parts",
 ]
--- a/burdocklug/kernel/_errors.py
+++ b/burdocklug/kernel/_errors.py
@@ -82,7 +82,7 @@
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, 11, Ran.NO),
     ErrorKind.SLOW_SENDER: ErrorAnswer(408, 12, Ran.NO),
     ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(405, 13, Ran.NO),
-    ErrorKind.NOT_FOUND: ErrorAnswer(404, 14, Ran.NO),
+    ErrorKind.NOT_FOUND: ErrorAnswer(404, 14, Ran.UNKNOWN),
     ErrorKind.UNAUTHORIZED: ErrorAnswer(401, 15, Ran.NO),
     ErrorKind.KEY_CONFLICT: ErrorAnswer(409, 20, Ran.NO),
     ErrorKind.KEY_EXPIRED: ErrorAnswer(410, 21, Ran.UNKNOWN),
--- a/burdocklug/kernel/_timers.py
+++ b/burdocklug/kernel/_timers.py
@@ -15,6 +15,8 @@
 
 log = structlog.get_logger(__name__)
 
+MIN_PURGE = 1000  # cancelled subscriptions that are worth a purge
+
 
 @dataclass(order=True, slots=True)
 class Subscription:
@@ -24,12 +26,15 @@
     order: int
     callback: object = field(compare=False)
     period_s: float | None = field(compare=False, default=None)
+    service: object = field(compare=False, default=None)
     cancelled: bool = field(compare=False, default=False)
 
     def cancel(self):
         """Prevent every later call of the callback."""
-        self.cancelled = True
-        self.callback = None
+        if not self.cancelled:
+            self.cancelled = True
+            self.callback = None
+            self.service.note_cancelled()
 
 
 class TimerService:
@@ -57,6 +62,18 @@
         self._heap = []
         self._order = itertools.count()
         self._wake = None
+        self._cancelled = 0
+
+    def __len__(self):
+        return len(self._heap)
+
+    def note_cancelled(self):
+        """Drop cancelled subscriptions once they are the greater part of all."""
+        self._cancelled += 1
+        if self._cancelled > MIN_PURGE and 2 * self._cancelled > len(self._heap):
+            self._heap = [sub for sub in self._heap if not sub.cancelled]
+            heapq.heapify(self._heap)
+            self._cancelled = 0
 
     def after(self, delay_s, callback):
         """Call `callback` once, `delay_s` seconds from now, and return its subscription."""
@@ -72,7 +89,7 @@
         return self._push(self.now() + period_s, callback, period_s)
 
     def _push(self, due_s, callback, period_s):
-        sub = Subscription(due_s, next(self._order), callback, period_s)
+        sub = Subscription(due_s, next(self._order), callback, period_s, self)
         heapq.heappush(self._heap, sub)
         if self._wake is not None and self._heap[0] is sub:
             self._wake()
--- /dev/null
+++ b/burdocklug/operators/_routes.py
@@ -0,0 +1,72 @@
+"""Routes of the operators' listener."""
+
+import msgspec
+
+from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.operators._guard import bearer_guard
+from burdocklug.web import Response, RouteTable, json_response
+
+__all__ = ["operators_app"]
+
+MAX_TICKET_BYTES = 1_000_000
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """Answer to a request that is carried out later."""
+
+    accepted: bool
+
+
+def operators_app(process, listen):
+    """Return the WSGI application of the operators' listener.
+
+    Parameters
+    ----------
+    process : Process
+        The process with its parts.
+    listen : ListenSettings
+        Time bounds of bodies.
+    """
+    app = RouteTable(
+        max_body_bytes=MAX_TICKET_BYTES,
+        body_timeout_s=listen.body_timeout_s,
+        guard=bearer_guard(process.settings.operator_token),
+    )
+
+    @app.route("POST", "/v1/tickets")
+    def apply_ticket(req):
+        return json_response(200, process["tickets"].apply_text(req.read_body()))
+
+    @app.route("GET", "/v1/tickets/{number}")
+    def show_ticket(req):
+        return json_response(200, process["tickets"].reach(_number(req.params["number"])))
+
+    @app.route("GET", "/v1/configuration")
+    def show_configuration(_req):
+        return json_response(200, process["tickets"].show())
+
+    @app.route("GET", "/v1/state")
+    def show_state(_req):
+        return Response(200, msgspec.json.encode(state_dump(process), enc_hook=str))
+
+    @app.route("POST", "/v1/drain")
+    def drain(_req):
+        process.request_stop()
+        return json_response(202, Accepted(True))
+
+    return app
+
+
+def _number(text):
+    if not text.isdigit():
+        raise BurdocklugError(ErrorKind.BAD_REQUEST, f"{text[:40]!r} is no number", path="path")
+    return int(text)
+
+
+def state_dump(process):
+    """Return the state of every part that has any, by the part's name."""
+    dump = {"process": process.settings.process.name, "draining": process.draining}
+    for name, built in process.parts.items():
+        if hasattr(built, "dump"):
+            dump[name] = built.dump()
+    return dump
--- /dev/null
+++ b/burdocklug/web/__init__.py
@@ -0,0 +1,13 @@
+"""HTTP listeners: routes, bounded reading of bodies, error answers, the server."""
+
+from burdocklug.web._routes import Request, Response, RouteTable, error_response, json_response
+from burdocklug.web._server import HttpListener
+
+__all__ = [
+    "HttpListener",
+    "Request",
+    "Response",
+    "RouteTable",
+    "error_response",
+    "json_response",
+]
--- /dev/null
+++ b/burdocklug/web/_routes.py
@@ -0,0 +1,223 @@
+"""Routes of an HTTP listener and the WSGI application over them."""
+
+import re
+import urllib.parse
+from dataclasses import dataclass, field
+
+import eventlet
+import msgspec
+import structlog
+
+from burdocklug.kernel import BurdocklugError, ErrorKind, answer_for, encode_error_body
+
+__all__ = ["Request", "Response", "RouteTable", "error_response", "json_response"]
+
+log = structlog.get_logger(__name__)
+
+JSON_TYPE = "application/json"
+_REASONS = {
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """An HTTP answer; `body` is sent as it is."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+    retry_after_s: float | None = None
+
+
+@dataclass(slots=True)
+class Request:
+    """An HTTP request whose body is read on demand and within bounds."""
+
+    environ: dict
+    params: dict
+    max_body_bytes: int
+    body_timeout_s: float
+    query: dict = field(default_factory=dict)
+
+    def header(self, name):
+        """Return a header's value, or None."""
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"))
+
+    def read_body(self):
+        """Return the whole body.
+
+        Raises
+        ------
+        BurdocklugError
+            Of kind ``body_too_large``, ``slow_sender`` or, for a body that ends early,
+            ``bad_request``.
+        """
+        declared = _declared_length(self.environ)
+        if declared is not None and declared > self.max_body_bytes:
+            raise self._too_large()
+        with eventlet.Timeout(self.body_timeout_s, False):
+            return self._read(declared)
+        self.environ["burdocklug.close"] = True
+        raise BurdocklugError(
+            ErrorKind.SLOW_SENDER, f"body not complete after {self.body_timeout_s} s", path="$"
+        )
+
+    def _read(self, declared):
+        limit = self.max_body_bytes + 1 if declared is None else declared
+        try:
+            body = self.environ["wsgi.input"].read(limit)
+        except (OSError, ValueError) as exc:
+            raise BurdocklugError(
+                ErrorKind.BAD_REQUEST, f"body unreadable: {exc}", path="$"
+            ) from exc
+        if len(body) > self.max_body_bytes:
+            raise self._too_large()
+        if declared is not None and len(body) < declared:
+            raise BurdocklugError(
+                ErrorKind.BAD_REQUEST, f"body ends after {len(body)} of {declared} bytes", path="$"
+            )
+        return body
+
+    def _too_large(self):
+        self.environ["burdocklug.close"] = True
+        return BurdocklugError(
+            ErrorKind.BODY_TOO_LARGE, f"body is over {self.max_body_bytes} bytes", path="$"
+        )
+
+    def query_float(self, name, default, *, most):
+        """Return a query parameter as a number between 0 and `most`.
+
+        Raises
+        ------
+        BurdocklugError
+            Of kind ``bad_request`` where it is not such a number.
+        """
+        text = self.query.get(name)
+        if text is None:
+            return default
+        try:
+            value = float(text)
+        except ValueError:
+            value = -1.0
+        if not 0 <= value <= most:
+            raise BurdocklugError(
+                ErrorKind.BAD_REQUEST,
+                f"{text[:40]!r} is not within 0..{most}",
+                path=f"query {name}",
+            )
+        return value
+
+
+def _declared_length(environ):
+    text = environ.get("CONTENT_LENGTH") or ""
+    if not text:
+        return None if "HTTP_TRANSFER_ENCODING" in environ else 0
+    if not text.isdigit():
+        raise BurdocklugError(
+            ErrorKind.BAD_REQUEST, f"{text[:40]!r} is no length", path="header Content-Length"
+        )
+    return int(text)
+
+
+class RouteTable:
+    """Routes of one listener, filled by a decorator; it is the WSGI application.
+
+    Parameters
+    ----------
+    max_body_bytes : int
+        Largest body.
+    body_timeout_s : float
+        Longest time for the whole body to arrive, in seconds.
+    guard : callable, optional
+        Called with each request before its handler; raises to refuse it.
+    """
+
+    def __init__(self, *, max_body_bytes, body_timeout_s, guard=None):
+        self._routes = []
+        self._max_body_bytes = max_body_bytes
+        self._body_timeout_s = body_timeout_s
+        self._guard = guard
+        self.counts = {}
+
+    def route(self, method, path):
+        """Return a decorator that serves `method` on `path`; ``{name}`` matches one segment."""
+        pattern = re.compile(re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", path))
+
+        def decorate(handler):
+            self._routes.append((method, pattern, handler))
+            return handler
+
+        return decorate
+
+    def __call__(self, environ, start_response):
+        """Serve one request (PEP 3333)."""
+        response = self._respond(environ)
+        self.counts[response.status] = self.counts.get(response.status, 0) + 1
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Content-Length", str(len(response.body))),
+        ]
+        if response.retry_after_s is not None:
+            headers.append(("Retry-After", f"{max(1, round(response.retry_after_s))}"))
+        if environ.get("burdocklug.close"):
+            headers.append(("Connection", "close"))
+        reason = _REASONS.get(response.status, "Unknown")
+        start_response(f"{response.status} {reason}", headers)
+        return [response.body]
+
+    def _respond(self, environ):
+        try:
+            handler, params = self._find(environ["REQUEST_METHOD"], environ["PATH_INFO"])
+            request = Request(environ, params, self._max_body_bytes, self._body_timeout_s)
+            request.query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+            if self._guard is not None:
+                self._guard(request)
+            return handler(request)
+        except BurdocklugError as exc:
+            return error_response(exc)
+        except Exception:
+            log.exception("request_failed", path=environ.get("PATH_INFO"))
+            return error_response(BurdocklugError(ErrorKind.INTERNAL, "internal error"))
+
+    def _find(self, method, path):
+        allowed = set()
+        for known, pattern, handler in self._routes:
+            match = pattern.fullmatch(path)
+            if match is None:
+                continue
+            if known == method:
+                return handler, match.groupdict()
+            allowed.add(known)
+        if allowed:
+            raise BurdocklugError(
+                ErrorKind.METHOD_NOT_ALLOWED, f"{method[:20]} is not one of {sorted(allowed)}"
+            )
+        raise BurdocklugError(ErrorKind.NOT_FOUND, f"no such path: {path[:200]}", ran="no")
+
+
+def error_response(exc):
+    """Return the response that answers a BurdocklugError."""
+    status = answer_for(exc.kind).http_status
+    return Response(status, encode_error_body(exc), retry_after_s=exc.retry_after_s)
+
+
+def json_response(status, value):
+    """Return a JSON response."""
+    return Response(status, msgspec.json.encode(value))
--- /dev/null
+++ b/burdocklug/web/_server.py
@@ -0,0 +1,88 @@
+"""One HTTP listener on eventlet's WSGI server."""
+
+import logging
+
+import eventlet
+import eventlet.wsgi
+import structlog
+
+__all__ = ["HttpListener"]
+
+log = structlog.get_logger(__name__)
+
+MAX_HEADER_LINE_BYTES = 8192
+MAX_HEADERS_BYTES = 16384
+
+
+class _BoundedHeaders(eventlet.wsgi.HttpProtocol):
+    """Closes a connection whose request line and headers take longer than `header_timeout_s`."""
+
+    header_timeout_s = 10.0
+
+    def parse_request(self):
+        timeout = eventlet.Timeout(self.header_timeout_s)
+        try:
+            return super().parse_request()
+        except eventlet.Timeout as exc:
+            if exc is not timeout:
+                raise
+            self.close_connection = 1
+            return False
+        finally:
+            timeout.cancel()
+
+
+class HttpListener:
+    """Listens on one address and serves a WSGI application.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``.
+    app : callable
+        The WSGI application.
+    max_connections : int
+        Most connections at a time; more wait in the listen queue.
+    header_timeout_s : float
+        Longest time for the headers, and longest idle time of a connection, in seconds.
+    """
+
+    def __init__(self, address, app, *, max_connections, header_timeout_s):
+        self.address = address
+        self._app = app
+        self._max_connections = max_connections
+        self._header_timeout_s = header_timeout_s
+        self._server = None
+
+    def start(self):
+        """Bind the address and serve in a greenlet of its own."""
+        host, _, port = self.address.rpartition(":")
+        sock = eventlet.listen((host, int(port)), backlog=self._max_connections, reuse_port=False)
+        protocol = type(
+            "_Protocol", (_BoundedHeaders,), {"header_timeout_s": self._header_timeout_s}
+        )
+        self._server = eventlet.spawn(
+            eventlet.wsgi.server,
+            sock,
+            self._app,
+            log=logging.getLogger("burdocklug.web"),
+            log_output=False,
+            debug=False,
+            protocol=protocol,
+            max_size=self._max_connections,
+            socket_timeout=self._header_timeout_s,
+            url_length_limit=MAX_HEADER_LINE_BYTES,
+        )
+
+    def stop(self, *, timeout_s):
+        """Close idle connections, let requests in flight end, at most for `timeout_s` seconds."""
+        if self._server is None:
+            return
+        self._server.kill()
+        with eventlet.Timeout(timeout_s, False):
+            try:
+                self._server.wait()
+            except BaseException as exc:  # the greenlet ends with GreenletExit
+                if isinstance(exc, eventlet.Timeout):
+                    raise
+        log.info("listener_stopped", address=self.address)
