--- /dev/null
+++ b/burdocklug/tickets/_codec.py
@@ -0,0 +1,152 @@
+"""Encodes configuration values to bytes and back, for the store and for peers."""
+
+import hashlib
+import zlib
+
+import msgspec
+
+from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.tickets._merge import ConfigValue, ObjectVersion
+from burdocklug.tickets._models import state_model
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "ValueUnreadable",
+    "decode_value",
+    "encode_value",
+    "value_digest",
+]
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_PLAIN_BYTES = 8_000_000
+VALUE_DIGEST_BYTES = 8
+FORMAT = b"\x01"
+COMPRESSION_LEVEL = 1
+LARGEST_NAMED = 3
+
+
+class _StoredObject(msgspec.Struct, array_like=True, frozen=True):
+    name: str
+    number: int
+    digest: bytes
+    state: msgspec.Raw
+
+
+class _StoredValue(msgspec.Struct, array_like=True, frozen=True):
+    floor: int
+    recent_tickets: list[tuple[int, bytes]]
+    objects: list[_StoredObject]
+
+
+class ValueUnreadable(BurdocklugError):
+    """Raised for bytes that are no configuration value."""
+
+    def __init__(self, message):
+        super().__init__(ErrorKind.INTERNAL, message)
+
+
+_encoder = msgspec.msgpack.Encoder(order="deterministic")
+_decoder = msgspec.msgpack.Decoder(_StoredValue)
+
+
+def encode_value(value, *, max_bytes=MAX_VALUE_BYTES):
+    """Encode a value to bytes.
+
+    Parameters
+    ----------
+    value : ConfigValue
+        The value.
+    max_bytes : int, optional
+        Most bytes of the result.
+
+    Returns
+    -------
+    bytes
+        A format byte and compressed MessagePack; equal values give equal bytes.
+
+    Raises
+    ------
+    BurdocklugError
+        Of kind TICKET_TOO_LARGE, naming the sizes of the whole and of the largest objects.
+    """
+    stored = []
+    for name, version in sorted(value.objects.items()):
+        state = msgspec.Raw(_encoder.encode(version.state))
+        stored.append(_StoredObject(name, version.number, version.digest, state))
+    plain = _encoder.encode(_StoredValue(value.floor, sorted(value.recent_tickets.items()), stored))
+    raw = FORMAT + zlib.compress(plain, COMPRESSION_LEVEL)
+    if len(raw) > max_bytes or len(plain) > MAX_PLAIN_BYTES:
+        raise BurdocklugError(
+            ErrorKind.TICKET_TOO_LARGE, _size_message(stored, raw, plain, max_bytes)
+        )
+    return raw
+
+
+def _size_message(stored, raw, plain, max_bytes):
+    largest = sorted(stored, key=lambda obj: -len(obj.state))[:LARGEST_NAMED]
+    sizes = ", ".join(f"{obj.name} {len(obj.state)}" for obj in largest)
+    return (
+        f"the configuration has {len(raw)} bytes, at most {max_bytes}, and {len(plain)} bytes "
+        f"before compression, at most {MAX_PLAIN_BYTES}; largest objects before it: {sizes}"
+    )
+
+
+def decode_value(raw):
+    """Decode what `encode_value` gave.
+
+    Parameters
+    ----------
+    raw : bytes
+        The encoded value.
+
+    Returns
+    -------
+    ConfigValue
+        The value, with validated states.
+
+    Raises
+    ------
+    ValueUnreadable
+        If the bytes are something else.
+
+    Examples
+    --------
+    >>> decode_value(encode_value(ConfigValue(floor=3))).floor
+    3
+    """
+    try:
+        if raw[:1] != FORMAT:
+            raise ValueError(f"format {raw[:1]!r} is unknown")
+        inflate = zlib.decompressobj()
+        plain = inflate.decompress(raw[1:], MAX_PLAIN_BYTES)
+        if not inflate.eof:
+            raise ValueError(f"over {MAX_PLAIN_BYTES} bytes before compression, or cut off")
+        stored = _decoder.decode(plain)
+        objects = {obj.name: _to_version(obj) for obj in stored.objects}
+    except (ValueError, KeyError, zlib.error, msgspec.MsgspecError) as exc:
+        raise ValueUnreadable(f"the configuration of {len(raw)} bytes: {exc}") from exc
+    return ConfigValue(objects, dict(stored.recent_tickets), stored.floor)
+
+
+def _to_version(obj):
+    model = state_model(obj.name)
+    state = msgspec.msgpack.decode(obj.state, type=model | None)
+    return ObjectVersion(obj.number, obj.digest, state)
+
+
+def value_digest(value):
+    """Return a short digest of which version of each object a value holds.
+
+    Parameters
+    ----------
+    value : ConfigValue
+        The value.
+
+    Returns
+    -------
+    bytes
+        `VALUE_DIGEST_BYTES` bytes; remembered ticket numbers have no part in it.
+    """
+    versions = [(n, v.number, v.digest) for n, v in sorted(value.objects.items())]
+    raw = msgspec.msgpack.encode((value.floor, versions))
+    return hashlib.blake2b(raw, digest_size=VALUE_DIGEST_BYTES).digest()
