--- /dev/null
+++ b/burdocklug/peers/__init__.py
@@ -0,0 +1,18 @@
+"""Messages between the processes of a fleet, and who belongs to it."""
+
+from burdocklug.peers._errors import MessageTooLarge, PeerNotReached, PeerSilent
+from burdocklug.peers._incarnation import address_of, mint_incarnation, started_ns
+from burdocklug.peers._member import Member, MemberState
+from burdocklug.peers._network import PeerNetwork
+
+__all__ = [
+    "Member",
+    "MemberState",
+    "MessageTooLarge",
+    "PeerNetwork",
+    "PeerNotReached",
+    "PeerSilent",
+    "address_of",
+    "mint_incarnation",
+    "started_ns",
+]
--- /dev/null
+++ b/burdocklug/peers/_incarnation.py
@@ -0,0 +1,61 @@
+"""Incarnation ids: one for each start of a process, with the address that it listens on."""
+
+import re
+import secrets
+import time
+
+__all__ = ["address_of", "mint_incarnation", "started_ns"]
+
+_PATTERN = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})~([0-9a-f]{16})([0-9a-f]{8})")
+
+
+def mint_incarnation(address, *, start_ns=None):
+    """Return a new incarnation id for a process that listens on `address`.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    start_ns : int, optional
+        Start of the process in nanoseconds since the epoch; now by default.
+
+    Examples
+    --------
+    >>> mint_incarnation("127.0.0.1:7000", start_ns=255)[:31]
+    '127.0.0.1:7000~00000000000000ff'
+    """
+    start_ns = time.time_ns() if start_ns is None else start_ns
+    return f"{address}~{start_ns:016x}{secrets.token_hex(4)}"
+
+
+def address_of(incarnation):
+    """Return the address inside an incarnation id, or None if it is malformed.
+
+    Examples
+    --------
+    >>> address_of("127.0.0.1:7000~00000000000000ff0123abcd")
+    '127.0.0.1:7000'
+    >>> address_of("nobody") is None
+    True
+    """
+    match = _PATTERN.fullmatch(incarnation)
+    return match[1] if match else None
+
+
+def started_ns(incarnation):
+    """Return the start time inside an incarnation id, in nanoseconds since the epoch.
+
+    Raises
+    ------
+    ValueError
+        If the id is malformed.
+
+    Examples
+    --------
+    >>> started_ns("127.0.0.1:7000~00000000000000ff0123abcd")
+    255
+    """
+    match = _PATTERN.fullmatch(incarnation)
+    if match is None:
+        raise ValueError(f"malformed incarnation id {incarnation!r}")
+    return int(match[2], 16)
