--- /dev/null
+++ b/burdocklug/routing/__init__.py
@@ -0,0 +1,56 @@
+"""Routing: which endpoint's slot a waiting task starts on.
+
+Each endpoint's slots are leased out by one process of its failure domain; the processes that
+dispatch keep leases and reuse them. `ServiceRouter` is the way in.
+"""
+
+from burdocklug.routing._allocator import SlotAllocator
+from burdocklug.routing._holder import SlotHolder
+from burdocklug.routing._messages import (
+    HeldLease,
+    ReturnedLease,
+    SlotGrant,
+    SlotLoad,
+    SlotMessage,
+    SlotRecall,
+    SlotRenewal,
+    SlotReport,
+    SlotRequest,
+    SlotReturn,
+)
+from burdocklug.routing._models import (
+    WEIGHTS,
+    LeaseOutcome,
+    Outgoing,
+    RouteEndpoint,
+    RouteMember,
+    SlotLease,
+    WeightPolicy,
+    choose_allocator,
+)
+from burdocklug.routing._router import TICK_S, ServiceRouter
+
+__all__ = [
+    "HeldLease",
+    "LeaseOutcome",
+    "Outgoing",
+    "ReturnedLease",
+    "RouteEndpoint",
+    "RouteMember",
+    "ServiceRouter",
+    "SlotAllocator",
+    "SlotGrant",
+    "SlotHolder",
+    "SlotLease",
+    "SlotLoad",
+    "SlotMessage",
+    "SlotRecall",
+    "SlotRenewal",
+    "SlotReport",
+    "SlotRequest",
+    "SlotReturn",
+    "TICK_S",
+    "WEIGHTS",
+    "WeightPolicy",
+    "choose_allocator",
+]
--- /dev/null
+++ b/burdocklug/routing/_allocator.py
@@ -0,0 +1,291 @@
+"""The allocator of endpoint slots: leases them to the processes that dispatch."""
+
+import hashlib
+import math
+from dataclasses import dataclass
+
+from burdocklug.routing._messages import (
+    HeldLease,
+    SlotGrant,
+    SlotLoad,
+    SlotRecall,
+    SlotRenewal,
+)
+from burdocklug.routing._models import Outgoing
+
+__all__ = ["LEASE_TERM_S", "SlotAllocator"]
+
+LEASE_TERM_S = 10.0
+TAKE_OVER_S = 0.5  # holders report their leases meanwhile
+DEMAND_TERM_S = 3.0
+LOST_GRANT_S = 1.0  # a report without a lease older than this means that its grant was lost
+FULL_PAUSE_S = 0.25
+RECALL_PAUSE_S = 0.02
+RECALL_TERM_S = 2.0
+ID_BITS = 24  # room for the leases of one incarnation; the higher bits name the incarnation
+
+
+@dataclass(slots=True)
+class _Granted:
+    holder: str
+    granted_s: float
+    expires_s: float
+
+
+@dataclass(slots=True)
+class _Demand:
+    sequence: int
+    waiting: int
+    spare: int
+    since_s: float
+    seen_s: float
+    sent_s: float
+
+
+@dataclass(slots=True)
+class _Recall:
+    idle_s: float = -math.inf  # time of the last recall
+    owed: int = 0
+
+
+class SlotAllocator:
+    """Leases out the slots of the endpoints of one service that this process is in charge of.
+
+    Every method takes the time first and returns a list of `Outgoing`. Messages that are lost,
+    late or repeated cost waiting time or a refused start at the endpoint, never a wrong count
+    for longer than a lease's term.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    incarnation : str
+        This process; it makes lease ids unique.
+
+    Examples
+    --------
+    >>> from burdocklug.routing import RouteEndpoint, SlotRequest
+    >>> allocator = SlotAllocator(service="press", incarnation="p1")
+    >>> allocator.update(0.0, [RouteEndpoint("e1", "north", 2)], live={"p1", "p2"})
+    []
+    >>> [grant] = allocator.request(1.0, "p2", SlotRequest("press", sequence=1, waiting=3))
+    >>> grant.to, len(grant.message.leases), grant.message.queued
+    ('p2', 2, 1)
+    """
+
+    def __init__(self, *, service, incarnation):
+        self.service = service
+        self._endpoints = {}
+        self._leases = {}  # endpoint name to {lease id: _Granted}
+        self._paused = {}  # endpoint name to end times of pauses, one for each refused start
+        self._grants_from_s = {}
+        self._demands = {}
+        self._sequences = {}
+        self._held = {}  # holder to number of leases
+        self._recalls = {}
+        digest = hashlib.blake2b(incarnation.encode(), digest_size=4).digest()
+        self._next_id = int.from_bytes(digest, "big") << ID_BITS
+
+    def update(self, now_s, endpoints, *, live):
+        """Set the endpoints in this process's charge and the live incarnations.
+
+        Parameters
+        ----------
+        now_s : float
+            The time, in seconds.
+        endpoints : iterable of RouteEndpoint
+            Endpoints whose allocator this process is.
+        live : set of str
+            Live incarnations; the leases of all others lapse.
+        """
+        wanted = {endpoint.name: endpoint for endpoint in endpoints}
+        for name in self._endpoints.keys() - wanted.keys():
+            for lease_id in list(self._leases[name]):
+                self._drop(name, lease_id)
+            del self._leases[name]
+            self._paused.pop(name, None)
+        for name in wanted.keys() - self._endpoints.keys():
+            self._leases[name] = {}
+            self._grants_from_s[name] = now_s + TAKE_OVER_S
+        self._endpoints = wanted
+        for holder in (self._held.keys() | self._demands.keys()) - live:
+            self._forget_holder(holder)
+        return self._serve(now_s)
+
+    def _forget_holder(self, holder):
+        for name, leases in self._leases.items():
+            for lease_id in [key for key, lease in leases.items() if lease.holder == holder]:
+                self._drop(name, lease_id)
+        self._demands.pop(holder, None)
+        self._sequences.pop(holder, None)
+        self._recalls.pop(holder, None)
+
+    def _drop(self, endpoint, lease_id):
+        lease = self._leases.get(endpoint, {}).pop(lease_id, None)
+        if lease is None:
+            return None
+        self._held[lease.holder] -= 1
+        if not self._held[lease.holder]:
+            del self._held[lease.holder]
+        recall = self._recalls.get(lease.holder)
+        if recall is not None:
+            recall.owed = max(0, recall.owed - 1)
+        return lease.holder
+
+    def request(self, now_s, holder, message):
+        """Take a holder's `SlotRequest`: grant what is free, queue the rest, recall for it."""
+        if message.sequence <= self._sequences.get(holder, -1):
+            return []
+        self._sequences[holder] = message.sequence
+        self._demands.pop(holder, None)
+        if message.waiting or message.spare:
+            since_s = now_s - max(0.0, message.oldest_age_s)
+            self._demands[holder] = _Demand(
+                message.sequence, message.waiting, message.spare, since_s, now_s, message.sent_s
+            )
+        return self._serve(now_s)
+
+    def give_back(self, now_s, holder, message):
+        """Take a holder's `SlotReturn`."""
+        for lease in message.leases:
+            granted = self._leases.get(lease.endpoint, {}).get(lease.lease_id)
+            if granted is None or granted.holder != holder:
+                continue
+            self._drop(lease.endpoint, lease.lease_id)
+            if lease.full:
+                self._paused.setdefault(lease.endpoint, []).append(now_s + FULL_PAUSE_S)
+        return self._serve(now_s)
+
+    def report(self, now_s, holder, message):
+        """Take a holder's `SlotReport`: renew what it holds, adopt what is not known yet."""
+        renewed = []
+        for lease in message.leases:
+            if self._renew(now_s, holder, lease):
+                renewed.append(lease.lease_id)
+        listed = {lease.lease_id for lease in message.leases}
+        for name, leases in self._leases.items():
+            for lease_id, lease in list(leases.items()):
+                lost = lease.holder == holder and now_s - lease.granted_s > LOST_GRANT_S
+                if lost and lease_id not in listed:
+                    self._drop(name, lease_id)
+        renewal = SlotRenewal(self.service, message.sent_s, renewed, LEASE_TERM_S)
+        return [Outgoing(holder, renewal), *self._serve(now_s)]
+
+    def _renew(self, now_s, holder, lease):
+        endpoint = self._endpoints.get(lease.endpoint)
+        if endpoint is None:
+            return False
+        leases = self._leases[lease.endpoint]
+        granted = leases.get(lease.lease_id)
+        if granted is None:
+            if len(leases) >= endpoint.slots:
+                return False
+            leases[lease.lease_id] = _Granted(holder, now_s, now_s + LEASE_TERM_S)
+            self._held[holder] = self._held.get(holder, 0) + 1
+            return True
+        if granted.holder != holder:
+            return False
+        granted.expires_s = now_s + LEASE_TERM_S
+        return True
+
+    def tick(self, now_s):
+        """Let overdue leases and demands lapse and serve what waits; call each 50 ms or so."""
+        for name, leases in self._leases.items():
+            for lease_id in [key for key, lease in leases.items() if lease.expires_s <= now_s]:
+                self._drop(name, lease_id)
+        for holder, demand in list(self._demands.items()):
+            if now_s - demand.seen_s > DEMAND_TERM_S:
+                del self._demands[holder]
+        return self._serve(now_s)
+
+    def load(self, now_s):
+        """Return the `SlotLoad` to put on the heartbeat, or None with no endpoint in charge."""
+        if not self._endpoints:
+            return None
+        capacity = sum(endpoint.slots for endpoint in self._endpoints.values() if endpoint.usable)
+        free = sum(free for _, free in self._free(now_s))
+        queued = sum(demand.waiting for demand in self._demands.values())
+        return SlotLoad(self.service, capacity, free, queued)
+
+    def _free(self, now_s):
+        """Return pairs of endpoint name and number of slots that may be granted now."""
+        pairs = []
+        for name, endpoint in self._endpoints.items():
+            if not endpoint.usable or self._grants_from_s[name] > now_s:
+                continue
+            pauses = [end_s for end_s in self._paused.get(name, ()) if end_s > now_s]
+            if name in self._paused:
+                self._paused[name] = pauses
+            free = endpoint.slots - len(self._leases[name]) - len(pauses)
+            if free > 0:
+                pairs.append((name, free))
+        return pairs
+
+    def _serve(self, now_s):
+        if not self._demands:
+            return []
+        free = dict(self._free(now_s))
+        granted = {}
+        self._grant(now_s, free, granted, "waiting")
+        self._grant(now_s, free, granted, "spare")
+        left = sum(free.values())
+        queued = sum(demand.waiting for demand in self._demands.values())
+        out = []
+        for holder, leases in granted.items():
+            demand = self._demands[holder]
+            grant = SlotGrant(
+                self.service, demand.sequence, leases, demand.sent_s, LEASE_TERM_S, left, queued
+            )
+            out.append(Outgoing(holder, grant))
+        for holder, demand in list(self._demands.items()):
+            if not demand.waiting:  # spare slots are asked for anew, they never queue
+                del self._demands[holder]
+        return out + self._recall(now_s)
+
+    def _grant(self, now_s, free, granted, kind):
+        """Grant one slot after another to the holder with the fewest, the oldest demand first."""
+        while free:
+            wanting = [
+                (self._held.get(holder, 0), demand.since_s, holder)
+                for holder, demand in self._demands.items()
+                if getattr(demand, kind) > 0
+            ]
+            if not wanting:
+                return
+            holder = min(wanting)[2]
+            demand = self._demands[holder]
+            setattr(demand, kind, getattr(demand, kind) - 1)
+            name = max(free, key=lambda key: (free[key], key))
+            free[name] -= 1
+            if not free[name]:
+                del free[name]
+            lease = HeldLease(self._next_id, name)
+            self._next_id += 1
+            self._leases[name][lease.lease_id] = _Granted(holder, now_s, now_s + LEASE_TERM_S)
+            self._held[holder] = self._held.get(holder, 0) + 1
+            granted.setdefault(holder, []).append(lease)
+
+    def _recall(self, now_s):
+        """Ask holders above the fair share, or without demand of their own, to give back."""
+        unmet = sum(demand.waiting for demand in self._demands.values())
+        for recall in self._recalls.values():
+            if now_s - recall.idle_s > RECALL_TERM_S:
+                recall.owed = 0
+        unmet -= sum(recall.owed for recall in self._recalls.values())
+        if unmet <= 0:
+            return []
+        capacity = sum(endpoint.slots for endpoint in self._endpoints.values())
+        fair = math.ceil(capacity / max(1, len(self._held.keys() | self._demands.keys())))
+        out = []
+        for holder, held in sorted(self._held.items(), key=lambda item: (-item[1], item[0])):
+            recall = self._recalls.setdefault(holder, _Recall())
+            if now_s - recall.idle_s < RECALL_PAUSE_S or unmet <= 0:
+                continue
+            busy = min(unmet, max(0, held - recall.owed - fair))
+            idle = 0 if holder in self._demands else min(unmet, held - recall.owed)
+            if busy or idle:
+                recall.idle_s = now_s
+                recall.owed += busy
+                unmet -= busy
+                out.append(Outgoing(holder, SlotRecall(self.service, max(0, idle - busy), busy)))
+        return out
--- /dev/null
+++ b/burdocklug/routing/_messages.py
@@ -0,0 +1,100 @@
+"""Messages between a process that leases slots out and the processes that hold the leases."""
+
+import msgspec
+
+__all__ = [
+    "HeldLease",
+    "ReturnedLease",
+    "SlotGrant",
+    "SlotLoad",
+    "SlotMessage",
+    "SlotRecall",
+    "SlotRenewal",
+    "SlotReport",
+    "SlotRequest",
+    "SlotReturn",
+]
+
+
+class HeldLease(msgspec.Struct, frozen=True, array_like=True):
+    """A lease on one slot: its id, unique for the allocator's incarnation, and its endpoint."""
+
+    lease_id: int
+    endpoint: str
+
+
+class ReturnedLease(msgspec.Struct, frozen=True, array_like=True):
+    """A lease that its holder gives up; `full` if the endpoint refused a start on it."""
+
+    lease_id: int
+    endpoint: str
+    full: bool = False
+
+
+class SlotRequest(msgspec.Struct, frozen=True, tag="slot_request"):
+    """A holder's whole demand towards one allocator; a later sequence replaces it."""
+
+    service: str
+    sequence: int
+    waiting: int  # leases for tasks that wait now
+    spare: int = 0  # further leases, out of free slots only
+    oldest_age_s: float = 0.0
+    sent_s: float = 0.0  # the holder's clock, echoed by the grant
+
+
+class SlotGrant(msgspec.Struct, frozen=True, tag="slot_grant"):
+    """Leases for a holder; they end `term_s` after the request was sent unless renewed."""
+
+    service: str
+    sequence: int  # of the request that this answers
+    leases: list[HeldLease]
+    sent_s: float
+    term_s: float
+    free: int = 0  # slots that the allocator has left
+    queued: int = 0  # requested slots that wait at the allocator
+
+
+class SlotReturn(msgspec.Struct, frozen=True, tag="slot_return"):
+    """Leases that a holder gives back."""
+
+    service: str
+    leases: list[ReturnedLease]
+
+
+class SlotRecall(msgspec.Struct, frozen=True, tag="slot_recall"):
+    """Asks a holder to give back leases because other holders wait."""
+
+    service: str
+    idle: int  # at most so many that are idle now
+    busy: int = 0  # so many more, as their tasks end
+
+
+class SlotReport(msgspec.Struct, frozen=True, tag="slot_report"):
+    """All leases that a holder holds of one allocator; asks for their renewal."""
+
+    service: str
+    sent_s: float  # the holder's clock, echoed by the renewal
+    leases: list[HeldLease]
+
+
+class SlotRenewal(msgspec.Struct, frozen=True, tag="slot_renewal"):
+    """Answer to a report: the leases that go on for `term_s` after the report was sent."""
+
+    service: str
+    sent_s: float
+    lease_ids: list[int]
+    term_s: float
+
+
+class SlotLoad(msgspec.Struct, frozen=True, tag="slot_load"):
+    """What an allocator tells on each heartbeat, for the choice of whom to ask."""
+
+    service: str
+    capacity: int
+    free: int
+    queued: int
+
+
+SlotMessage = (
+    SlotRequest | SlotGrant | SlotReturn | SlotRecall | SlotReport | SlotRenewal | SlotLoad
+)
--- /dev/null
+++ b/tests/routing/test_leases.py
@@ -0,0 +1,182 @@
+import testtools
+
+from burdocklug.routing import (
+    HeldLease,
+    LeaseOutcome,
+    ReturnedLease,
+    RouteEndpoint,
+    RouteMember,
+    ServiceRouter,
+    SlotAllocator,
+    SlotReport,
+    SlotRequest,
+    SlotReturn,
+)
+
+
+class Pair:
+    """Routers of several processes with instant delivery, or none to cut-off processes."""
+
+    def __init__(self, count, endpoints, weight="latency"):
+        self.endpoints = endpoints
+        self.routers = {
+            f"p{n}": ServiceRouter(
+                service="press", incarnation=f"p{n}", failure_domain="north", weight=weight
+            )
+            for n in range(count)
+        }
+        self.members = [RouteMember(name, "north") for name in self.routers]
+        self.sent = []
+        self.cut = set()
+        self.update(0.0)
+
+    def update(self, now_s):
+        for name, router in self.routers.items():
+            self.deliver(now_s, name, router.update(now_s, self.endpoints, self.members))
+
+    def deliver(self, now_s, sender, outgoing):
+        for item in outgoing:
+            self.sent.append((sender, item.to, item.message))
+            if not self.cut & {sender, item.to} and item.to in self.routers:
+                self.deliver(
+                    now_s, item.to, self.routers[item.to].receive(now_s, sender, item.message)
+                )
+
+    def pump(self, now_s, name, waiting):
+        """Pump until all waiting tasks started or no further lease comes."""
+        starts = []
+        for _ in range(3):
+            more, out = self.routers[name].pump(now_s, waiting - len(starts))
+            starts += more
+            self.deliver(now_s, name, out)
+        return starts
+
+
+class TestLeases(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = Pair(3, [RouteEndpoint(f"e{n}", "north", 4) for n in range(3)])
+
+    def test_slots_are_never_leased_twice(self):
+        starts = [lease for n in range(3) for lease in self.fleet.pump(1.0, f"p{n}", 10)]
+        self.assertEqual(12, len(starts))
+        for n in range(3):
+            self.assertEqual(4, sum(lease.endpoint == f"e{n}" for lease in starts))
+
+    def test_a_lease_is_reused_without_messages(self):
+        [lease] = self.fleet.pump(1.0, "p0", 1)
+        self.fleet.sent.clear()
+        for step in range(20):
+            now_s = 1.1 + step * 0.1
+            self.fleet.routers["p0"].release(now_s, lease, LeaseOutcome.FINISHED, run_s=0.1)
+            [lease], out = self.fleet.routers["p0"].pump(now_s, 1)
+            self.fleet.deliver(now_s, "p0", out)
+        self.assertEqual([], [m for _, _, m in self.fleet.sent if isinstance(m, SlotRequest)])
+
+    def test_an_idle_lease_goes_back_after_the_hold_time(self):
+        self.fleet = Pair(2, [RouteEndpoint("e0", "north", 4)], weight="messages")
+        for lease in self.fleet.pump(1.0, "p0", 4):
+            self.fleet.routers["p0"].release(1.1, lease, LeaseOutcome.FINISHED)
+        self.fleet.pump(4.2, "p0", 0)
+        self.fleet.pump(4.3, "p0", 0)
+        self.assertEqual(4, len(self.fleet.pump(4.3, "p1", 4)))
+
+    def test_a_starving_holder_gets_recalled_slots(self):
+        busy = self.fleet.pump(1.0, "p0", 12)
+        self.assertEqual(12, len(busy))
+        self.assertEqual([], self.fleet.pump(1.1, "p1", 2))
+        for lease in busy:
+            self.fleet.routers["p0"].release(1.3, lease, LeaseOutcome.FINISHED, run_s=0.3)
+        self.fleet.pump(1.3, "p0", 12)
+        self.fleet.pump(1.31, "p0", 12)
+        self.assertEqual(2, len(self.fleet.pump(1.32, "p1", 2)))
+
+    def test_leases_of_a_dead_holder_are_granted_again(self):
+        self.assertEqual(12, len(self.fleet.pump(1.0, "p0", 12)))
+        self.fleet.members = self.fleet.members[1:]
+        del self.fleet.routers["p0"]
+        self.fleet.update(2.0)
+        self.assertEqual(12, len(self.fleet.pump(3.0, "p1", 12)))
+
+    def test_a_new_allocator_learns_the_leases_that_are_held(self):
+        held = self.fleet.pump(1.0, "p0", 5)
+        self.fleet.members = self.fleet.members[:2]
+        del self.fleet.routers["p2"]
+        self.fleet.update(2.0)
+        starts = held + self.fleet.pump(3.0, "p0", 12) + self.fleet.pump(3.0, "p1", 12)
+        for n in range(3):
+            self.assertEqual(4, sum(lease.endpoint == f"e{n}" for lease in starts))
+
+    def test_a_holder_that_is_cut_off_stops_before_its_lease_is_granted_again(self):
+        remote = self.fleet.pump(1.0, "p0", 12)
+        for lease in remote:
+            self.fleet.routers["p0"].release(1.1, lease, LeaseOutcome.FINISHED)
+        self.fleet.cut = {"p0"}
+        own = self.fleet.routers["p0"].allocator._endpoints
+        starts, _ = self.fleet.routers["p0"].pump(12.0, 12)
+        self.assertEqual(set(own), {lease.endpoint for lease in starts})
+
+    def test_an_unusable_endpoint_gets_no_start(self):
+        leases = self.fleet.pump(1.0, "p0", 12)
+        self.fleet.endpoints[1] = RouteEndpoint("e1", "north", 4, usable=False)
+        self.fleet.update(1.1)
+        for lease in leases:
+            self.fleet.routers["p0"].release(1.2, lease, LeaseOutcome.FINISHED)
+        starts = self.fleet.pump(1.3, "p0", 12)
+        self.assertEqual({"e0", "e2"}, {lease.endpoint for lease in starts})
+
+    def test_a_refused_start_rests_the_slot(self):
+        leases = self.fleet.pump(1.0, "p0", 12)
+        full = [lease for lease in leases if lease.endpoint == "e1"]
+        for lease in full:
+            self.fleet.routers["p0"].release(1.1, lease, LeaseOutcome.FULL)
+        self.assertEqual([], self.fleet.pump(1.11, "p0", 4))
+        for name in ("p1", "p2"):  # the allocator's own tick ends the pause
+            self.fleet.pump(1.5, name, 0)
+        self.assertEqual(4, len(self.fleet.pump(1.5, "p0", 4)))
+
+
+class TestAllocatorMessages(testtools.TestCase):
+    """Lost, late and repeated messages."""
+
+    def setUp(self):
+        super().setUp()
+        self.allocator = SlotAllocator(service="press", incarnation="p1")
+        self.allocator.update(0.0, [RouteEndpoint("e1", "north", 2)], live={"p1", "p2", "p3"})
+
+    def request(self, now_s, holder, sequence, waiting):
+        out = self.allocator.request(now_s, holder, SlotRequest("press", sequence, waiting))
+        return [lease for item in out for lease in getattr(item.message, "leases", ())]
+
+    def test_a_repeated_request_is_ignored(self):
+        self.assertEqual(1, len(self.request(1.0, "p2", 1, 1)))
+        self.assertEqual([], self.request(1.1, "p2", 1, 1))
+
+    def test_a_later_request_replaces_the_earlier_one(self):
+        self.request(1.0, "p2", 1, 5)
+        self.request(1.1, "p2", 2, 1)
+        self.assertEqual(1, self.allocator.load(1.1).queued)
+
+    def test_a_repeated_return_frees_one_slot(self):
+        leases = self.request(1.0, "p2", 1, 2)
+        message = SlotReturn("press", [ReturnedLease(leases[0].lease_id, "e1")])
+        self.allocator.give_back(1.1, "p2", message)
+        self.allocator.give_back(1.1, "p2", message)
+        self.assertEqual(1, self.allocator.load(1.1).free)
+
+    def test_a_lost_grant_is_found_by_the_next_report(self):
+        self.request(1.0, "p2", 1, 2)
+        self.allocator.report(3.0, "p2", SlotReport("press", 2.9, []))
+        self.assertEqual(2, self.allocator.load(3.0).free)
+
+    def test_a_report_does_not_adopt_more_than_the_slots(self):
+        held = [HeldLease(number, "e1") for number in range(5)]
+        [renewal] = self.allocator.report(0.1, "p2", SlotReport("press", 0.0, held))
+        self.assertEqual([0, 1], renewal.message.lease_ids)
+
+    def test_leases_lapse_without_renewal(self):
+        self.request(1.0, "p2", 1, 2)
+        self.allocator.tick(10.9)
+        self.assertEqual(0, self.allocator.load(10.9).free)
+        self.allocator.tick(11.0)
+        self.assertEqual(2, self.allocator.load(11.0).free)
