--- /dev/null
+++ b/burdocklug/callers/_part.py
@@ -0,0 +1,62 @@
+"""The callers' listener as a part of a process."""
+
+from burdocklug.callers._routes import callers_app
+from burdocklug.kernel import BurdocklugError, ErrorKind, part
+from burdocklug.web import HttpListener
+
+__all__ = ["CallersPart"]
+
+STOP_S = 5.0  # for answers that are being written
+
+
+class CallersPart:
+    """Serves callers until the process has answered everything it accepted.
+
+    Parameters
+    ----------
+    process : Process
+        The process with its parts.
+    """
+
+    def __init__(self, process):
+        self._process = process
+        listen = process.settings.listen
+        self.app = callers_app(
+            process["jobs"].service, listen, health=self._fault, metrics=self._metrics
+        )
+        self._listener = HttpListener(
+            listen.callers,
+            self.app,
+            max_connections=listen.max_connections,
+            header_timeout_s=listen.header_timeout_s,
+        )
+
+    def start(self):
+        """Listen."""
+        self._listener.start()
+
+    def stop(self):
+        """Stop listening; answers in flight go out first."""
+        self._listener.stop(timeout_s=STOP_S)
+
+    def counts(self):
+        """Return the number of answers by status."""
+        return {f"status_{status}": count for status, count in self.app.counts.items()}
+
+    def _fault(self):
+        if self._process.draining:
+            return BurdocklugError(ErrorKind.SHUTTING_DOWN, "this process is shutting down")
+        if self._process["tickets"].configuration.is_empty():
+            return BurdocklugError(ErrorKind.NO_CONFIGURATION, "no configuration yet")
+        return None
+
+    def _metrics(self):
+        from burdocklug.callers._metrics import render_metrics
+
+        return render_metrics(self._process)
+
+
+@part("callers", needs=("jobs", "tickets"))
+def build_callers(process):
+    """Return the callers' listener of a process."""
+    return CallersPart(process)
--- a/burdocklug/cli/_callers.py
+++ b/burdocklug/cli/_callers.py
@@ -31,7 +31,7 @@
 ):
     """Submit a job and print its results.
 
-    Example: ``burdocklug submit press-control --team vat -a 127.0.0.1:8001 --payload '{"sheet": 4}'``
+    Example: ``burdocklug submit press-control --team vat -a 127.0.0.1:8001 --payload 4``
 
     Parameters
     ----------
--- /dev/null
+++ b/burdocklug/cli/_load.py
@@ -0,0 +1,180 @@
+"""The ``load`` command: an open-loop generator of jobs with a histogram of response times."""
+
+import random
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import Parameter
+
+from burdocklug.cli._callers import Addresses
+from burdocklug.cli._output import print_json, print_rows
+from burdocklug.client import Client, JobFailed
+from burdocklug.kernel import BurdocklugError, ErrorKind
+
+__all__ = ["LoadResult", "histogram_rows", "load"]
+
+MAX_RATE_PER_S = 2000.0
+MAX_DURATION_S = 600.0
+MAX_IN_FLIGHT = 5000
+BAR_WIDTH = 40
+BUCKETS = (1.1, 1.2, 1.5, 2.0, 3.0, 5.0, 10.0, float("inf"))  # response time over ideal
+
+
+@dataclass
+class LoadResult:
+    """What a load run saw: ratios of response time to ideal, and failures by kind."""
+
+    ratios: list = field(default_factory=list)
+    failures: dict = field(default_factory=dict)
+    sent: int = 0
+    dropped: int = 0
+
+    def percentile(self, share):
+        """Return the ratio at `share` of all complete jobs, or None without one."""
+        ordered = sorted(self.ratios)
+        return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else None
+
+    def summary(self):
+        """Return the figures as plain data."""
+        return {
+            "sent": self.sent,
+            "complete": len(self.ratios),
+            "dropped": self.dropped,
+            "failures": self.failures,
+            **{f"p{round(100 * share)}": self.percentile(share) for share in (0.5, 0.9, 0.99)},
+        }
+
+
+def histogram_rows(ratios):
+    """Yield rows of a histogram: upper bound, count, bar.
+
+    Examples
+    --------
+    >>> [row[:2] for row in histogram_rows([1.05, 1.15, 1.15])][:2]
+    [('1.1', 1), ('1.2', 2)]
+    """
+    counts = [0] * len(BUCKETS)
+    for ratio in ratios:
+        counts[next(i for i, bound in enumerate(BUCKETS) if ratio <= bound)] += 1
+    most = max(counts) or 1
+    for bound, count in zip(BUCKETS, counts, strict=True):
+        yield f"{bound:g}", count, "#" * round(BAR_WIDTH * count / most)
+
+
+def load(
+    service: str,
+    *,
+    team: str,
+    address: Addresses,
+    rate: float = 10.0,
+    duration_s: float = 10.0,
+    tasks: int = 1,
+    run_s: Annotated[tuple[float, float], Parameter(negative="")] = (0.05, 1.0),
+    deadline_s: float = 30.0,
+    seed: int = 1,
+    plot: Path | None = None,
+    json: bool = False,
+):
+    """Send jobs at a fixed rate and report response time over ideal.
+
+    Example: ``burdocklug load press-control --team vat -a 127.0.0.1:8001 --rate 50``
+
+    The payloads are those of the endpoint stand-in.
+
+    Parameters
+    ----------
+    service
+        Service that runs the jobs.
+    team
+        Team that pays for them.
+    address
+        IP:port of an entry host or the balancer; may be given several times.
+    rate
+        Jobs a second, whatever the answers do; 2000 at most.
+    duration_s
+        Seconds of load; 600 at most.
+    tasks
+        Tasks of each job.
+    run_s
+        Shortest and longest run time of a task, in seconds.
+    deadline_s
+        Seconds that each job has.
+    seed
+        Seed of the run times.
+    plot
+        File for a picture of the histogram; needs the extra "plots".
+    json
+        Print JSON.
+    """
+    if not (0 < rate <= MAX_RATE_PER_S and 0 < duration_s <= MAX_DURATION_S):
+        raise BurdocklugError(ErrorKind.BAD_REQUEST, f"rate {rate}, duration {duration_s}")
+    clients = [Client([one], team=team, seed=seed) for one in address]
+    make = _job_maker(tasks, run_s, random.Random(seed))
+    result = _run(clients, service, make, rate, duration_s, deadline_s, quiet=json)
+    if plot is not None:
+        _write_plot(result, plot)
+    if json:
+        print_json(result.summary())
+        return
+    for name, value in result.summary().items():
+        print(f"{name}: {value}")
+    print_rows(["over ideal up to", "jobs", ""], histogram_rows(result.ratios))
+
+
+def _job_maker(tasks, run_s, rng):
+    def make():
+        times = [round(rng.uniform(*run_s), 4) for _ in range(tasks)]
+        return max(times), [{"payload": {"run_s": t}, "declared_s": t} for t in times]
+
+    return make
+
+
+def _run(clients, service, make, rate, duration_s, deadline_s, *, quiet):
+    import eventlet
+
+    from burdocklug.cli._progress import progress_bar
+
+    result = LoadResult()
+    pool = eventlet.GreenPool(MAX_IN_FLIGHT)
+    began_s = time.monotonic()
+    total = max(1, round(rate * duration_s))
+    with progress_bar("jobs", total, quiet=quiet) as advance:
+        for number in range(total):
+            eventlet.sleep(max(0.0, began_s + number / rate - time.monotonic()))
+            advance()
+            if pool.free() <= 0:
+                result.dropped += 1
+                continue
+            result.sent += 1
+            client = clients[number % len(clients)]
+            pool.spawn_n(_run_job, client, service, make(), deadline_s, result)
+        pool.waitall()
+    return result
+
+
+def _run_job(client, service, job, deadline_s, result):
+    ideal_s, tasks = job
+    began_s = time.monotonic()
+    try:
+        client.submit(service, tasks, deadline_s=deadline_s, refusals=0)
+    except JobFailed as exc:
+        result.failures[str(exc.kind)] = result.failures.get(str(exc.kind), 0) + 1
+    else:
+        result.ratios.append((time.monotonic() - began_s) / ideal_s)
+
+
+def _write_plot(result, path):
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as exc:
+        raise BurdocklugError(
+            ErrorKind.BAD_REQUEST, "a plot needs the extra: pip install burdocklug[plots]"
+        ) from exc
+    figure = Figure(figsize=(6, 4))
+    axes = figure.subplots()
+    axes.hist(result.ratios, bins=60)
+    axes.set_xlabel("response time over ideal")
+    axes.set_ylabel("jobs")
+    figure.savefig(path)
--- a/burdocklug/cli/_main.py
+++ b/burdocklug/cli/_main.py
@@ -1,11 +1,12 @@
 """Entry point of ``burdocklug``: the commands, one-line errors, exit codes."""
 
 import sys
+import warnings
 
 import cyclopts
 
 from burdocklug._version import __version__
-from burdocklug.cli import _callers, _operators
+from burdocklug.cli import _callers, _load, _operators
 from burdocklug.kernel import BurdocklugError, answer_for
 
 __all__ = ["build_app", "main"]
@@ -13,6 +14,16 @@
 USAGE_EXIT_CODE = 2
 
 
+EVENTLET_DEPRECATION = r"\s*Eventlet is deprecated"
+
+
+def _prepare_loop():
+    warnings.filterwarnings("ignore", message=EVENTLET_DEPRECATION)
+    import eventlet
+
+    eventlet.monkey_patch()
+
+
 def build_app():
     """Return the command line with all its commands."""
     app = cyclopts.App(
@@ -28,6 +39,7 @@
     app.command(_operators.endpoints)
     app.command(_operators.drain)
     app.command(_operators.check_settings, name="check-settings")
+    app.command(_load.load)
     app.register_install_completion_command()
     return app
 
@@ -45,6 +57,7 @@
     int
         Exit code: 0, or that of the error kind.
     """
+    _prepare_loop()
     try:
         build_app()(argv, exit_on_error=False, print_error=True, result_action="return_value")
     except cyclopts.CycloptsError:
--- a/burdocklug/client/_client.py
+++ b/burdocklug/client/_client.py
@@ -3,7 +3,7 @@
 import itertools
 import random
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 import urllib3
@@ -40,6 +40,18 @@
     session: str
 
 
+@dataclass(slots=True)
+class _OpenSession:
+    """A session of this client: its last sequence and the sequences still awaited."""
+
+    session: str
+    sequence: int = 0
+    awaited: set = field(default_factory=set)
+
+    def acknowledged(self):
+        return min(self.awaited, default=self.sequence + 1) - 1
+
+
 @dataclass(frozen=True, slots=True)
 class JobOutcome:
     """A complete job: its key, its results in the order of its tasks, the requests it took."""
@@ -81,8 +93,8 @@
 
     Notes
     -----
-    A client is used by one loop at a time. Sequences count up, and each submission acknowledges
-    the answers up to the lowest one that is still awaited.
+    Greenlets or threads may share a client. Sequences count up, and each submission acknowledges
+    the answers under the lowest sequence that is still awaited.
     """
 
     def __init__(self, addresses, *, team, seed=None):
@@ -91,8 +103,6 @@
         self._rng = random.Random(seed)
         self.team = team
         self._session = None
-        self._sequence = 0
-        self._awaited = set()
         self.requests = 0
 
     def submit(self, service, tasks, *, deadline_s=60.0, key=None, refusals=3):
@@ -135,23 +145,19 @@
                 time.sleep(pause_s)
 
     def _submit_once(self, service, tasks, until_s, own_key):
-        sequence = None
-        key = own_key
-        if key is None:
-            key, sequence = self._next_key(until_s)
+        if own_key is not None:
+            return self._submit_under(own_key, service, tasks, until_s, None)
+        if self._session is None:
+            self._session = _OpenSession(self._open_session(until_s))
+        session = self._session
+        session.sequence += 1
+        sequence = session.sequence
+        session.awaited.add(sequence)
+        key = f"{session.session}~{sequence}"
         try:
-            return self._submit_under(key, service, tasks, until_s)
+            return self._submit_under(key, service, tasks, until_s, session)
         finally:
-            self._awaited.discard(sequence)
-
-    def _next_key(self, until_s):
-        if self._session is None:
-            self._session = self._open_session(until_s)
-            self._sequence = 0
-            self._awaited.clear()
-        self._sequence += 1
-        self._awaited.add(self._sequence)
-        return f"{self._session}~{self._sequence}", self._sequence
+            session.awaited.discard(sequence)
 
     def _open_session(self, until_s):
         fault = None
@@ -171,16 +177,13 @@
         if exc.kind in (ErrorKind.SHUTTING_DOWN, ErrorKind.SESSION_UNKNOWN):
             self._session = None
 
-    def _acknowledged(self):
-        return min(self._awaited, default=self._sequence + 1) - 1
-
-    def _submit_under(self, key, service, tasks, until_s):
+    def _submit_under(self, key, service, tasks, until_s, session):
         body = None
         fault = None
         before = self.requests
         for pause_s in self._pauses(until_s):
             left_s = max(0.1, until_s - time.monotonic())
-            body = body or self._body(key, service, tasks, left_s)
+            body = body or self._body(service, tasks, left_s, session)
             try:
                 answer = self._try(key, body, min(left_s, WAIT_SLICE_S), until_s)
             except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as exc:
@@ -194,15 +197,14 @@
             fault = answer.error.message if answer.error else "still running"
         raise JobFailed(ErrorKind.OUTCOME_UNKNOWN, f"no answer by the deadline: {fault}", key=key)
 
-    def _body(self, key, service, tasks, left_s):
-        own = self._session is not None and key.startswith(self._session)
+    def _body(self, service, tasks, left_s, session):
         return msgspec.json.encode(
             {
                 "service": service,
                 "team": self.team,
                 "tasks": tasks,
                 "deadline_s": left_s,
-                "acknowledged": self._acknowledged() if own else 0,
+                "acknowledged": 0 if session is None else session.acknowledged(),
             }
         )
 
--- /dev/null
+++ b/burdocklug/hosts/_watch.py
@@ -0,0 +1,151 @@
+"""The newest list of hosts that this process knows.
+
+One process of a failure domain polls the platform; the others learn the version from heartbeats
+and fetch a newer list from the peer that has it. Only a newer version ever replaces a list.
+"""
+
+import eventlet
+import structlog
+
+from burdocklug.hosts._messages import GetHosts, Hosts
+from burdocklug.kernel import BurdocklugError
+from burdocklug.peers import MemberState
+from burdocklug.platform import HostList, merge_host_lists
+
+__all__ = ["HostWatch", "should_poll"]
+
+log = structlog.get_logger(__name__)
+
+POLL_S = 1.0
+FALLBACK_POLL_S = 10.0  # a process that is not the poller polls so often all the same
+FETCH_TIMEOUT_S = 1.0
+PURPOSE = "hosts"
+
+
+def should_poll(incarnation, members, failure_domain):
+    """Return whether `incarnation` is the one that polls for its failure domain.
+
+    Parameters
+    ----------
+    incarnation : str
+        This process.
+    members : iterable of Member
+        The known members without this process.
+    failure_domain : str
+        The failure domain of this process.
+
+    Notes
+    -----
+    The lowest live incarnation polls. Views may differ for some seconds; then two poll or, until
+    the fallback poll, none.
+    """
+    return all(
+        incarnation < member.incarnation
+        for member in members
+        if member.failure_domain == failure_domain and member.state is MemberState.ALIVE
+    )
+
+
+class HostWatch:
+    """Polls, spreads and answers which hosts are leaving.
+
+    Parameters
+    ----------
+    store : Store
+        The platform.
+    peers : PeerNetwork
+        Carries versions and lists.
+    timers : TimerService
+        The source of time.
+    """
+
+    def __init__(self, store, peers, timers):
+        self._store = store
+        self._peers = peers
+        self._timers = timers
+        self.hosts = HostList(version=0, live=frozenset(), leaving=frozenset())
+        self._subscribers = []
+        self._fetching = False
+        self._polling = False
+        self._polled_s = timers.now()
+        self._counts = {"polls": 0, "poll_failures": 0, "fetches": 0, "changes": 0}
+        peers.register(Hosts)
+        peers.register(GetHosts, self._on_get, inline=True)
+        peers.add_heartbeat_part("hosts", lambda: self.hosts.version or None, self._on_version)
+
+    def start(self):
+        """Subscribe to the timer service."""
+        self._timers.every(POLL_S, self._poll_when_due)
+
+    def subscribe(self, callback):
+        """Call `callback()` after every newer list."""
+        self._subscribers.append(callback)
+
+    def is_leaving(self, host):
+        """Return whether the host with this IP number is leaving."""
+        return host in self.hosts.leaving
+
+    def adopt(self, hosts):
+        """Take a list where it is newer than the one in force."""
+        merged = merge_host_lists(self.hosts, hosts)
+        if merged == self.hosts:
+            return
+        self.hosts = merged
+        self._counts["changes"] += 1
+        log.info("hosts_changed", version=merged.version, leaving=sorted(merged.leaving))
+        for callback in self._subscribers:
+            callback()
+
+    def _poll_when_due(self):
+        now = self._timers.now()
+        poller = should_poll(
+            self._peers.incarnation, self._peers.members(), self._peers.failure_domain
+        )
+        if self._polling or not (poller or now - self._polled_s >= FALLBACK_POLL_S):
+            return
+        self._polling = True
+        self._polled_s = now
+        eventlet.spawn_n(self._poll)
+
+    def _poll(self):
+        self._counts["polls"] += 1
+        try:
+            self.adopt(self._store.hosts(purpose=PURPOSE))
+        except BurdocklugError as exc:
+            self._counts["poll_failures"] += 1
+            log.debug("hosts_not_read", fault=exc.message)
+        finally:
+            self._polling = False
+
+    def _on_version(self, member, version):
+        if isinstance(version, int) and version > self.hosts.version and not self._fetching:
+            self._fetching = True
+            eventlet.spawn_n(self._fetch, member.incarnation)
+
+    def _fetch(self, incarnation):
+        self._counts["fetches"] += 1
+        try:
+            found = self._peers.call(incarnation, GetHosts(), timeout_s=FETCH_TIMEOUT_S)
+            live, leaving = frozenset(found.live), frozenset(found.leaving)
+            self.adopt(HostList(found.version, live, leaving))
+        except BurdocklugError as exc:
+            log.debug("hosts_not_fetched", fault=exc.message)
+        finally:
+            self._fetching = False
+
+    def _on_get(self, _sender, _message):
+        hosts = self.hosts
+        return Hosts(hosts.version, sorted(hosts.live), sorted(hosts.leaving))
+
+    def dump(self):
+        """Return the state as plain data."""
+        return {
+            "version": self.hosts.version,
+            "live": len(self.hosts.live),
+            "leaving": sorted(self.hosts.leaving),
+            "counts": self.counts(),
+        }
+
+    def counts(self):
+        """Return counters by name."""
+        return dict(self._counts)
--- /dev/null
+++ b/burdocklug/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: idempotency keys, the submission ledger, dispatching, answers."""
--- a/burdocklug/jobs/_claims.py
+++ b/burdocklug/jobs/_claims.py
@@ -8,9 +8,9 @@
 import secrets
 
 import msgspec
-from burdocklug.platform import StoreUnavailable, StoreUncertain, VersionMismatch
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.platform import StoreUnavailable, StoreUncertain, VersionMismatch
 
 __all__ = ["Claim", "Claims", "store_key"]
 
--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -9,14 +9,14 @@
 
 import eventlet
 import structlog
-from burdocklug.endpoints import Attempt
-from burdocklug.retries import Finished, NotRun
-from burdocklug.routing import LeaseOutcome
 
+from burdocklug.endpoints import Attempt
 from burdocklug.jobs._admission import admit_job
 from burdocklug.jobs._jobs import Job, Task, TaskState, encode_complete, encode_error
 from burdocklug.jobs._lanes import Lane
 from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
+from burdocklug.retries import Finished, NotRun
+from burdocklug.routing import LeaseOutcome
 
 __all__ = ["Dispatcher"]
 
@@ -103,6 +103,12 @@
         """End a job now; its waiting tasks are dropped and its running ones told to stop."""
         self._fail(job, BurdocklugError(ErrorKind.CANCELLED, f"job {job.key} was cancelled"))
 
+    def abandon_all(self):
+        """Fail every running job, since this process is about to end."""
+        for job in list(self.jobs.values()):
+            fault = f"the process that ran job {job.key} shut down"
+            self._fail(job, BurdocklugError(ErrorKind.OUTCOME_UNKNOWN, fault))
+
     def _expire(self, job):
         fault = f"job {job.key} was not complete by its deadline"
         self._fail(job, BurdocklugError(ErrorKind.DEADLINE_EXCEEDED, fault))
--- a/burdocklug/jobs/_forwarding.py
+++ b/burdocklug/jobs/_forwarding.py
@@ -6,11 +6,10 @@
 
 import time
 
-from burdocklug.peers import PeerNotReached, PeerSilent
-
 from burdocklug.jobs._jobs import Answer, encode_error
 from burdocklug.jobs._messages import AwaitJob, CancelJob, SubmitJob
 from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.peers import PeerNotReached, PeerSilent
 
 __all__ = ["Forwarder"]
 
--- a/burdocklug/jobs/_keys.py
+++ b/burdocklug/jobs/_keys.py
@@ -19,8 +19,10 @@
 SEQUENCE_MAX = 2**53 - 1  # the largest integer that JSON readers keep exactly
 
 _INCARNATION = r"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}~[0-9a-f]{8,40}"
-_SESSION_KEY = re.compile(rf"(?P<owner>{_INCARNATION})~(?P<session>[0-9a-f]{{12}})~(?P<seq>\d+)")
-_CALLER_KEY = re.compile(r"(?P<time>\d{8}T\d{6}Z)-[A-Za-z0-9_.-]{1,64}")
+_SESSION_KEY = re.compile(
+    rf"(?P<owner>{_INCARNATION})~(?P<session>[0-9a-f]{{12}})~(?P<seq>\d+)", re.ASCII
+)
+_CALLER_KEY = re.compile(r"(?P<time>\d{8}T\d{6}Z)-[A-Za-z0-9_.-]{1,64}", re.ASCII)
 _TIME_FORMAT = "%Y%m%dT%H%M%SZ"
 
 
--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -110,3 +110,15 @@
         """Return the number of slots of all usable endpoints."""
         routes = self._view[0] if self._view else ()
         return sum(route.slots for route in routes if route.usable)
+
+    def dump(self):
+        """Return the lane's state as plain data."""
+        held, idle = self.router.holder.counts()
+        return {
+            "queued": len(self.queue),
+            "running": {team: count for team, count in self.running.items() if count},
+            "leases": held,
+            "idle_leases": idle,
+            "usable_slots": self.slots(),
+            "run_time_ratio": self._ratio,
+        }
--- a/burdocklug/jobs/_ledger.py
+++ b/burdocklug/jobs/_ledger.py
@@ -221,6 +221,40 @@
         for number in [n for n in session.records if n <= sequence]:
             self._forget(session, number)
 
+    def adopt_session(self, session_id, mark, copies, *, now_s):
+        """Take over a session, or more records of it, from a process that shuts down.
+
+        Parameters
+        ----------
+        session_id : str
+            The session.
+        mark : int
+            Its low-water mark.
+        copies : iterable of RecordCopy
+            Finished records.
+        now_s : float
+            Monotonic seconds.
+        """
+        session = self.sessions.get(session_id)
+        if session is None:
+            session = self.sessions[session_id] = Session(session_id, now_s)
+        session.mark = max(session.mark, mark)
+        for copy in copies:
+            if copy.sequence not in session.records:
+                record = Record(f"{session_id}~{copy.sequence}", copy.digest)
+                session.records[copy.sequence] = record
+                self._fill(record, copy)
+
+    def adopt_claim(self, key_text, copy):
+        """Take over the finished record of a caller key."""
+        if key_text not in self.claims:
+            record = self.claims[key_text] = Record(key_text, copy.digest)
+            self._fill(record, copy)
+
+    def _fill(self, record, copy):
+        self.bytes += record.size_bytes
+        self.finish(record, copy.status, copy.answer)
+
     def _forget(self, session, number):
         record = session.records[number]
         if record.state is RecordState.RUNNING:
--- a/burdocklug/jobs/_messages.py
+++ b/burdocklug/jobs/_messages.py
@@ -6,6 +6,7 @@
     "AwaitJob",
     "CancelJob",
     "HandOver",
+    "HandOverCommit",
     "HandOverDone",
     "JobReply",
     "RecordCopy",
@@ -68,7 +69,11 @@
     claims: list[tuple[str, RecordCopy]]
 
 
+class HandOverCommit(msgspec.Struct, tag="hand_over_commit", frozen=True):
+    """The sender has copied everything and starts nothing more; the receiver owns it now."""
+
+
 class HandOverDone(msgspec.Struct, tag="hand_over_done", frozen=True):
-    """The successor holds everything of one `HandOver` message."""
+    """The successor holds everything of one `HandOver` message, or owns all of them."""
 
     sessions: int
--- a/burdocklug/jobs/_service.py
+++ b/burdocklug/jobs/_service.py
@@ -5,6 +5,7 @@
 """
 
 import structlog
+from eventlet.event import Event
 
 from burdocklug.jobs._forwarding import Forwarder
 from burdocklug.jobs._jobs import encode_error
@@ -60,11 +61,27 @@
         self.handed_over_to = None
         self.counts = {"submitted": 0, "resubmitted": 0, "refused": 0, "forwarded": 0}
         self._claiming = {}
+        self._frozen = None
         self.forwarder = Forwarder(peers)
+        peers.register(JobReply)
         peers.register(SubmitJob, self._on_submit)
         peers.register(AwaitJob, self._on_await)
         peers.register(CancelJob, self._on_cancel)
 
+    def freeze(self):
+        """Hold back every request about owned keys until `unfreeze`."""
+        self._frozen = Event()
+
+    def unfreeze(self, successor):
+        """Let requests go on, to `successor` where there is one."""
+        self.handed_over_to = successor
+        self._frozen.send(None)
+        self._frozen = None
+
+    def _await_unfrozen(self):
+        if self._frozen is not None:
+            self._frozen.wait()
+
     def open_session(self):
         """Return the id of a new session owned by this process."""
         if self.draining:
@@ -91,6 +108,7 @@
             The job's answer; ``done`` is False where it still runs.
         """
         key = parse_key(key_text)
+        self._await_unfrozen()
         if isinstance(key, CallerKey):
             return self._submit_claimed(key, body, wait_s)
         owner = self._owner_of(key)
@@ -104,6 +122,7 @@
     def status(self, key_text, *, wait_s=0.0):
         """Return the state of a key, waiting up to `wait_s` seconds for its end."""
         key = parse_key(key_text)
+        self._await_unfrozen()
         owner = self._find_owner(key)
         if owner != self.incarnation:
             return self.forwarder.wait(owner, key_text, wait_s=wait_s)
@@ -113,6 +132,7 @@
     def cancel(self, key_text):
         """Cancel the job of a key and return its state afterwards."""
         key = parse_key(key_text)
+        self._await_unfrozen()
         owner = self._find_owner(key)
         if owner != self.incarnation:
             return self.forwarder.cancel(owner, key_text)
@@ -232,8 +252,6 @@
         return None, self._current_owner(claim.owner)
 
     def _claim_alone(self, key, digest):
-        from eventlet.event import Event
-
         self._claiming[key.text] = Event()
         try:
             if self.draining:
@@ -260,6 +278,7 @@
 
     def _submit_forwarded(self, message):
         key = parse_key(message.key)
+        self._await_unfrozen()
         if self._owner_of(key) != self.incarnation:
             raise BurdocklugError(ErrorKind.OWNER_LOST, f"{message.key} is not owned here")
         return self._submit_owned(key, message.body, message.wait_s)
