--- a/standins/endpoint_state.py
+++ b/standins/endpoint_state.py
@@ -41,6 +41,7 @@
     attempt_id: str
     task_id: str | None
     fate: Fate
+    since_s: float
     answer: dict | None = None
     waiters: list = field(default_factory=list)
     cancelled: bool = False
@@ -117,6 +118,8 @@
         Tasks that may run at once.
     max_connections : int
         Connections that may be open at once.
+    now_s : float
+        Time at which the endpoint's memory of attempts begins.
 
     Examples
     --------
@@ -129,8 +132,9 @@
     ('not_started', 'fenced')
     """
 
-    def __init__(self, *, slots=8, max_connections=64):
+    def __init__(self, *, slots=8, max_connections=64, now_s=0.0):
         self.slots = slots
+        self.remembers_from_s = now_s
         self.max_connections = max_connections
         self.faults = Faults()
         self.attempts = OrderedDict()
@@ -186,7 +190,7 @@
         if cause is not None:
             self.refusals[cause] += 1
             return cause
-        record = self._remember(AttemptRecord(attempt_id, task_id, Fate.RUNNING))
+        record = self._remember(AttemptRecord(attempt_id, task_id, Fate.RUNNING, now_s))
         self.running += 1
         self.max_running = max(self.max_running, self.running)
         self._record_start(record, now_s)
@@ -222,7 +226,7 @@
         """Return the attempt's record; an unknown attempt is fenced first."""
         record = self.attempts.get(attempt_id)
         if record is None:
-            record = self._remember(AttemptRecord(attempt_id, None, Fate.FENCED))
+            record = self._remember(AttemptRecord(attempt_id, None, Fate.FENCED, now_s))
         return record
 
     def cancel(self, attempt_ids, *, now_s):
@@ -242,11 +246,14 @@
     def _remember(self, record):
         self.attempts[record.attempt_id] = record
         if len(self.attempts) > MAX_ATTEMPTS:
-            oldest = next(iter(self.attempts))
-            if self.attempts[oldest].fate is not Fate.RUNNING:
-                del self.attempts[oldest]
+            _, oldest = self.attempts.popitem(last=False)
+            self.remembers_from_s = max(self.remembers_from_s, oldest.since_s)
         return record
 
+    def memory_s(self, *, now_s):
+        """Return the seconds for which every attempt has been remembered."""
+        return max(0.0, now_s - self.remembers_from_s)
+
     def status(self):
         """Return the body of ``GET /v1/status``."""
         return {
