Peers: membership, heartbeats, gossip, request windows, redial of silent links

Heartbeats in a full mesh inside a failure domain and over bounded links across; death only by votes of those that should hear the member; requests deduplicated by correlation id with a low-water mark; silent connections dialled anew and calls asked after.

--- a/burdocklug/peers/_channel.py
+++ b/burdocklug/peers/_channel.py
@@ -89,8 +89,8 @@
 
     Parameters
     ----------
-    incarnation : str
-        The peer.
+    incarnation, name, failure_domain : str
+        The peer; name and failure domain are empty until it was heard.
     link : Link
         Outgoing link.
     calls : dict
@@ -108,6 +108,8 @@
     """
 
     incarnation: str
+    name: str = ""
+    failure_domain: str = ""
     link: object = None
     calls: dict = field(default_factory=dict)
     window: RequestWindow = field(default_factory=RequestWindow)
@@ -125,6 +127,8 @@
 
     def note_frame(self, envelope, now_s):
         """Take in sequence, acknowledgement, mark and time of a received envelope."""
+        self.name = envelope.name
+        self.failure_domain = envelope.failure_domain
         self.heard_s = now_s
         self.refusals = 0
         self.clock.observe(sent_s=envelope.sent_s, now_s=now_s)
--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True, eq=False)
 class Outgoing:
-    """One queued item; `on_handed` is called when its frame was handed to nng.
+    """One queued item.
 
     Parameters
     ----------
@@ -31,7 +31,7 @@
     size : int
         Bytes of its body.
     on_handed : callable, optional
-        Takes the link's generation and the frame's sequence.
+        Called once its frame was handed to nng.
     on_dropped : callable, optional
         Takes the reason, when the item leaves the queue undelivered.
     """
@@ -73,7 +73,8 @@
     Notes
     -----
     `wanted` is the last sequence that the peer has to acknowledge, `acknowledged` the highest
-    that it did; `unacknowledged_since_s` is the time from which it has been silent about it.
+    that it did. `unacknowledged_since_s` is the time from which it has been silent about that
+    on the present connection, `unreached_since_s` the same over all connections.
     """
 
     address: str
@@ -85,7 +86,8 @@
     acknowledged: int = 0
     wanted: int = 0
     unacknowledged_since_s: float | None = None
-    last_sent_s: float | None = None
+    unreached_since_s: float | None = None
+    last_sent_s: float = 0.0
     traffic: LinkTraffic = field(default_factory=LinkTraffic)
     _queue: collections.deque = field(default_factory=collections.deque)
     _queued_bytes: int = 0
@@ -98,6 +100,11 @@
         """Whether there is a socket."""
         return self._dialer is not None
 
+    @property
+    def is_acknowledged(self):
+        """Whether the queue is empty and the peer has acknowledged all that was sent."""
+        return not self._queue and self.acknowledged >= self.wanted
+
     @property
     def queued(self):
         """Number of items in the queue."""
@@ -165,12 +172,14 @@
             self.wanted = self.sequence
             if self.unacknowledged_since_s is None:
                 self.unacknowledged_since_s = self.last_sent_s
+            if self.unreached_since_s is None:
+                self.unreached_since_s = self.last_sent_s
         self.traffic.frames += 1
         self.traffic.items += len(batch)
         self.traffic.bytes += frame_bytes
         for outgoing in batch:
             if outgoing.on_handed is not None:
-                outgoing.on_handed(self.generation, self.sequence)
+                outgoing.on_handed()
 
     def _dial(self):
         self.generation += 1
@@ -200,8 +209,26 @@
         if not self.acknowledged < seen <= self.sequence:
             return
         self.acknowledged = seen
+        waiting = seen < self.wanted
+        self.unreached_since_s = self.now() if waiting else None
+        if self.unacknowledged_since_s is not None:
+            self.unacknowledged_since_s = self.now() if waiting else None
+
+    def is_silent(self, now_s, *, after_s):
+        """Return whether the connection has had no acknowledgement for `after_s` seconds."""
+        since_s = self.unacknowledged_since_s
+        return since_s is not None and now_s - since_s > after_s
+
+    def is_idle(self, now_s, *, after_s):
+        """Return whether an open link has sent nothing for `after_s` seconds."""
+        return self.is_open and not self._queue and now_s - self.last_sent_s > after_s
+
+    def forgive_pause(self, paused_s):
+        """Leave out of the silence a time in which this process was paused."""
         if self.unacknowledged_since_s is not None:
-            self.unacknowledged_since_s = None if seen >= self.wanted else self.now()
+            self.unacknowledged_since_s += paused_s
+        if self.unreached_since_s is not None:
+            self.unreached_since_s += paused_s
 
     def redial(self):
         """Close the socket, so that what follows goes out on a new connection."""
--- /dev/null
+++ b/burdocklug/peers/_membership.py
@@ -0,0 +1,359 @@
+"""The member table of one process: plain functions over records, without input or output.
+
+The status of a record only ever rises: alive, dead, left. Joining two tables by the higher
+status gives the same result in any order. Whether a member that is alive counts as suspect is
+each process's own view of what it can reach, and is never told to others.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from burdocklug.peers._incarnation import address_of, started_ns
+from burdocklug.peers._member import Member, MemberState
+
+__all__ = [
+    "MemberTable",
+    "Record",
+    "Status",
+    "add_vote",
+    "forget",
+    "is_silent",
+    "join_entry",
+    "make_member",
+    "mark_dead",
+    "note_heartbeat",
+    "replace_older",
+    "shift_times",
+    "state_of",
+    "successor_of",
+    "vote_is_dead",
+    "watch_only",
+]
+
+MAX_TOMBSTONES = 4096
+MAX_SUCCESSORS = 4096
+MAX_OLD_ADDRESSES = 64
+
+
+class Status(enum.IntEnum):
+    """What a process tells others of a member; the higher one wins."""
+
+    ALIVE = 0
+    DEAD = 1
+    LEFT = 2
+
+
+@dataclass(slots=True, eq=False)
+class Record:
+    """What is known of one member; times are of the own monotonic clock.
+
+    Parameters
+    ----------
+    incarnation, name, failure_domain : str
+        Who it is.
+    status : Status
+        What is told to others.
+    evidence_s : float
+        Last time at which any process heard it, as far as known here.
+    heard_s : float or None
+        Last time at which its heartbeat came here.
+    watched_s : float or None
+        Since when heartbeats are exchanged with it; None for one that is not watched.
+    unreached_s : float or None
+        Since when it acknowledges nothing.
+    chose_s : float or None
+        Last heartbeat that said that the member chose this process for a link.
+    ended_s : float or None
+        When it was found dead or to have left.
+    replaced : bool
+        Whether another incarnation is known to run at its address.
+    asked_s : float or None
+        When others were asked whether they hear it.
+    confirmed_by, denied_by : set of str
+        Who does not, and does, hear it.
+    """
+
+    incarnation: str
+    name: str
+    failure_domain: str
+    evidence_s: float
+    status: Status = Status.ALIVE
+    successor: str | None = None
+    draining: bool = False
+    sequence: int = 0
+    heard_s: float | None = None
+    watched_s: float | None = None
+    unreached_s: float | None = None
+    chose_s: float | None = None
+    ended_s: float | None = None
+    replaced: bool = False
+    asked_s: float | None = None
+    confirmed_by: set = field(default_factory=set)
+    denied_by: set = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class MemberTable:
+    """Records of all members but the own process.
+
+    Parameters
+    ----------
+    own : str
+        The own incarnation.
+    failure_domain : str
+        The own failure domain.
+    records : dict
+        Records by incarnation.
+    tombstones : dict
+        Incarnations that ended and were forgotten, oldest first.
+    successors : dict
+        Successors by incarnation that left, oldest first.
+    old_addresses : dict
+        Addresses of members that were forgotten without having ended.
+    """
+
+    own: str
+    failure_domain: str
+    records: dict = field(default_factory=dict)
+    tombstones: dict = field(default_factory=dict)
+    successors: dict = field(default_factory=dict)
+    old_addresses: dict = field(default_factory=dict)
+
+
+def _put_bounded(table, key, value, limit):
+    table.pop(key, None)
+    table[key] = value
+    while len(table) > limit:
+        del table[next(iter(table))]
+
+
+def is_silent(record, now_s, *, after_s):
+    """Return whether a watched member was not heard for `after_s` seconds."""
+    if record.watched_s is None:
+        return False
+    return now_s - max(record.watched_s, record.heard_s or record.watched_s) > after_s
+
+
+def _is_reached(record, now_s, settings):
+    if record.watched_s is None or is_silent(record, now_s, after_s=settings.suspect_after_s):
+        return False
+    unreached = record.unreached_s
+    return unreached is None or now_s - unreached <= settings.suspect_after_s
+
+
+def state_of(table, record, now_s, settings):
+    """Return the state of a member as this process sees it.
+
+    Notes
+    -----
+    A member that is not watched is as reachable as its failure domain: it is suspect while no
+    watched member of that failure domain is reached.
+    """
+    if record.status is Status.DEAD:
+        return MemberState.DEAD
+    if record.status is Status.LEFT:
+        return MemberState.LEFT
+    if record.watched_s is not None:
+        reached = _is_reached(record, now_s, settings)
+    else:
+        reached = any(
+            _is_reached(other, now_s, settings)
+            for other in table.records.values()
+            if other.failure_domain == record.failure_domain and other.status is Status.ALIVE
+        )
+    return MemberState.ALIVE if reached else MemberState.SUSPECT
+
+
+def make_member(table, record, now_s, settings):
+    """Return the public view of a record."""
+    return Member(
+        record.incarnation,
+        record.name,
+        address_of(record.incarnation),
+        record.failure_domain,
+        state_of(table, record, now_s, settings),
+        record.successor,
+        record.draining,
+    )
+
+
+def join_entry(table, entry, now_s):
+    """Take in what another process tells of a member; return the record if it changed.
+
+    Parameters
+    ----------
+    entry : Entry
+        Identity, status, successor and age of the last evidence.
+    now_s : float
+        Time of the own clock.
+    """
+    incarnation = entry.incarnation
+    if incarnation == table.own or incarnation in table.tombstones:
+        return None
+    if address_of(incarnation) is None:
+        return None
+    evidence_s = now_s - entry.age_s
+    record = table.records.get(incarnation)
+    if record is None:
+        record = Record(incarnation, entry.name, entry.failure_domain, evidence_s)
+        table.records[incarnation] = record
+        _end(table, record, entry.status, entry.successor, now_s)
+        replace_older(table, record, now_s)
+        return record
+    record.evidence_s = max(record.evidence_s, evidence_s)
+    if entry.status <= record.status:
+        return None
+    _end(table, record, entry.status, entry.successor, now_s)
+    return record
+
+
+def _end(table, record, status, successor, now_s):
+    if status is Status.ALIVE:
+        return
+    record.status = status
+    record.ended_s = now_s
+    record.watched_s = None
+    if status is Status.LEFT and successor:
+        record.successor = successor
+        _put_bounded(table.successors, record.incarnation, successor, MAX_SUCCESSORS)
+
+
+def mark_dead(table, record, now_s, *, replaced=False):
+    """Note that a member is dead; return whether that is new."""
+    record.replaced = record.replaced or replaced
+    if record.status is not Status.ALIVE:
+        return False
+    _end(table, record, Status.DEAD, None, now_s)
+    return True
+
+
+def replace_older(table, newer, now_s):
+    """Mark older incarnations at the address of `newer` as dead; return their records."""
+    address = address_of(newer.incarnation)
+    older = []
+    for record in table.records.values():
+        if record is newer or address_of(record.incarnation) != address:
+            continue
+        if started_ns(record.incarnation) < started_ns(newer.incarnation):
+            if mark_dead(table, record, now_s, replaced=True):
+                older.append(record)
+    return older
+
+
+def note_heartbeat(table, incarnation, heartbeat, now_s, *, name, failure_domain):
+    """Take in a heartbeat; return the record and whether the member is new.
+
+    Notes
+    -----
+    An ended member stays ended whatever it sends. Its record is returned as it is, and None if
+    it was already forgotten.
+    """
+    if incarnation in table.tombstones:
+        return None, False
+    record = table.records.get(incarnation)
+    is_new = record is None
+    if is_new:
+        record = Record(incarnation, name, failure_domain, now_s)
+        table.records[incarnation] = record
+    if record.status is not Status.ALIVE or heartbeat.sequence <= record.sequence:
+        return record, is_new
+    record.sequence = heartbeat.sequence
+    record.draining = heartbeat.draining
+    record.heard_s = record.evidence_s = now_s
+    record.asked_s = None
+    record.confirmed_by.clear()
+    record.denied_by.clear()
+    if heartbeat.chosen:
+        record.chose_s = now_s
+    return record, is_new
+
+
+def add_vote(table, incarnation, voter, *, silent):
+    """Note whether another process hears a member that is silent here."""
+    record = table.records.get(incarnation)
+    if record is None or record.asked_s is None:
+        return
+    if silent:
+        record.confirmed_by.add(voter)
+    else:
+        record.denied_by.add(voter)
+
+
+def vote_is_dead(table, record, now_s, settings):
+    """Return whether a member of the own failure domain is to be declared dead.
+
+    Notes
+    -----
+    It must have been silent here for the whole time, nobody asked may have heard it, and this
+    process with those that confirm must outnumber half of the failure domain. A process that
+    is cut off from the others therefore declares nobody dead, nor does one outside.
+    """
+    if record.status is not Status.ALIVE or record.failure_domain != table.failure_domain:
+        return False
+    if not is_silent(record, now_s, after_s=settings.dead_after_s) or record.denied_by:
+        return False
+    living = 1 + sum(
+        other.status is Status.ALIVE and other.failure_domain == table.failure_domain
+        for other in table.records.values()
+    )
+    confirmations = 1 + len(record.confirmed_by)
+    return confirmations > 1 and 2 * confirmations > living
+
+
+def watch_only(table, incarnations, now_s):
+    """Set which members are watched; those that stay watched keep their times."""
+    for record in table.records.values():
+        if record.incarnation not in incarnations:
+            record.watched_s = record.unreached_s = None
+        elif record.watched_s is None:
+            record.watched_s = now_s
+
+
+def shift_times(table, by_s):
+    """Move all times of silence forward after the own process was paused for `by_s` seconds."""
+    for record in table.records.values():
+        if record.watched_s is not None:
+            record.watched_s += by_s
+        if record.heard_s is not None:
+            record.heard_s += by_s
+        if record.unreached_s is not None:
+            record.unreached_s += by_s
+        record.evidence_s += by_s
+
+
+def forget(table, now_s, settings):
+    """Drop records of members that ended or were silent for long; return how many."""
+    limit_s = settings.forget_after_s
+    dropped = []
+    for record in table.records.values():
+        if record.status is not Status.ALIVE:
+            if now_s - record.ended_s > limit_s:
+                dropped.append(record)
+                _put_bounded(table.tombstones, record.incarnation, record.status, MAX_TOMBSTONES)
+        elif now_s - record.evidence_s > limit_s:
+            dropped.append(record)
+            address = address_of(record.incarnation)
+            _put_bounded(table.old_addresses, address, None, MAX_OLD_ADDRESSES)
+    for record in dropped:
+        del table.records[record.incarnation]
+    return len(dropped)
+
+
+def successor_of(table, incarnation):
+    """Return the last incarnation in the chain of successors, or None if there is none.
+
+    Examples
+    --------
+    >>> table = MemberTable("me", "perg", successors={"a": "b", "b": "c"})
+    >>> successor_of(table, "a"), successor_of(table, "c")
+    ('c', None)
+    """
+    passed = {incarnation}
+    successor = table.successors.get(incarnation)
+    while successor is not None:
+        further = table.successors.get(successor)
+        if further is None or further in passed:
+            return successor
+        passed.add(successor)
+        successor = further
+    return None
--- a/burdocklug/peers/_network.py
+++ b/burdocklug/peers/_network.py
@@ -1,22 +1,19 @@
 """The network of one process: messages to its peers and membership."""
 
-import msgspec
-
-from burdocklug.peers._incarnation import address_of, mint_incarnation
-from burdocklug.peers._member import Member, MemberState
+import eventlet
+
+from burdocklug.peers import _membership as membership
+from burdocklug.peers._dump import dump_network
+from burdocklug.peers._errors import PeerNotReached
+from burdocklug.peers._incarnation import mint_incarnation
+from burdocklug.peers._membership_service import MembershipService
+from burdocklug.peers._receiver import Receiver
 from burdocklug.peers._transport import Identity, Transport
 
 __all__ = ["PeerNetwork"]
 
-SILENCE_MARGIN_S = 0.25
-
-
-class Heartbeat(msgspec.Struct, array_like=True, tag="heartbeat", frozen=True):
-    """Sent to each peer once a heartbeat period."""
-
-    sequence: int
-    draining: bool
-    parts: dict[str, msgspec.Raw]
+LEAVE_POLL_S = 0.02
+SENT = frozenset({"frames", "items", "bytes"})  # the other counts of traffic are of links
 
 
 class PeerNetwork:
@@ -34,6 +31,11 @@
         Source of time; its `serve` must run for heartbeats to go out.
     listen_address : str, optional
         Where to listen, if it differs from `address`.
+
+    Attributes
+    ----------
+    incarnation : str
+        Id of this start of the process.
     """
 
     def __init__(self, name, failure_domain, address, settings, timers, *, listen_address=None):
@@ -41,39 +43,42 @@
         self.failure_domain = failure_domain
         self.address = address
         self.settings = settings
-        self.draining = False
         self.incarnation = mint_incarnation(address)
         self._listen_address = listen_address or address
         self._timers = timers
-        self._sequence = 0
-        self._parts = {}
-        self._members = {}
-        self._subscriptions = []
+        self._subscription = None
         self._transport = Transport(
             Identity(self.incarnation, name, failure_domain),
             shared_key=settings.shared_key,
             now=timers.now,
             after=timers.after,
-            on_envelope=self._on_envelope,
-            on_replaced=lambda old, _new: self._members.pop(old, None),
         )
-        self._transport.register(Heartbeat, self._on_heartbeat, inline=True)
+        self._receiver = Receiver(
+            self._transport, on_replaced=lambda old, new: self._membership.replaced(old, new)
+        )
+        self._membership = MembershipService(
+            self._transport,
+            register=lambda kind, handler: self.register(kind, handler, inline=True),
+            settings=settings,
+            address=address,
+        )
 
     def start(self):
         """Listen, and begin to send heartbeats."""
-        self._transport.listen(self._listen_address)
-        self._subscriptions.append(
-            self._timers.every(self.settings.heartbeat_s, self._send_heartbeats)
-        )
-        self._send_heartbeats()
+        self._receiver.listen(self._listen_address)
+        self._subscription = self._timers.every(self.settings.heartbeat_s, self._membership.tick)
+        self._membership.tick()
 
     def stop(self):
-        """Close every socket and cancel every timer."""
-        for subscription in self._subscriptions:
-            subscription.cancel()
-        self._subscriptions.clear()
+        """Close every socket and cancel every timer; pending calls fail."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+            self._subscription = None
+        self._receiver.close()
         self._transport.close()
 
+    # Messages
+
     def register(self, message_type, handler=None, *, inline=False):
         """Handle messages of a type.
 
@@ -87,11 +92,22 @@
         inline : bool
             Run the handler in the reader, where it may not wait.
         """
-        self._transport.register(message_type, handler, inline=inline)
+        self._transport.types.add(message_type)
+        if handler is not None:
+            self._receiver.register(message_type, handler, inline=inline)
 
     def call(self, incarnation, message, *, timeout_s):
         """Send a message and wait for its reply.
 
+        Parameters
+        ----------
+        incarnation : str
+            Whom to call; it may be dead in the member table.
+        message : msgspec.Struct
+            Of a registered type.
+        timeout_s : float
+            Seconds to wait for the reply.
+
         Returns
         -------
         msgspec.Struct or None
@@ -100,28 +116,57 @@
         Raises
         ------
         PeerNotReached
-            If the message was certainly not delivered.
+            If the message was certainly not delivered to that incarnation.
         PeerSilent
             If it may have been delivered.
         """
+        if incarnation == self.incarnation:
+            return self._handle_here(message)
+        record = self._membership.table.records.get(incarnation)
+        if record is not None and record.replaced:
+            raise PeerNotReached(incarnation, "replaced by another incarnation")
         return self._transport.call(incarnation, message, timeout_s=timeout_s)
 
+    def _handle_here(self, message):
+        handler = self._receiver.handler_of(type(message))
+        if handler is None:
+            raise PeerNotReached(self.incarnation, f"no handler for {type(message).__name__}")
+        return handler.handle(self.incarnation, message)
+
     def send(self, incarnation, message):
-        """Send a message one way; it may get lost."""
-        self._transport.send(incarnation, message)
+        """Send a message one way; it may get lost.
+
+        Messages to one peer that are sent in the same turn of the loop share a frame.
+        """
+        if incarnation == self.incarnation:
+            eventlet.spawn_n(self._handle_here, message)
+        else:
+            self._transport.send(incarnation, message)
+
+    # Membership
 
     def members(self):
         """Return a list of the known members, without this process."""
-        return list(self._members.values())
+        table, now = self._membership.table, self._timers.now()
+        return [
+            membership.make_member(table, record, now, self.settings)
+            for record in table.records.values()
+        ]
 
     def member(self, incarnation):
         """Return a member, or None if it is not known."""
-        return self._members.get(incarnation)
+        table = self._membership.table
+        record = table.records.get(incarnation)
+        if record is None:
+            return None
+        return membership.make_member(table, record, self._timers.now(), self.settings)
 
     def successor_of(self, incarnation):
-        """Return the incarnation that took over from one that left, or None."""
-        member = self._members.get(incarnation)
-        return member.successor if member else None
+        """Return the incarnation that took over from one that left, or None.
+
+        The chain of successors is followed to its end.
+        """
+        return membership.successor_of(self._membership.table, incarnation)
 
     def add_heartbeat_part(self, name, produce, consume):
         """Add a value to every heartbeat.
@@ -133,51 +178,64 @@
         produce : callable
             Returns a value that msgspec encodes, or None for nothing.
         consume : callable
-            Takes a member and the value from its heartbeat.
+            Takes a `Member` and the value from its heartbeat, as plain data. It may not wait.
         """
-        self._parts[name] = (produce, consume)
-
-    def _on_envelope(self, envelope):
-        if envelope.sender not in self._members:
-            self._members[envelope.sender] = Member(
-                envelope.sender,
-                envelope.name,
-                address_of(envelope.sender),
-                envelope.failure_domain,
-                MemberState.ALIVE,
-            )
+        self._membership.parts[name] = (produce, consume)
+
+    def set_draining(self, draining=True):
+        """Tell peers on the heartbeat whether this process takes no new work."""
+        self._membership.draining = draining
+
+    @property
+    def declared_dead_by(self):
+        """The peer that told this process that it was declared dead, or None."""
+        return self._membership.declared_dead_by
 
-    def _send_heartbeats(self):
-        self._sequence += 1
-        parts = {}
-        for name, (produce, _consume) in self._parts.items():
-            value = produce()
-            if value is not None:
-                parts[name] = msgspec.Raw(msgspec.msgpack.encode(value))
-        heartbeat = Heartbeat(self._sequence, self.draining, parts)
-        for incarnation in self._members:
-            self._transport.send(incarnation, heartbeat)
-        known = {member.address for member in self._members.values()}
-        for address in self.settings.seeds:
-            if address not in known and address != self.address:
-                self._transport.send_to_seed(address, heartbeat)
-
-    def _on_heartbeat(self, sender, heartbeat):
-        member = self._members.get(sender)
-        for name, value in heartbeat.parts.items():
-            if name in self._parts:
-                self._parts[name][1](member, msgspec.msgpack.decode(value))
+    def on_declared_dead(self, callback):
+        """Set the function to call, with the peer's incarnation, once this process is dead.
+
+        It may not wait. From then on no heartbeats go out; calls are still answered, so that
+        the owner of submissions can answer for them until it stops.
+        """
+        self._membership.on_declared_dead = callback
+
+    def leave(self, successor=None, *, timeout_s=2.0):
+        """Tell the members that this process leaves.
+
+        Parameters
+        ----------
+        successor : str, optional
+            The incarnation that took over its state.
+        timeout_s : float
+            Seconds to wait for acknowledgements.
+
+        Returns
+        -------
+        list of str
+            Incarnations that did not acknowledge in time.
+        """
+        told = self._membership.tell_left(successor)
+        until_s = self._timers.now() + timeout_s
+        while True:
+            channels = (self._transport.channels[incarnation] for incarnation in told)
+            open_ends = [c.incarnation for c in channels if not c.link.is_acknowledged]
+            if not open_ends or self._timers.now() >= until_s:
+                return open_ends
+            eventlet.sleep(LEAVE_POLL_S)
+
+    # State
 
     def counts(self):
         """Return counters by name."""
-        return dict(self._transport.counters)
+        counts = dict(self._transport.counters)
+        links = [channel.link for channel in self._transport.channels.values()]
+        links.extend(self._transport.seed_links.values())
+        for name in ("frames", "items", "bytes", "dials", "refused", "dropped"):
+            counts[f"{name}_sent" if name in SENT else f"links_{name}"] = sum(
+                getattr(link.traffic, name) for link in links
+            )
+        return counts
 
     def dump(self):
-        """Return the state as plain data."""
-        return {
-            "incarnation": self.incarnation,
-            "members": [
-                {"incarnation": m.incarnation, "state": str(m.state)} for m in self.members()
-            ],
-            "counters": self.counts(),
-        }
+        """Return members, links and counters as plain data."""
+        return dump_network(self, self._transport, self._membership)
--- /dev/null
+++ b/burdocklug/peers/_receiver.py
@@ -0,0 +1,233 @@
+"""The receiving half of the transport: opens frames, runs handlers, settles calls."""
+
+from dataclasses import dataclass
+
+import eventlet
+import msgspec
+import structlog
+
+from burdocklug.peers import _codec as codec
+from burdocklug.peers._codec import RefusalReason
+from burdocklug.peers._dedupe import Verdict
+from burdocklug.peers._errors import PeerNotReached, PeerSilent
+from burdocklug.peers._incarnation import address_of
+from burdocklug.peers._sockets import PullListener
+
+__all__ = ["Handler", "Receiver"]
+
+log = structlog.get_logger(__name__)
+
+REASON_OF = {
+    Verdict.IN_PROGRESS: RefusalReason.IN_PROGRESS,
+    Verdict.REPLY_LOST: RefusalReason.REPLY_LOST,
+    Verdict.PASSED: RefusalReason.REPLY_LOST,
+    Verdict.NOT_SEEN: RefusalReason.NOT_SEEN,
+    Verdict.EXPIRED: RefusalReason.EXPIRED,
+}
+REPLACED = "replaced by another incarnation"
+NEVER_HANDLED = frozenset({RefusalReason.EXPIRED, RefusalReason.NO_HANDLER})
+
+
+@dataclass(frozen=True, slots=True)
+class Handler:
+    """A handler of one message type; an inline one runs in the reader and may not wait."""
+
+    handle: object
+    inline: bool = False
+
+
+class Receiver:
+    """Receives the frames of all peers.
+
+    Parameters
+    ----------
+    transport : Transport
+        The sending half.
+    on_replaced : callable
+        Takes an incarnation that another one has replaced at its address, and the other one.
+    """
+
+    def __init__(self, transport, *, on_replaced):
+        self._transport = transport
+        self._own = transport.identity.incarnation
+        self._counters = transport.counters
+        self._on_replaced = on_replaced
+        self._handlers = {}
+        self._listener = None
+        self._item_handlers = {
+            codec.Notice: self._on_notice,
+            codec.Request: self._on_request,
+            codec.Reply: self._on_reply,
+            codec.Refusal: self._on_refusal,
+            codec.Ask: self._on_ask,
+            codec.Misdirected: self._on_misdirected,
+        }
+
+    def listen(self, address):
+        """Start to receive at `address`."""
+        self._listener = PullListener(address, self.receive)
+
+    def close(self):
+        """Stop to receive."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def register(self, message_type, handler, *, inline):
+        """Set the handler of a message type."""
+        self._handlers[message_type] = Handler(handler, inline)
+
+    def handler_of(self, message_type):
+        """Return the handler of a message type, or None."""
+        return self._handlers.get(message_type)
+
+    def receive(self, frame):
+        """Take in one frame."""
+        counters = self._counters
+        counters["frames_received"] += 1
+        counters["bytes_received"] += len(frame)
+        try:
+            envelope = self._transport.codec.open(frame)
+        except codec.FrameError as exc:
+            counters["frames_malformed" if exc.authentic else "frames_not_authentic"] += 1
+            return
+        if envelope.sender == self._own or address_of(envelope.sender) is None:
+            counters["frames_from_nobody"] += 1
+            return
+        channel = self._transport.channel(envelope.sender)
+        if envelope.target and envelope.target != self._own:
+            self._refuse_misdirected(channel, envelope)
+            return
+        channel.note_frame(envelope, self._transport.now())
+        for item in envelope.items:
+            try:
+                self._item_handlers[type(item)](channel, item)
+            except Exception:
+                log.exception("peer_item_failed", sender=envelope.sender)
+
+    def _refuse_misdirected(self, channel, envelope):
+        for item in envelope.items:
+            self._counters["items_misdirected"] += 1
+            if type(item) is codec.Request:
+                answer = codec.Misdirected(envelope.target, item.correlation, item.copy)
+            elif type(item) is codec.Ask:
+                # Copy 0 settles no call as not delivered: an earlier copy may have been.
+                answer = codec.Misdirected(envelope.target, item.correlations[0], 0)
+            else:
+                continue
+            self._transport.put(channel, answer)
+
+    # Messages
+
+    def _decode(self, body):
+        try:
+            return self._transport.types.decode(body)
+        except msgspec.DecodeError:
+            self._counters["bodies_malformed"] += 1
+            return None
+
+    def _on_notice(self, channel, item):
+        message = self._decode(item.body)
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._counters["items_without_handler"] += 1
+        elif handler.inline:
+            handler.handle(channel.incarnation, message)
+        else:
+            eventlet.spawn_n(self._run_notice, handler, channel.incarnation, message)
+
+    def _run_notice(self, handler, sender, message):
+        try:
+            handler.handle(sender, message)
+        except Exception:
+            log.exception("peer_handler_failed", message_type=type(message).__name__)
+
+    def _on_request(self, channel, item):
+        expired = channel.clock.sender_time(self._transport.now()) > item.expires_s
+        verdict = channel.window.admit(item.correlation, expired=expired)
+        if verdict is not Verdict.HANDLE:
+            self._counters[f"requests_{verdict.value}"] += 1
+            self._answer_again(channel, item.correlation, item.copy, verdict)
+            return
+        message = self._decode(item.body)
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._counters["items_without_handler"] += 1
+            self._refuse(channel, item, RefusalReason.NO_HANDLER)
+        elif handler.inline:
+            self._run_request(handler, channel, item, message)
+        else:
+            eventlet.spawn_n(self._run_request, handler, channel, item, message)
+
+    def _run_request(self, handler, channel, item, message):
+        try:
+            reply = handler.handle(channel.incarnation, message)
+            body = b"" if reply is None else self._transport.types.encode(reply)
+        except Exception as exc:
+            log.exception("peer_handler_failed", message_type=type(message).__name__)
+            self._refuse(channel, item, RefusalReason.HANDLER_FAILED, type(exc).__name__)
+            return
+        if len(body) > codec.MAX_MESSAGE_BYTES:
+            self._counters["oversized_not_sent"] += 1
+            self._refuse(channel, item, RefusalReason.HANDLER_FAILED, "reply is too large")
+            return
+        channel.window.finish(item.correlation, body)
+        self._put_reply(channel, item.correlation, body)
+
+    def _put_reply(self, channel, correlation, body):
+        self._transport.put(channel, codec.Reply(correlation, body), len(body))
+
+    def _refuse(self, channel, item, reason, detail=""):
+        refusal = codec.Refusal(item.correlation, item.copy, reason, detail)
+        self._transport.put(channel, refusal)
+
+    def _answer_again(self, channel, correlation, copy, verdict):
+        if verdict is Verdict.REPLIED:
+            self._put_reply(channel, correlation, channel.window.reply(correlation))
+        else:
+            self._transport.put(channel, codec.Refusal(correlation, copy, REASON_OF[verdict]))
+
+    def _on_ask(self, channel, item):
+        for correlation in item.correlations:
+            verdict = channel.window.ask(correlation)
+            self._answer_again(channel, correlation, 0, verdict)
+
+    # Outcomes of own calls
+
+    def _pending(self, channel, correlation):
+        call = None if channel is None else channel.calls.get(correlation)
+        if call is None or call.event.ready():
+            self._counters["replies_late_or_repeated"] += 1
+            return None
+        return call
+
+    def _on_reply(self, channel, item):
+        call = self._pending(channel, item.correlation)
+        if call is not None:
+            call.resolve(item.body)
+
+    def _on_refusal(self, channel, item):
+        call = self._pending(channel, item.correlation)
+        if call is None or item.reason is RefusalReason.IN_PROGRESS:
+            return
+        reason = f"{item.reason.name.lower()} {item.detail}".strip()
+        if item.reason is RefusalReason.NOT_SEEN:
+            self._transport.repeat_request(channel, call)
+        elif item.reason in NEVER_HANDLED:
+            call.resolve(PeerNotReached(channel.incarnation, reason))
+        else:
+            call.resolve(PeerSilent(channel.incarnation, reason))
+
+    def _on_misdirected(self, channel, item):
+        if address_of(item.target) != address_of(channel.incarnation):
+            self._counters["frames_from_nobody"] += 1
+            return
+        self._on_replaced(item.target, channel.incarnation)
+        old = self._transport.channels.get(item.target)
+        call = self._pending(old, item.correlation)
+        if call is not None:
+            only_copy = call.copies == item.copy == 1
+            error = PeerNotReached if only_copy else PeerSilent
+            call.resolve(error(item.target, REPLACED))
+        if old is not None and item.copy == 0:
+            self._transport.fail_calls(old, REPLACED)
--- /dev/null
+++ b/tests/peers/support.py
@@ -0,0 +1,205 @@
+"""Networks in this process, networks in processes of their own, and a forwarder with faults."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import eventlet
+import msgspec
+from testtools import TestCase
+
+from burdocklug.kernel import PeerSettings, TimerService
+from burdocklug.peers import PeerNetwork
+
+KEY = "0123456789abcdef"
+PERIODS = {"heartbeat_s": 0.1, "suspect_after_s": 0.6, "dead_after_s": 1.2}
+WAIT_S = 20
+
+
+class Echo(msgspec.Struct, tag="echo", array_like=True):
+    number: int
+
+
+class Slow(msgspec.Struct, tag="slow", array_like=True):
+    number: int
+    delay_s: float
+
+
+class Blob(msgspec.Struct, tag="blob", array_like=True):
+    data: bytes
+
+
+class Handled(msgspec.Struct, tag="handled", array_like=True):
+    numbers: list[int] = []
+    declared_dead: bool = False
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def make_network(name, *, address=None, domain="perg", seeds=(), key=KEY, options=None, **more):
+    settings = PeerSettings(shared_key=key, seeds=list(seeds), **{**PERIODS, **(options or {})})
+    timers = TimerService()
+    network = PeerNetwork(name, domain, address or free_address(), settings, timers, **more)
+    network.handled = []
+    network.deaths = []
+
+    def echo(_sender, message):
+        network.handled.append(message.number)
+        return message
+
+    def slow(_sender, message):
+        network.handled.append(message.number)
+        eventlet.sleep(message.delay_s)
+        return message
+
+    network.register(Echo, echo)
+    network.register(Slow, slow)
+    network.register(Blob, lambda _sender, message: message)
+    network.register(Handled, lambda *_: Handled(network.handled, bool(network.deaths)))
+    network.on_declared_dead(network.deaths.append)
+    network.start()
+    network.server = eventlet.spawn(timers.serve, lambda: False)
+    return network
+
+
+class NetworkCase(TestCase):
+    def network(self, name, **options):
+        network = make_network(name, **options)
+        self.addCleanup(network.server.kill)
+        self.addCleanup(network.stop)
+        return network
+
+    def fleet(self, layout, **options):
+        """Return started networks by name for a layout of names by failure domain."""
+        seed, networks = None, {}
+        for domain, names in layout.items():
+            for name in names:
+                seeds = [seed] if seed else []
+                networks[name] = self.network(name, domain=domain, seeds=seeds, **options)
+                seed = seed or networks[name].address
+        self.wait_for(lambda: all(len(living(n)) == len(networks) - 1 for n in networks.values()))
+        return networks
+
+    def forwarder(self, target):
+        forwarder = Forwarder(target)
+        self.addCleanup(forwarder.close)
+        return forwarder
+
+    def process(self, name, **options):
+        process = PeerProcess(name, **options)
+        self.addCleanup(process.close)
+        return process
+
+    def wait_for(self, condition):
+        with eventlet.Timeout(WAIT_S):
+            while not condition():
+                eventlet.sleep(0.02)
+
+
+def living(network):
+    return {m.name for m in network.members() if m.state == "alive"}
+
+
+def states(network):
+    return {m.name: str(m.state) for m in network.members()}
+
+
+class Forwarder:
+    """Forwards connections to a listener; each can go silent, and new ones can be cut."""
+
+    def __init__(self, target):
+        self._target = target
+        self._pairs = []
+        self.is_cut = False
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._greenlets = [eventlet.spawn(self._accept)]
+
+    def _accept(self):
+        while True:
+            near, _peer = self._listener.accept()
+            host, _, port = self._target.partition(":")
+            try:
+                far = eventlet.connect((host, int(port)))
+            except OSError:
+                near.close()
+                continue
+            pair = {"sockets": (near, far), "silent": self.is_cut}
+            self._pairs.append(pair)
+            for source, sink in ((near, far), (far, near)):
+                self._greenlets.append(eventlet.spawn(self._pump, pair, source, sink))
+
+    def _pump(self, pair, source, sink):
+        try:
+            while data := source.recv(65536):
+                if not pair["silent"]:
+                    sink.sendall(data)
+            if not pair["silent"]:
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def silence_open_connections(self):
+        """Swallow what comes on every open connection from now on, without closing it."""
+        for pair in self._pairs:
+            pair["silent"] = True
+
+    def cut(self):
+        """Swallow everything, also on new connections."""
+        self.is_cut = True
+        self.silence_open_connections()
+
+    def heal(self):
+        """Let new connections through."""
+        self.is_cut = False
+
+    def close(self):
+        for greenlet in self._greenlets:
+            greenlet.kill()
+        for pair in self._pairs:
+            for sock in pair["sockets"]:
+                sock.close()
+        self._listener.close()
+
+
+class PeerProcess:
+    """A network in a process of its own."""
+
+    def __init__(self, name, **options):
+        command = [sys.executable, "-W", "ignore", "-m", "tests.peers.support"]
+        self._process = subprocess.Popen(
+            [*command, json.dumps({"name": name, **options})], stdout=subprocess.PIPE
+        )
+        self.incarnation = self._process.stdout.readline().decode().strip()
+        self.address = self.incarnation.partition("~")[0]
+
+    def kill(self):
+        self._process.kill()
+        self._process.wait()
+
+    def freeze(self):
+        self._process.send_signal(signal.SIGSTOP)
+
+    def wake(self):
+        self._process.send_signal(signal.SIGCONT)
+
+    def close(self):
+        if self._process.poll() is None:
+            self.kill()
+        self._process.stdout.close()
+
+
+def main():
+    network = make_network(**json.loads(sys.argv[1]))
+    print(network.incarnation, flush=True)
+    network.server.wait()
+
+
+if __name__ == "__main__":
+    main()
