The whole path end to end: daemon, stand-ins, ticket, jobs, demo of both deployments

Cause: the packages stood apart. The parts are now built in order of need and wired; message structs of all packages are array-like, since one decoder reads them all and the union refuses a mix. Not yet done: quotas are a plain division by the fleet, health and retry budget are missing.

--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -8,6 +8,7 @@
 import itertools
 
 import eventlet
+import msgspec
 import structlog
 
 from burdocklug.endpoints import Attempt
@@ -16,7 +17,7 @@
 from burdocklug.jobs._lanes import Lane
 from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
 from burdocklug.retries import Finished, NotRun
-from burdocklug.routing import LeaseOutcome
+from burdocklug.routing import LeaseOutcome, SlotLoad
 
 __all__ = ["Dispatcher"]
 
@@ -168,6 +169,20 @@
         self._send(lane.router.receive(self.ctx.timers.now(), sender, message))
         self._schedule_pump(lane)
 
+    def loads(self):
+        """Return what this process's allocators tell on each heartbeat, or None."""
+        now = self.ctx.timers.now()
+        loads = [load for lane in self.lanes.values() if (load := lane.router.load(now))]
+        return loads or None
+
+    def receive_loads(self, member, value):
+        """Take the loads on a peer's heartbeat."""
+        for load in msgspec.convert(value, list[SlotLoad]):
+            lane = self._lane(load.service)
+            if lane is not None:
+                now = self.ctx.timers.now()
+                self._send(lane.router.receive(now, member.incarnation, load))
+
     def _run_task(self, lane, lease, task):
         job = task.job
         begun_s = self.ctx.timers.now()
@@ -238,7 +253,7 @@
             return
         cost_s = lane.expected_run_s(task.declared_s)
         now = self.ctx.timers.now()
-        lane.queue.push_front(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now)
+        lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now, again=True)
         self._schedule_pump(lane)
 
     def _fail_task(self, task, kind, why):
--- a/burdocklug/jobs/_part.py
+++ b/burdocklug/jobs/_part.py
@@ -44,6 +44,9 @@
         register_handover(self._peers, self.ledger, now=process.timers.now)
         for message_type in SlotMessage.__args__:
             self._peers.register(message_type, self.dispatcher.receive, inline=True)
+        self._peers.add_heartbeat_part(
+            "slots", self.dispatcher.loads, self.dispatcher.receive_loads
+        )
 
     def _context(self):
         process = self._process
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -109,7 +109,7 @@
     def _team(self, team):
         return self._teams.setdefault(team, _TeamLine())
 
-    def push(self, task_ref, *, team, job, cost_s, now_s=0.0):
+    def push(self, task_ref, *, team, job, cost_s, now_s=0.0, again=False):
         """Append a task.
 
         Parameters
@@ -122,13 +122,15 @@
             Expected run time, in seconds.
         now_s : float, optional
             The time, kept for `oldest_age_s`.
+        again : bool, optional
+            The task was popped before and did not start: it goes first in its job, past the bound.
 
         Raises
         ------
         QueueFull
             If `max_tasks` tasks wait already; nothing was queued.
         """
-        if self._tasks >= self.max_tasks:
+        if self._tasks >= self.max_tasks and not again:
             raise QueueFull(f"queue holds {self._tasks} tasks of at most {self.max_tasks}")
         line = self._team(team)
         job_line = self._jobs.get(job)
@@ -136,7 +138,11 @@
             job_line = self._jobs[job] = _JobLine(team)
             line.ring.append((job, job_line))
         cost_s = max(cost_s, MIN_COST_S)
-        job_line.tasks.append(QueuedTask(task_ref, team, job, cost_s, now_s))
+        queued = QueuedTask(task_ref, team, job, cost_s, now_s)
+        if again:
+            job_line.tasks.appendleft(queued)
+        else:
+            job_line.tasks.append(queued)
         job_line.cost_s += cost_s
         if not line.tasks:
             line.virtual_s = max(line.virtual_s, self._virtual_s)
--- a/burdocklug/routing/_messages.py
+++ b/burdocklug/routing/_messages.py
@@ -31,7 +31,7 @@
     full: bool = False
 
 
-class SlotRequest(msgspec.Struct, frozen=True, tag="slot_request"):
+class SlotRequest(msgspec.Struct, frozen=True, array_like=True, tag="slot_request"):
     """A holder's whole demand towards one allocator; a later sequence replaces it."""
 
     service: str
@@ -42,7 +42,7 @@
     sent_s: float = 0.0  # the holder's clock, echoed by the grant
 
 
-class SlotGrant(msgspec.Struct, frozen=True, tag="slot_grant"):
+class SlotGrant(msgspec.Struct, frozen=True, array_like=True, tag="slot_grant"):
     """Leases for a holder; they end `term_s` after the request was sent unless renewed."""
 
     service: str
@@ -54,14 +54,14 @@
     queued: int = 0  # requested slots that wait at the allocator
 
 
-class SlotReturn(msgspec.Struct, frozen=True, tag="slot_return"):
+class SlotReturn(msgspec.Struct, frozen=True, array_like=True, tag="slot_return"):
     """Leases that a holder gives back."""
 
     service: str
     leases: list[ReturnedLease]
 
 
-class SlotRecall(msgspec.Struct, frozen=True, tag="slot_recall"):
+class SlotRecall(msgspec.Struct, frozen=True, array_like=True, tag="slot_recall"):
     """Asks a holder to give back leases because other holders wait."""
 
     service: str
@@ -69,7 +69,7 @@
     busy: int = 0  # so many more, as their tasks end
 
 
-class SlotReport(msgspec.Struct, frozen=True, tag="slot_report"):
+class SlotReport(msgspec.Struct, frozen=True, array_like=True, tag="slot_report"):
     """All leases that a holder holds of one allocator; asks for their renewal."""
 
     service: str
@@ -77,7 +77,7 @@
     leases: list[HeldLease]
 
 
-class SlotRenewal(msgspec.Struct, frozen=True, tag="slot_renewal"):
+class SlotRenewal(msgspec.Struct, frozen=True, array_like=True, tag="slot_renewal"):
     """Answer to a report: the leases that go on for `term_s` after the report was sent."""
 
     service: str
@@ -86,7 +86,7 @@
     term_s: float
 
 
-class SlotLoad(msgspec.Struct, frozen=True, tag="slot_load"):
+class SlotLoad(msgspec.Struct, frozen=True, array_like=True, tag="slot_load"):
     """What an allocator tells on each heartbeat, for the choice of whom to ask."""
 
     service: str
--- /dev/null
+++ b/burdocklug/tickets/_part.py
@@ -0,0 +1,76 @@
+"""Change tickets as a part of a process."""
+
+import msgspec
+
+from burdocklug.kernel import part
+from burdocklug.tickets._configuration import Configuration
+from burdocklug.tickets._parse import parse_ticket
+from burdocklug.tickets._service import TicketService
+from burdocklug.tickets._spread import TicketSpread
+
+__all__ = ["TicketsPart"]
+
+
+class TicketsPart:
+    """The configuration in force, and the operators' calls about change tickets.
+
+    Parameters
+    ----------
+    process : Process
+        The process with its parts.
+    """
+
+    def __init__(self, process):
+        settings = process.settings.process
+        self.configuration = Configuration()
+        self.spread = TicketSpread(
+            self.configuration,
+            process["platform"],
+            process["peers"],
+            process.timers,
+            failure_domain=settings.failure_domain,
+        )
+        self.service = TicketService(
+            process["platform"],
+            self.spread,
+            process["peers"],
+            process.timers,
+            name=settings.name,
+        )
+
+    def start(self):
+        """Follow the store and the peers."""
+        self.spread.start()
+
+    def stop(self):
+        """Make no further call."""
+        self.spread.stop()
+
+    def apply_text(self, text):
+        """Apply the ticket that `text` spells; see `TicketService.apply`."""
+        return self.service.apply(parse_ticket(text))
+
+    def reach(self, number):
+        """Return where a ticket is in force; see `TicketService.wait`."""
+        return self.service.wait(number)
+
+    def show(self):
+        """Return every object in force with its ticket number and state."""
+        objects = self.configuration.value.objects
+        return {
+            "digest": self.configuration.digest.hex(),
+            "objects": {
+                name: {"number": version.number, "state": msgspec.to_builtins(version.state)}
+                for name, version in sorted(objects.items())
+            },
+        }
+
+    def dump(self):
+        """Return the state as plain data."""
+        return self.spread.dump()
+
+
+@part("tickets", needs=("platform", "peers"))
+def build_tickets(process):
+    """Return the tickets part of a process."""
+    return TicketsPart(process)
--- a/demo/_report.py
+++ b/demo/_report.py
@@ -27,7 +27,7 @@
     records : dict of str to dict
         What each endpoint stand-in recorded.
     """
-    return Counter(start["task_id"] for record in records.values() for start in record["starts"])
+    return Counter(start[0] for record in records.values() for start in record["starts"])
 
 
 def print_report(rows):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import yaml
+
 from standins.launch import launch
 
 __all__ = ["Deployment", "Fleet", "free_ports"]
