--- a/burdocklug/web/_routes.py
+++ b/burdocklug/web/_routes.py
@@ -126,14 +126,10 @@
 
 
 def _declared_length(environ):
-    text = environ.get("CONTENT_LENGTH") or ""
-    if not text:
-        return None if "HTTP_TRANSFER_ENCODING" in environ else 0
-    if not text.isdigit():
-        raise BurdocklugError(
-            ErrorKind.BAD_REQUEST, f"{text[:40]!r} is no length", path="header Content-Length"
-        )
-    return int(text)
+    text = environ.get("CONTENT_LENGTH")
+    if text:
+        return int(text)
+    return None if "HTTP_TRANSFER_ENCODING" in environ else 0
 
 
 class RouteTable:
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -6,6 +6,8 @@
 import eventlet.wsgi
 import structlog
 
+from burdocklug.kernel import BurdocklugError, ErrorKind, encode_error_body
+
 __all__ = ["HttpListener"]
 
 log = structlog.get_logger(__name__)
@@ -22,7 +24,7 @@
     def parse_request(self):
         timeout = eventlet.Timeout(self.header_timeout_s)
         try:
-            return super().parse_request()
+            return super().parse_request() and self._check_length()
         except eventlet.Timeout as exc:
             if exc is not timeout:
                 raise
@@ -31,6 +33,21 @@
         finally:
             timeout.cancel()
 
+    def _check_length(self):
+        """Answer a length that is no number here; the server's own answer names no path."""
+        text = self.headers.get("Content-Length")
+        if text is None or (text.isascii() and text.isdigit()):
+            return True
+        exc = BurdocklugError(
+            ErrorKind.BAD_REQUEST, f"{text[:40]!r} is no length", path="header Content-Length"
+        )
+        body = encode_error_body(exc)
+        head = f"HTTP/1.1 400 Bad Request\r\nContent-Length: {len(body)}\r\nConnection: close"
+        self.wfile.write(head.encode() + b"\r\n\r\n" + body)
+        self.wfile.flush()
+        self.close_connection = 1
+        return False
+
 
 class HttpListener:
     """Listens on one address and serves a WSGI application.
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import itertools
 import json
 import socket
 import tempfile
@@ -138,13 +137,17 @@
         self.children[f"endpoints-{domain}"] = launch(
             "standins.endpoint",
             "--listen",
-            f"{HOST}:{ports[0]}",
+            f"{self.endpoint_host(domain)}:{ports[0]}",
             "--count",
             str(len(ports)),
             "--slots",
             str(self.deployment.slots),
         )
 
+    def endpoint_host(self, domain):
+        """Return the IP number of the host that a failure domain's endpoints run on."""
+        return f"127.0.1.{1 + list(self.endpoints).index(domain)}"
+
     def start_process(self, name, **changes):
         """Start a process under `name`; `changes` replace whole sections of its settings."""
         path = self.directory / f"{name}.yaml"
@@ -217,8 +220,8 @@
     def _endpoint(self, domain, index, port):
         return {
             "name": f"{domain}-worker-{index}",
-            "address": f"{HOST}:{port}",
-            "host": HOST,
+            "address": f"{self.endpoint_host(domain)}:{port}",
+            "host": self.endpoint_host(domain),
             "failure_domain": domain,
             "rack": f"{domain}-rack-1",
             "slots": self.deployment.slots,
@@ -233,7 +236,11 @@
 
     def endpoint_addresses(self):
         """Return the addresses of all endpoints."""
-        return [f"{HOST}:{port}" for port in itertools.chain(*self.endpoints.values())]
+        return [
+            f"{self.endpoint_host(domain)}:{port}"
+            for domain, ports in self.endpoints.items()
+            for port in ports
+        ]
 
     def records(self):
         """Return what each endpoint stand-in recorded, by address."""
@@ -242,6 +249,10 @@
             for address in self.endpoint_addresses()
         }
 
+    def starts(self):
+        """Return every start that the endpoints recorded: task id, attempt id, time, running."""
+        return [start for record in self.records().values() for start in record["starts"]]
+
     def set_faults(self, address, **faults):
         """Replace the faults of one endpoint stand-in."""
         return call_json("POST", f"http://{address}/faults", faults)
--- /dev/null
+++ b/tests/daemon/fleets.py
@@ -0,0 +1,96 @@
+"""Small fleets of real processes, shared by the tests of one class."""
+
+import time
+from collections import Counter
+
+import msgspec
+import urllib3
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from standins.fleet import Deployment, Fleet
+
+__all__ = ["FleetTestCase", "SMALL"]
+
+SMALL = Deployment(
+    name="small",
+    service="press",
+    weight="latency",
+    processes={"north": 2, "south": 2},
+    endpoints=2,
+    teams={"vat": 64},
+    jobs={"shutdown_s": 10.0},
+)
+REQUEST_TIMEOUT_S = 30.0
+
+
+class FleetTestCase(TestCase):
+    """Starts one fleet for the class; each test begins with every process running."""
+
+    deployment = SMALL
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.fleet = Fleet(cls.deployment)
+        try:
+            cls.fleet.start()
+            cls.fleet.apply(cls.fleet.ticket(1))
+            cls.wait_ready()
+        except BaseException:
+            cls.fleet.stop()
+            raise
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.fleet.stop()
+        super().tearDownClass()
+
+    @classmethod
+    def wait_ready(cls):
+        cls.wait_for(lambda: all(cls.serving(name) for name in cls.fleet.names))
+
+    @classmethod
+    def serving(cls, name):
+        answer = cls.http("GET", name, "/v1/health")
+        state = cls.fleet.state(name)
+        alive = [m for m in state["peers"]["members"] if m["state"] == "alive"]
+        return answer.status == 200 and len(alive) >= len(cls.fleet.names) - 1
+
+    @staticmethod
+    def wait_for(condition, *, timeout_s=20.0):
+        """Poll until a condition holds."""
+        until = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > until:
+                raise AssertionError(f"not within {timeout_s} s")
+            time.sleep(0.05)
+
+    def setUp(self):
+        super().setUp()
+        self.pool = urllib3.PoolManager(retries=False, maxsize=32)
+
+    @classmethod
+    def http(cls, method, name, path, data=None, **headers):
+        pool = urllib3.PoolManager(retries=False)
+        url = f"http://{cls.fleet.callers(name)}{path}"
+        return pool.request(method, url, body=data, headers=headers, timeout=REQUEST_TIMEOUT_S)
+
+    def open_session(self, name):
+        return self.http("POST", name, "/v1/sessions").json()["session"]
+
+    def submit(self, name, key, *, run_s=0.1, tasks=2, wait_s=10.0, value=1):
+        """Submit a job at a process and return the decoded answer."""
+        payloads = [{"payload": {"run_s": run_s, "value": value}} for _ in range(tasks)]
+        job = {"service": "press", "team": "vat", "tasks": payloads}
+        path = f"/v1/jobs?wait_s={wait_s}"
+        data = msgspec.json.encode(job)
+        return self.http("POST", name, path, data, **{"Idempotency-Key": key}).json()
+
+    def starts_of(self, key):
+        """Return starts by task id of one job, as the endpoints recorded them."""
+        return Counter(s[0] for s in self.fleet.starts() if s[0].startswith(f"{key}/"))
+
+    def assert_started_once(self, key, tasks=2):
+        expected = Counter(f"{key}/{index}" for index in range(tasks))
+        self.assertThat(self.starts_of(key), Equals(expected))
--- /dev/null
+++ b/tests/daemon/test_ownership.py
@@ -0,0 +1,102 @@
+"""One submission, at most once: real processes frozen, killed and replaced."""
+
+import datetime
+import signal
+
+import eventlet
+from testtools.matchers import Equals, MatchesAny
+
+from standins.fleet import call_json
+from tests.daemon.fleets import FleetTestCase
+
+
+def caller_key(text):
+    now = datetime.datetime.now(datetime.UTC)
+    return f"{now:%Y%m%dT%H%M%SZ}-{text}"
+
+
+class OwnershipTest(FleetTestCase):
+    def setUp(self):
+        super().setUp()
+        self.owner, self.near, self.far = "north-1", "north-2", "south-1"
+        self.key = f"{self.open_session(self.owner)}~1"
+
+    def submit_everywhere(self, key, **more):
+        """Submit one key at every process at once and return the answers."""
+        pool = eventlet.GreenPool()
+        names = self.fleet.names * 3
+        return list(pool.imap(lambda name: self.submit(name, key, **more), names))
+
+    def test_the_same_key_at_all_processes_at_once_starts_once(self):
+        answers = self.submit_everywhere(self.key)
+        self.assertThat({a["state"] for a in answers}, Equals({"complete"}))
+        self.assert_started_once(self.key)
+
+    def test_a_caller_key_at_all_processes_at_once_starts_once(self):
+        key = caller_key("everywhere")
+        answers = self.submit_everywhere(key)
+        self.assertThat({a["state"] for a in answers}, Equals({"complete"}))
+        self.assert_started_once(key)
+
+    def test_a_caller_key_whose_claim_was_written_without_an_answer(self):
+        key = caller_key("lost")
+        call_json("POST", f"http://{self.fleet.store}/faults", {"lose_answers": 1})
+        self.addCleanup(call_json, "DELETE", f"http://{self.fleet.store}/faults")
+        answers = [self.submit(name, key) for name in self.fleet.names]
+        for answer in answers:
+            if answer["state"] != "complete":
+                self.assertThat(answer["error"]["ran"], Equals("unknown"))
+        self.assertTrue(max(self.starts_of(key).values(), default=0) <= 1)
+
+    def test_a_caller_key_while_the_store_is_down_is_not_called_not_run(self):
+        key = caller_key("down")
+        call_json("POST", f"http://{self.fleet.store}/faults", {"down": True})
+        answer = self.submit(self.near, key)
+        call_json("DELETE", f"http://{self.fleet.store}/faults")
+        self.assertThat(answer["error"]["ran"], Equals("unknown"))
+
+        def completes():
+            return self.submit(self.near, key)["state"] == "complete"
+
+        self.wait_for(completes)
+        self.assert_started_once(key)
+
+    def test_a_frozen_owner_that_wakes_has_started_once(self):
+        self.submit(self.owner, self.key, run_s=0.3, wait_s=0)
+        self.fleet.children[self.owner].signal(signal.SIGSTOP)
+        try:
+            answers = [self.submit(name, self.key, run_s=0.3) for name in (self.near, self.far)]
+        finally:
+            self.fleet.children[self.owner].signal(signal.SIGCONT)
+        self.assertThat({a["error"]["ran"] for a in answers}, Equals({"unknown"}))
+
+        def complete():
+            return self.submit(self.far, self.key, run_s=0.3)["state"] == "complete"
+
+        self.wait_for(complete)
+        self.assert_started_once(self.key)
+
+    def test_a_killed_owner_is_never_replaced_for_its_keys(self):
+        self.submit(self.owner, self.key, run_s=1.0, wait_s=0)
+        self.fleet.children[self.owner].kill()
+        answers = [self.submit(name, self.key, run_s=1.0) for name in (self.near, self.far)]
+        self.fleet.start_process(self.owner)
+        self.wait_ready()
+        answers += [self.submit(name, self.key, run_s=1.0) for name in self.fleet.names]
+        self.assertThat({a["error"]["ran"] for a in answers}, Equals({"unknown"}))
+        self.assertTrue(max(self.starts_of(self.key).values(), default=0) <= 1)
+
+    def test_another_body_under_the_key_starts_nothing(self):
+        self.submit(self.owner, self.key)
+        answers = [self.submit(name, self.key, value=2) for name in self.fleet.names]
+        self.assertThat({a["error"]["kind"] for a in answers}, Equals({"key_conflict"}))
+        self.assert_started_once(self.key)
+
+    def test_cancelled_from_another_process(self):
+        self.submit(self.owner, self.key, run_s=5.0, wait_s=0)
+        answer = self.http("DELETE", self.far, f"/v1/jobs/{self.key}").json()
+        self.assertThat(answer["error"]["kind"], Equals("cancelled"))
+        self.assertThat(answer["error"]["ran"], MatchesAny(Equals("unknown"), Equals("no")))
+        again = [self.submit(name, self.key, run_s=5.0) for name in self.fleet.names]
+        self.assertThat({a["error"]["kind"] for a in again}, Equals({"cancelled"}))
+        self.assertTrue(max(self.starts_of(self.key).values(), default=0) <= 1)
