--- a/burdocklug/platform/__init__.py
+++ b/burdocklug/platform/__init__.py
@@ -1,21 +1,33 @@
-"""The platform: its key-value store and its list of hosts."""
+"""The platform's key-value service: its interface, clients, call budget and breaker."""
 
-from burdocklug.platform._temporary import (
+from burdocklug.platform._http import HttpStore
+from burdocklug.platform._memory import MemoryStore
+from burdocklug.platform._store import (
+    MAX_VALUE_BYTES,
     Entry,
     HostList,
-    HttpStore,
+    LeaseExpired,
+    Store,
+    StoreError,
     StoreUnavailable,
     StoreUncertain,
+    ValueTooLarge,
     VersionMismatch,
-    merge_host_lists,
+    stores,
 )
 
 __all__ = [
+    "MAX_VALUE_BYTES",
     "Entry",
     "HostList",
     "HttpStore",
+    "LeaseExpired",
+    "MemoryStore",
+    "Store",
+    "StoreError",
     "StoreUnavailable",
     "StoreUncertain",
+    "ValueTooLarge",
     "VersionMismatch",
-    "merge_host_lists",
+    "stores",
 ]
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -2,7 +2,6 @@
 
 import argparse
 import json
-import signal
 import socket
 
 import eventlet
@@ -101,7 +100,7 @@
 
 
 def run_server(handle, *, prog, argv=None):
-    """Run a stand-in program with one option, ``--listen IP:port``.
+    """Run a stand-in program with one option, ``--listen IP:port``, until a signal ends it.
 
     Parameters
     ----------
@@ -115,8 +114,4 @@
     parser = argparse.ArgumentParser(prog=prog)
     parser.add_argument("--listen", type=parse_address, required=True, metavar="IP:PORT")
     args = parser.parse_args(argv)
-    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
-    try:
-        serve_json(eventlet.listen(args.listen, backlog=1024), handle)
-    except KeyboardInterrupt:
-        pass
+    serve_json(eventlet.listen(args.listen, backlog=1024), handle)
--- a/standins/store.py
+++ b/standins/store.py
@@ -212,7 +212,7 @@
 
 
 def main(argv=None):
-    """Run the stand-in until SIGTERM or SIGINT."""
+    """Run the stand-in until a signal ends it."""
     server = StoreServer()
     eventlet.spawn(_expire_leases, server)
     run_server(server.handle, prog="standins.store", argv=argv)
