Endpoints: own stack of urllib3 connections for each address

Cause: a pool's urlopen hides whether the connection or the request failed, waiters of a retired pool wait on a dead queue, and its check of an idle connection goes through the loop. Now a connection is opened apart from the request, an idle one with unread bytes is closed (peek without the loop), a generation number retires what is open.

--- /dev/null
+++ b/burdocklug/endpoints/_connections.py
@@ -0,0 +1,144 @@
+"""Connections to endpoints: a bounded stack for each address, closed by age, idleness or doubt."""
+
+import http.client
+import socket
+
+import eventlet
+import eventlet.semaphore
+import urllib3
+import urllib3.connection
+
+from burdocklug.endpoints._models import MaybeStarted, NotStarted
+
+__all__ = ["AddressConnections", "exchange", "open_connection"]
+
+CONNECT_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+EXCHANGE_ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
+
+
+def open_connection(address, timeout_s):
+    """Return a new open connection to `address`.
+
+    Raises
+    ------
+    NotStarted
+        If it isn't open after `timeout_s` seconds; nothing has been sent.
+    """
+    host, _, port = address.rpartition(":")
+    conn = urllib3.connection.HTTPConnection(host, int(port), timeout=timeout_s)
+    try:
+        conn.connect()
+    except CONNECT_ERRORS as exc:
+        conn.close()
+        raise NotStarted("refused", f"endpoint {address} not reached: {exc}") from exc
+    conn.timeout = None  # reads are bounded as a whole, by the caller of `exchange`
+    conn.sock.settimeout(None)
+    return conn
+
+
+def is_quiet(conn):
+    """Return whether an idle connection is open and holds no unread bytes.
+
+    Notes
+    -----
+    Bytes that nobody asked for would be taken for the answer to the next request.
+    """
+    sock = getattr(conn.sock, "fd", conn.sock)
+    try:
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def exchange(address, conn, method, path, headers, body):
+    """Send one request and return status, body and whether the connection can be used again.
+
+    Raises
+    ------
+    MaybeStarted
+        If the connection fails before the whole answer is here.
+    """
+    try:
+        conn.request(method, path, body=body, headers=headers, decode_content=False)
+        answer = conn.getresponse()
+        return answer.status, answer.data, answer.headers.get("Connection") != "close"
+    except EXCHANGE_ERRORS as exc:
+        raise MaybeStarted("closed", f"connection to {address} failed: {exc!r}") from exc
+
+
+class AddressConnections:
+    """The kept connections of this process to one address.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port`` of the endpoint.
+    limit : int
+        Connections open at once; further callers wait.
+    connect_timeout_s : float
+        Seconds until a connection attempt is given up.
+    idle_s : float
+        Seconds after which an unused connection is closed.
+    counts : collections.Counter
+        Receives `opened`, `idle_closed`, `stale_closed` and `retired`.
+    """
+
+    def __init__(self, address, *, limit, connect_timeout_s, idle_s, counts):
+        self.address = address
+        self.connect_timeout_s = connect_timeout_s
+        self.idle_s = idle_s
+        self.counts = counts
+        self.generation = 0
+        self.limit = limit
+        self._free = eventlet.semaphore.Semaphore(limit)
+        self._idle = []  # pairs of connection and time of last use, the latest last
+
+    def acquire(self, now_s):
+        """Return a connection and its generation, opening one where none is idle."""
+        self._free.acquire()
+        try:
+            while self._idle:
+                conn, used_s = self._idle.pop()
+                if now_s - used_s < self.idle_s and is_quiet(conn):
+                    return conn, self.generation
+                self.counts["stale_closed"] += 1
+                conn.close()
+            generation = self.generation
+            conn = open_connection(self.address, self.connect_timeout_s)
+            self.counts["opened"] += 1
+            return conn, generation
+        except BaseException:
+            self._free.release()
+            raise
+
+    def release(self, conn, generation, now_s, *, reusable):
+        """Take a connection back, or close it."""
+        self._free.release()
+        if reusable and generation == self.generation:
+            self._idle.append((conn, now_s))
+        else:
+            conn.close()
+
+    def close_idle(self, now_s):
+        """Close connections unused for `idle_s` seconds."""
+        kept = [pair for pair in self._idle if now_s - pair[1] < self.idle_s]
+        for conn, used_s in self._idle:
+            if now_s - used_s >= self.idle_s:
+                self.counts["idle_closed"] += 1
+                conn.close()
+        self._idle = kept
+
+    def retire(self):
+        """Close every idle connection and keep none that is in use now."""
+        self.generation += 1
+        idle, self._idle = self._idle, []
+        for conn, _ in idle:
+            self.counts["retired"] += 1
+            conn.close()
+
+    def is_unused(self):
+        """Return whether no connection is idle or in use."""
+        return not self._idle and self._free.balance == self.limit
--- a/burdocklug/endpoints/_http.py
+++ b/burdocklug/endpoints/_http.py
@@ -6,13 +6,13 @@
 
 import eventlet
 import msgspec
-import urllib3
 
 from burdocklug.endpoints._answers import (
     read_ask_answer,
     read_start_answer,
     read_status_answer,
 )
+from burdocklug.endpoints._connections import AddressConnections, exchange, open_connection
 from burdocklug.endpoints._models import EndpointSilent, MaybeStarted, NotStarted
 from burdocklug.endpoints._protocol import EndpointProtocol, endpoint_protocols
 
@@ -38,6 +38,11 @@
         Seconds after which an unused connection is closed.
     now : callable
         Returns monotonic seconds.
+
+    Attributes
+    ----------
+    counts : collections.Counter
+        Connections opened and closed by cause, and messages sent by kind.
     """
 
     def __init__(
@@ -53,8 +58,7 @@
         self.idle_s = idle_s
         self.now = now
         self.counts = Counter()
-        self._pools = {}
-        self._used_s = {}
+        self._connections = {}
 
     def start(self, address, attempt, *, timeout_s):
         """Start an attempt; see `EndpointProtocol.start`."""
@@ -67,88 +71,113 @@
             }
         )
         path = f"/v1/attempts/{urllib.parse.quote(attempt.attempt_id, safe='')}"
-        pool = self._pool(address)
-        status, answer = self._send(address, pool, "POST", path, body, timeout_s)
+        self.counts["starts"] += 1
+        with _time_limit(address, timeout_s) as limit:
+            kept = self._kept(address)
+            conn, generation = kept.acquire(self.now())
+            limit.sent = True
+            reusable = False
+            try:
+                status, answer, reusable = exchange(address, conn, "POST", path, HEADERS, body)
+            finally:
+                kept.release(conn, generation, self.now(), reusable=reusable)
         return read_start_answer(address, attempt, status, answer)
 
-    def _send(self, address, pool, method, path, body, timeout_s):
-        timeout = urllib3.Timeout(connect=min(self.connect_timeout_s, timeout_s), read=timeout_s)
-        limit = eventlet.Timeout(timeout_s)
-        try:
-            answer = pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=HEADERS,
-                retries=False,
-                redirect=False,
-                timeout=timeout,
-                pool_timeout=timeout_s,
+    def _kept(self, address):
+        kept = self._connections.get(address)
+        if kept is None:
+            kept = self._connections[address] = AddressConnections(
+                address,
+                limit=self.max_connections,
+                connect_timeout_s=self.connect_timeout_s,
+                idle_s=self.idle_s,
+                counts=self.counts,
             )
-            return answer.status, answer.data
-        except urllib3.exceptions.EmptyPoolError as exc:
-            raise NotStarted("full", f"no free connection to {address}") from exc
-        except (
-            urllib3.exceptions.NewConnectionError,
-            urllib3.exceptions.ConnectTimeoutError,
-        ) as exc:
-            raise NotStarted("refused", f"endpoint {address} not reached: {exc}") from exc
-        except urllib3.exceptions.ReadTimeoutError as exc:
-            raise MaybeStarted("timeout", f"no answer from {address} in {timeout_s} s") from exc
-        except (urllib3.exceptions.HTTPError, OSError) as exc:
-            raise MaybeStarted("closed", f"connection to {address} failed: {exc}") from exc
-        except eventlet.Timeout as exc:
-            if exc is not limit:
-                raise
-            raise MaybeStarted("timeout", f"no answer from {address} in {timeout_s} s") from exc
-        finally:
-            limit.cancel()
-
-    def _pool(self, address):
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = self._new_pool(address, self.max_connections)
-        return pool
-
-    def _new_pool(self, address, maxsize):
-        host, _, port = address.rpartition(":")
-        return urllib3.HTTPConnectionPool(host, int(port), maxsize=maxsize, block=True)
+        return kept
 
     def _question(self, address, method, path, body, timeout_s):
-        pool = self._new_pool(address, 1)
         try:
-            return self._send(address, pool, method, path, body, timeout_s)
+            with _time_limit(address, timeout_s):
+                conn = open_connection(address, min(timeout_s, self.connect_timeout_s))
+                self.counts["opened"] += 1
+                try:
+                    return exchange(address, conn, method, path, HEADERS, body)
+                finally:
+                    conn.close()
         except NotStarted as exc:
-            raise EndpointSilent("refused", exc.message) from exc
+            raise EndpointSilent(exc.reason, exc.message) from exc
         except MaybeStarted as exc:
             raise EndpointSilent(exc.cause, exc.message) from exc
-        finally:
-            pool.close()
 
     def ask(self, address, attempt_id, *, timeout_s, wait_s=0.0):
         """Ask on a new connection; see `EndpointProtocol.ask`."""
         path = f"/v1/attempts/{urllib.parse.quote(attempt_id, safe='')}/fence"
         body = msgspec.json.encode({"wait_s": wait_s})
-        status, answer = self._question(address, "POST", path, body, timeout_s)
+        self.counts["asks"] += 1
+        status, answer, _ = self._question(address, "POST", path, body, timeout_s)
         return read_ask_answer(address, attempt_id, status, answer)
 
     def cancel(self, address, attempt_ids, *, timeout_s):
         """Cancel attempts with one message; see `EndpointProtocol.cancel`."""
         body = msgspec.json.encode({"attempt_ids": list(attempt_ids)})
-        status, _ = self._question(address, "POST", "/v1/cancel", body, timeout_s)
+        self.counts["cancels"] += 1
+        status, _, _ = self._question(address, "POST", "/v1/cancel", body, timeout_s)
         if status != 200:
             raise EndpointSilent("status", f"endpoint {address} answered {status} to a cancel")
 
     def status(self, address, *, timeout_s):
         """Return the load of an endpoint; see `EndpointProtocol.status`."""
-        status, answer = self._question(address, "GET", "/v1/status", None, timeout_s)
+        self.counts["status"] += 1
+        status, answer, _ = self._question(address, "GET", "/v1/status", None, timeout_s)
         return read_status_answer(address, status, answer)
 
     def close_idle(self, now_s):
-        """Close connections that have been idle for `idle_s` seconds."""
+        """Close connections that have been idle for `idle_s` seconds.
+
+        Parameters
+        ----------
+        now_s : float
+            The time, by the same clock as `now`.
+        """
+        for address, kept in list(self._connections.items()):
+            kept.close_idle(now_s)
+            if kept.is_unused():
+                del self._connections[address]
 
     def retire(self, address):
-        """Use no open connection to `address` again."""
-        pool = self._pools.pop(address, None)
-        if pool is not None:
-            pool.close()
+        """Use no open connection to `address` again; answers under way are still read."""
+        kept = self._connections.get(address)
+        if kept is not None:
+            kept.retire()
+
+
+class _time_limit:  # noqa: N801
+    """Turns the end of the time into `NotStarted` before the request was sent, else `MaybeStarted`.
+
+    Parameters
+    ----------
+    address : str
+        The endpoint, for the message.
+    timeout_s : float
+        Seconds until the block is interrupted.
+    """
+
+    __slots__ = ("address", "sent", "timeout", "timeout_s")
+
+    def __init__(self, address, timeout_s):
+        self.address = address
+        self.timeout_s = timeout_s
+        self.sent = False
+
+    def __enter__(self):
+        self.timeout = eventlet.Timeout(self.timeout_s)
+        return self
+
+    def __exit__(self, _kind, exc, _trace):
+        self.timeout.cancel()
+        if exc is not self.timeout:
+            return
+        message = f"no answer from {self.address} in {self.timeout_s} s"
+        if self.sent:
+            raise MaybeStarted("timeout", message) from exc
+        raise NotStarted("refused", message) from exc
