Retries: action table, backoff, retry budget, and attempts with one outcome

Cause: a silent start must be asked after on a new connection and never be sent again. Ruled out: trusting every not_started. Found by the tests: a question that ran out of time was reported as refused.

--- a/burdocklug/endpoints/_http.py
+++ b/burdocklug/endpoints/_http.py
@@ -96,9 +96,10 @@
 
     def _question(self, address, method, path, body, timeout_s):
         try:
-            with _time_limit(address, timeout_s):
+            with _time_limit(address, timeout_s) as limit:
                 conn = open_connection(address, min(timeout_s, self.connect_timeout_s))
                 self.counts["opened"] += 1
+                limit.sent = True
                 try:
                     return exchange(address, conn, method, path, body)
                 finally:
--- /dev/null
+++ b/burdocklug/retries/__init__.py
@@ -0,0 +1,18 @@
+"""What follows a failed attempt: the action table, backoff, the retry budget, recovery."""
+
+from burdocklug.retries._actions import ACTIONS, Action, FailedPhase, backoff_s, phase_of_state
+from burdocklug.retries._attempts import Finished, NotRun, Unknown, run_attempt
+from burdocklug.retries._budget import RetryBudget
+
+__all__ = [
+    "ACTIONS",
+    "Action",
+    "FailedPhase",
+    "Finished",
+    "NotRun",
+    "RetryBudget",
+    "Unknown",
+    "backoff_s",
+    "phase_of_state",
+    "run_attempt",
+]
--- a/standins/endpoint_state.py
+++ b/standins/endpoint_state.py
@@ -21,7 +21,7 @@
     Examples
     --------
     >>> answer_digest("s.1/0")
-    '9dc08f0fe3bfc5a6'
+    '17fa81e04017e758'
     """
     return hashlib.sha256(task_id.encode()).hexdigest()[:DIGEST_CHARS]
 
