Tickets: apply with compare-and-swap, spread over watches and peers, faults in virtual time

Cause: an accepted ticket has to be in force at every reachable process within 9 s, with the store down, stale or silent, with lost answers and with failure domains that can not see each other. Ruled out by trials on a scratch copy: a push adopted without comparing digests shows half of a partly superseded ticket; without the join a restarted process falls back to a stale store; a 60 s backoff misses 9 s after an outage.

--- a/burdocklug/tickets/__init__.py
+++ b/burdocklug/tickets/__init__.py
@@ -1,4 +1,4 @@
-"""Change tickets: models, merge, and the configuration in force in this process."""
+"""Change tickets: models, merge, apply, spread, and the configuration in force."""
 
 from burdocklug.tickets._codec import (
     MAX_VALUE_BYTES,
@@ -8,6 +8,7 @@
     value_digest,
 )
 from burdocklug.tickets._configuration import Configuration
+from burdocklug.tickets._follow import CONFIGURATION_KEY
 from burdocklug.tickets._merge import (
     ConfigValue,
     ObjectVersion,
@@ -26,8 +27,12 @@
     ticket_digest,
 )
 from burdocklug.tickets._parse import TicketInvalid, parse_ticket, ticket_from_data
+from burdocklug.tickets._service import TicketAnswer, TicketService, TicketView
+from burdocklug.tickets._spread import TicketSpread
+from burdocklug.tickets._wait import ProcessTicketState, WaitState
 
 __all__ = [
+    "CONFIGURATION_KEY",
     "MAX_VALUE_BYTES",
     "ConfigValue",
     "Configuration",
@@ -36,11 +41,17 @@
     "ObjectVersion",
     "Outcome",
     "OutcomeKind",
+    "ProcessTicketState",
     "ServiceState",
     "TeamState",
     "Ticket",
+    "TicketAnswer",
     "TicketInvalid",
+    "TicketService",
+    "TicketSpread",
+    "TicketView",
     "ValueUnreadable",
+    "WaitState",
     "apply_ticket",
     "decode_value",
     "encode_value",
--- /dev/null
+++ b/burdocklug/tickets/_exchange.py
@@ -0,0 +1,220 @@
+"""Exchange of the configuration between peers: digests on heartbeats, fetches and pushes."""
+
+from dataclasses import dataclass
+
+import msgspec
+import structlog
+
+from burdocklug.kernel import BurdocklugError
+from burdocklug.tickets._codec import value_digest
+from burdocklug.tickets._decisions import live_members, push_targets
+from burdocklug.tickets._delta import (
+    apply_delta,
+    changes_since,
+    decode_delta,
+    encode_delta,
+    known_versions,
+    newer_than,
+)
+from burdocklug.tickets._messages import (
+    HeartbeatPart,
+    TicketDelta,
+    TicketFetch,
+    TicketProbe,
+    TicketProbeReply,
+    TicketPush,
+)
+
+__all__ = ["ExchangeCounters", "PeerExchange", "probe"]
+
+FETCH_TIMEOUT_S = 1.5
+MAX_COVERED_DIGESTS = 256
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class ExchangeCounters:
+    """Messages between peers since the start."""
+
+    pushes_sent: int = 0
+    pushes_adopted: int = 0
+    fetches: int = 0
+    fetches_failed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReport:
+    """What a peer's last heartbeat said; times in seconds of this process's clock."""
+
+    part: HeartbeatPart
+    seen_s: float
+
+    @property
+    def contact_s(self):
+        """Time of the peer's last store answer, or None."""
+        age_s = self.part.contact_age_s
+        return None if age_s is None else self.seen_s - age_s
+
+
+class PeerExchange:
+    """Keeps this process's configuration at or over that of every reachable peer.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        What is in force here.
+    network : PeerNetwork
+        Calls and heartbeats.
+    timers : TimerService
+        Source of time.
+    failure_domain : str
+        That of this process.
+    loop : Loop
+        Runs the fetches.
+    own_contact_s : callable
+        Returns the time of this process's last store answer, or None.
+
+    Notes
+    -----
+    A pushed change is adopted only if it leads to the very digest that the sender holds.
+    Otherwise something else is missing here, and adopting one object of an older ticket without
+    the others would show half of that ticket; a fetch then brings everything at once.
+    """
+
+    def __init__(self, configuration, network, timers, *, failure_domain, loop, own_contact_s):
+        self.counters = ExchangeCounters()
+        self.reports = {}
+        self._cfg = configuration
+        self._network = network
+        self._timers = timers
+        self._failure_domain = failure_domain
+        self._loop = loop
+        self._own_contact_s = own_contact_s
+        self._covered = {configuration.digest: True}
+        self._fetching = set()
+
+    def start(self):
+        """Register the messages and the part of the heartbeat."""
+        self._network.register(TicketDelta)
+        self._network.register(TicketProbeReply)
+        self._network.register(TicketPush, self._on_push)
+        self._network.register(TicketFetch, self._on_fetch)
+        self._network.register(TicketProbe, self._on_probe)
+        self._network.add_heartbeat_part("tickets", self._produce, self._consume)
+
+    def adopt(self, value):
+        """Join a value into the configuration and return the value that was in force before."""
+        before = self._cfg.value
+        self._cfg.adopt(value)
+        self._cover(self._cfg.digest)
+        return before
+
+    def push(self, before, *, across):
+        """Send what changed since `before` to peers, if anything did.
+
+        Parameters
+        ----------
+        before : ConfigValue
+            What was in force before the change.
+        across : bool
+            Whether to reach other failure domains too.
+        """
+        value = self._cfg.value
+        if value.objects == before.objects and value.floor == before.floor:
+            return
+        message = TicketPush(self._cfg.digest, encode_delta(changes_since(value, before)))
+        targets = push_targets(self._failure_domain, self._network.members(), across=across)
+        for incarnation in targets:
+            self.counters.pushes_sent += 1
+            self._network.send(incarnation, message)
+
+    def contacts_s(self):
+        """Yield the time of the last store answer of each live peer of the failure domain."""
+        for member in live_members(self._network.members(), self._failure_domain):
+            report = self.reports.get(member.incarnation)
+            if report is not None:
+                yield report.contact_s
+
+    def forget_lost_members(self):
+        """Drop the reports of members that are no longer known."""
+        known = {member.incarnation for member in self._network.members()}
+        for incarnation in self.reports.keys() - known:
+            del self.reports[incarnation]
+
+    def _cover(self, digest):
+        self._covered.pop(digest, None)
+        self._covered[digest] = True
+        while len(self._covered) > MAX_COVERED_DIGESTS:
+            del self._covered[next(iter(self._covered))]
+
+    def _produce(self):
+        contact_s = self._own_contact_s()
+        age_s = None if contact_s is None else round(self._timers.now() - contact_s, 1)
+        return HeartbeatPart(self._cfg.digest, self._cfg.value.highest_number(), age_s)
+
+    def _consume(self, member, value):
+        try:
+            part = msgspec.convert(value, HeartbeatPart)
+        except msgspec.ValidationError as exc:
+            log.warning("heartbeat_part_invalid", peer=member.incarnation, fault=str(exc))
+            return
+        self.reports[member.incarnation] = PeerReport(part, self._timers.now())
+        self._fetch_if_unknown(member.incarnation, part.digest)
+
+    def _fetch_if_unknown(self, incarnation, digest):
+        if digest not in self._covered and digest not in self._fetching:
+            self._fetching.add(digest)
+            self._loop.spawn(self._fetch, incarnation, digest)
+
+    def _fetch(self, incarnation, digest):
+        self.counters.fetches += 1
+        before = self._cfg.value
+        message = TicketFetch(known_versions(before))
+        try:
+            reply = self._network.call(incarnation, message, timeout_s=FETCH_TIMEOUT_S)
+            unchanged = self._cfg.value is before
+            self.adopt(apply_delta(self._cfg.value, decode_delta(reply.delta)))
+            if unchanged:
+                self._cover(reply.digest)
+        except BurdocklugError as exc:
+            self.counters.fetches_failed += 1
+            log.info("ticket_fetch_failed", peer=incarnation, fault=exc.message)
+        finally:
+            self._fetching.discard(digest)
+
+    def _on_fetch(self, _sender, message):
+        delta = newer_than(self._cfg.value, message.known)
+        return TicketDelta(self._cfg.digest, encode_delta(delta))
+
+    def _on_push(self, sender, message):
+        if message.digest in self._covered:
+            return
+        joined = apply_delta(self._cfg.value, decode_delta(message.delta))
+        if value_digest(joined) != message.digest:
+            self._fetch_if_unknown(sender, message.digest)
+            return
+        self.counters.pushes_adopted += 1
+        before = self.adopt(joined)
+        if sender not in self._domain_incarnations():
+            self.push(before, across=False)
+
+    def _domain_incarnations(self):
+        members = self._network.members()
+        return {m.incarnation for m in members if m.failure_domain == self._failure_domain}
+
+    def _on_probe(self, _sender, message):
+        return probe(self._cfg, message)
+
+
+def probe(configuration, message):
+    """Answer a `TicketProbe` for the configuration of this process.
+
+    Notes
+    -----
+    Without objects to look at, the requester compares digests.
+    """
+    value = configuration.value
+    numbers = message.numbers.items()
+    in_force = bool(numbers) and all(value.number_of(name) >= n for name, n in numbers)
+    return TicketProbeReply(in_force, configuration.digest, value.highest_number())
--- a/burdocklug/tickets/_merge.py
+++ b/burdocklug/tickets/_merge.py
@@ -84,6 +84,14 @@
         version = self.objects.get(name)
         return self.floor if version is None else version.number
 
+    def digest_of(self, number):
+        """Return the digest of the accepted ticket of a number, or None if it is not known."""
+        known = self.recent_tickets.get(number)
+        if known is None:
+            versions = self.objects.values()
+            known = next((v.digest for v in versions if v.number == number), None)
+        return known
+
     def highest_number(self):
         """Return the highest ticket number that the value reflects."""
         numbers = [version.number for version in self.objects.values()]
@@ -209,7 +217,7 @@
         The given value itself where the ticket changes nothing.
     """
     digest = ticket_digest(ticket)
-    known = value.recent_tickets.get(ticket.number)
+    known = value.digest_of(ticket.number)
     superseded = _superseded(value, ticket)
     if known is not None:
         kind = OutcomeKind.ALREADY_APPLIED if known == digest else OutcomeKind.CONFLICT
--- /dev/null
+++ b/burdocklug/tickets/_service.py
@@ -0,0 +1,242 @@
+"""Applies change tickets to the store, and answers what became of them."""
+
+import random
+from dataclasses import dataclass
+
+import structlog
+
+from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
+from burdocklug.platform import StoreUnavailable, StoreUncertain, VersionMismatch
+from burdocklug.tickets._codec import decode_value, encode_value
+from burdocklug.tickets._follow import CONFIGURATION_KEY
+from burdocklug.tickets._loop import eventlet_loop
+from burdocklug.tickets._merge import ConfigValue, OutcomeKind, apply_ticket, join, refusal
+from burdocklug.tickets._models import ticket_digest
+from burdocklug.tickets._wait import WaitState, wait_state
+
+__all__ = ["TicketAnswer", "TicketService", "TicketView"]
+
+MAX_ATTEMPTS = 12
+RETRY_MIN_S = 0.02
+RETRY_MAX_S = 0.5
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class TicketAnswer:
+    """Answer to an accepted ticket.
+
+    Parameters
+    ----------
+    number : int
+        The ticket's number.
+    outcome : OutcomeKind
+        ACCEPTED, PARTLY_SUPERSEDED or ALREADY_APPLIED.
+    superseded : tuple of str
+        Objects of the ticket that a higher number holds.
+    digest : str
+        Digest of the ticket, in hex.
+    """
+
+    number: int
+    outcome: OutcomeKind
+    superseded: tuple[str, ...]
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class TicketView:
+    """What is known of a ticket number.
+
+    Parameters
+    ----------
+    number : int
+        The number.
+    accepted : bool or None
+        None where it is not known: forgotten, or the store can not be asked.
+    digest : str or None
+        Digest of the accepted ticket, in hex.
+    objects : tuple of str
+        Sorted names of the objects whose state is still that of the ticket.
+    """
+
+    number: int
+    accepted: bool | None
+    digest: str | None
+    objects: tuple[str, ...]
+
+
+class TicketService:
+    """Change tickets as operators use them: apply, show, wait.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    spread : TicketSpread
+        Puts accepted tickets in force.
+    network : PeerNetwork
+        Asks peers what they have in force.
+    timers : TimerService
+        Source of time.
+    name : str
+        Name of this process.
+    loop : Loop, optional
+        The eventlet loop by default.
+    rng : random.Random, optional
+        Source of jitter.
+
+    Notes
+    -----
+    Accepted is only what the store took. A store that lost accepted writes, by a restore from an
+    older copy, may be healed: every value that a process holds was in the store once, so writing
+    it back reverts nothing. It happens only as part of a ticket that an operator applies: the
+    ticket is merged into the join of the stored value and the one in force, and written with the
+    stored value's version, so that a merely stale read can not overwrite anything. No process
+    heals by itself, because it can not tell a store that lost writes from one that answers late.
+    """
+
+    def __init__(self, store, spread, network, timers, *, name, loop=None, rng=None):
+        self._store = store
+        self._spread = spread
+        self._cfg = spread.configuration
+        self._network = network
+        self._timers = timers
+        self._name = name
+        self._loop = loop or eventlet_loop()
+        self._rng = rng or random.Random()
+
+    def apply(self, ticket):
+        """Write a ticket to the store and put it in force here and at the peers.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            A validated ticket.
+
+        Returns
+        -------
+        TicketAnswer
+            What became of it.
+
+        Raises
+        ------
+        BurdocklugError
+            TICKET_CONFLICT, TICKET_SUPERSEDED, TICKET_TOO_OLD or TICKET_TOO_LARGE: refused,
+            nothing was written. PLATFORM_UNAVAILABLE: nothing was written. TICKET_UNCERTAIN: a
+            write may have taken effect; the same ticket may be applied again.
+        """
+        uncertain = False
+        for attempt in range(MAX_ATTEMPTS):
+            if attempt:
+                self._loop.sleep(self._retry_delay_s(attempt))
+            try:
+                return self._attempt(ticket, uncertain=uncertain)
+            except VersionMismatch:
+                log.info("ticket_write_raced", number=ticket.number, attempt=attempt)
+            except StoreUncertain as exc:
+                uncertain = True
+                log.warning("ticket_write_uncertain", number=ticket.number, fault=exc.message)
+            except StoreUnavailable as exc:
+                if not uncertain:
+                    raise _not_written(ticket, exc.message, uncertain=False) from exc
+        raise _not_written(ticket, f"{MAX_ATTEMPTS} attempts failed", uncertain=uncertain)
+
+    def _attempt(self, ticket, *, uncertain):
+        entry = self._store.get(CONFIGURATION_KEY, purpose="ticket_apply")
+        stored = ConfigValue() if entry is None else decode_value(entry.value)
+        changed, outcome = apply_ticket(join(stored, self._cfg.value), ticket)
+        refused = refusal(ticket, outcome)
+        if refused is not None:
+            refused.ran = Ran.UNKNOWN if uncertain else refused.ran
+            raise refused
+        if changed != stored:
+            version = 0 if entry is None else entry.version
+            raw = encode_value(changed)
+            self._store.put(
+                CONFIGURATION_KEY, raw, expected_version=version, purpose="ticket_apply"
+            )
+        self._spread.publish(changed)
+        log.info("ticket_accepted", number=ticket.number, outcome=outcome.kind)
+        return _answer(ticket, outcome, own_write=uncertain)
+
+    def _retry_delay_s(self, attempt):
+        longest_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**attempt)
+        return self._rng.uniform(RETRY_MIN_S, longest_s)
+
+    def show(self, number):
+        """Return what is known of a ticket number.
+
+        Parameters
+        ----------
+        number : int
+            The number.
+
+        Returns
+        -------
+        TicketView
+            From this process's memory if it knows the number, otherwise after a read of the store.
+        """
+        known = self._cfg.value.digest_of(number) is not None
+        certain = known or self._read_store()
+        return _view(self._cfg.value, number, certain=certain)
+
+    def wait(self, number):
+        """Return where a ticket is in force now.
+
+        Parameters
+        ----------
+        number : int
+            The ticket's number.
+
+        Returns
+        -------
+        WaitState
+            Each known process, and each failure domain that was not reached.
+        """
+        view = self.show(number)
+        if not view.accepted:
+            return WaitState(number, view.accepted, (), (), False)
+        return wait_state(
+            number,
+            self._cfg,
+            self._network,
+            name=self._name,
+            failure_domain=self._spread.failure_domain,
+            loop=self._loop,
+        )
+
+    def _read_store(self):
+        try:
+            entry = self._store.get(CONFIGURATION_KEY, purpose="ticket_show")
+            if entry is not None:
+                self._spread.exchange.adopt(decode_value(entry.value))
+        except BurdocklugError as exc:
+            log.info("ticket_show_without_store", fault=exc.message)
+            return False
+        return True
+
+
+def _answer(ticket, outcome, *, own_write):
+    kind = outcome.kind
+    if own_write and kind is OutcomeKind.ALREADY_APPLIED:
+        kind = OutcomeKind.PARTLY_SUPERSEDED if outcome.superseded else OutcomeKind.ACCEPTED
+    return TicketAnswer(ticket.number, kind, outcome.superseded, ticket_digest(ticket).hex())
+
+
+def _not_written(ticket, fault, *, uncertain):
+    if uncertain:
+        message = f"ticket {ticket.number} may have been written: {fault}; apply it again"
+        return BurdocklugError(ErrorKind.TICKET_UNCERTAIN, message)
+    message = f"ticket {ticket.number} was not written: {fault}"
+    return BurdocklugError(ErrorKind.PLATFORM_UNAVAILABLE, message, ran=Ran.NO)
+
+
+def _view(value, number, *, certain):
+    digest = value.digest_of(number)
+    objects = tuple(sorted(n for n, v in value.objects.items() if v.number == number))
+    if digest is not None:
+        return TicketView(number, True, digest.hex(), objects)
+    refused = certain and number > value.floor
+    return TicketView(number, False if refused else None, None, objects)
--- /dev/null
+++ b/tests/tickets/costs.py
@@ -0,0 +1,176 @@
+"""Counts what tickets cost in the simulated fleet at the target's configuration.
+
+Run as a program, it prints the table of `docs/decisions/tickets.md` and times the single steps.
+"""
+
+import time
+from dataclasses import dataclass
+
+import structlog
+
+from burdocklug.platform import Entry
+from burdocklug.tickets import (
+    CONFIGURATION_KEY,
+    Configuration,
+    apply_ticket,
+    decode_value,
+    encode_value,
+    join,
+    value_digest,
+)
+from tests.tickets.builders import (
+    apply_all,
+    endpoint_set,
+    fleet_tickets,
+    make_ticket,
+    team,
+)
+from tests.tickets.simulation import Fleet
+
+SERVICES = 25
+FIRST_NUMBER = 1001
+BUSY_TICKETS = 60
+DOMAINS = {7: 3, 25: 4, 50: 8}
+
+
+@dataclass
+class Cost:
+    """Rates of one phase: messages and bytes of peers, calls and bytes of the store."""
+
+    seconds: float
+    processes: int
+    calls: dict
+    messages: dict
+    peer_bytes: dict
+    store_bytes: dict
+
+    @property
+    def calls_per_s(self):
+        return sum(self.calls.values()) / self.seconds
+
+    @property
+    def mean_bytes_per_s(self):
+        peers = sum(self.peer_bytes.values()) * 2  # each byte is sent by one and taken by one
+        return (peers + sum(self.store_bytes.values())) / self.seconds / self.processes
+
+    @property
+    def highest_store_bytes_per_s(self):
+        return max(self.store_bytes.values(), default=0) / self.seconds
+
+
+def full_fleet(size, *, seed=1):
+    """Return a fleet that holds the configuration of the target."""
+    domains = tuple(f"domain-{index}" for index in range(DOMAINS[size]))
+    fleet = Fleet(size, domains=domains, seed=seed)
+    value = apply_all(fleet_tickets(services=SERVICES, endpoints_each=24, teams=75))
+    value = apply_all((make_ticket(n, {"team/vat": team(n)}) for n in range(101, 481)), value)
+    fleet.store.entry = Entry(CONFIGURATION_KEY, encode_value(value), 1)
+    fleet.sim.run(10)
+    return fleet
+
+
+def busy_ticket(index):
+    """Return one of the tickets of a busy minute: all endpoints of a service, limits of a team."""
+    service = index % SERVICES
+    return make_ticket(
+        FIRST_NUMBER + index,
+        {
+            f"endpoints/service-{service}": endpoint_set(24 - index % 5, service=service),
+            f"team/team-{index}": team(index),
+        },
+    )
+
+
+def measure(fleet, seconds, each_second=lambda: None):
+    counters = (fleet.store.calls, fleet.messages, fleet.bytes, fleet.store.bytes)
+    for counter in counters:
+        counter.clear()
+    for _second in range(seconds):
+        each_second()
+        fleet.sim.run(1)
+    return Cost(seconds, len(fleet.processes), *(dict(counter) for counter in counters))
+
+
+def busy_minute(fleet, *, spread=True):
+    """Apply 60 tickets in 60 s, all over the fleet or all at one process."""
+    numbers = iter(range(BUSY_TICKETS))
+
+    def apply_next():
+        index = next(numbers)
+        target = fleet.processes[index * 5 % len(fleet.processes) if spread else 0]
+        target.apply(busy_ticket(index))
+
+    return measure(fleet, BUSY_TICKETS, apply_next)
+
+
+def latest_s(fleet):
+    """Return the longest time from acceptance until a ticket was in force at the last process."""
+    return max(
+        process.changed_s[number] - accepted_s
+        for number, accepted_s in fleet.accepted_s.items()
+        for process in fleet.processes
+    )
+
+
+def step_times_us(repeats=50):
+    """Return microseconds of processor time of each step at the target's configuration."""
+    old = apply_all(fleet_tickets(services=SERVICES, endpoints_each=24, teams=75))
+    old = apply_all((make_ticket(n, {"team/vat": team(n)}) for n in range(101, 481)), old)
+    ticket = busy_ticket(0)
+    new, _outcome = apply_ticket(old, ticket)
+    raw = encode_value(new)
+
+    def adopt():
+        cfg = Configuration()
+        cfg.value = old
+        cfg.adopt(new)
+
+    steps = {
+        "apply_ticket": lambda: apply_ticket(old, ticket),
+        "encode_value": lambda: encode_value(new),
+        "decode_value": lambda: decode_value(raw),
+        "join": lambda: join(old, new),
+        "value_digest": lambda: value_digest(new),
+        "adopt": adopt,
+    }
+    return {name: _time_us(step, repeats) for name, step in steps.items()}
+
+
+def _time_us(step, repeats):
+    start_s = time.process_time()
+    for _repeat in range(repeats):
+        step()
+    return (time.process_time() - start_s) / repeats * 1e6
+
+
+def main():
+    """Print the table."""
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
+    for size in DOMAINS:
+        fleet = full_fleet(size)
+        quiet = measure(fleet, 60)
+        busy = busy_minute(fleet)
+        fleet.sim.run(9)
+        latest = latest_s(fleet)
+        one = busy_minute(full_fleet(size), spread=False)
+        fleet.store.down = True
+        down = measure(fleet, 60)
+        fleet.store.down = False
+        peak = max(measure(fleet, 1).calls_per_s for _second in range(10))
+        print(f"{size} processes, {DOMAINS[size]} failure domains")
+        for name, cost in (("quiet", quiet), ("busy", busy), ("one entry", one), ("down", down)):
+            pushes = cost.messages.get("TicketPush", 0) / BUSY_TICKETS
+            print(
+                f"  {name}: {cost.calls} = {cost.calls_per_s:.2f}/s; per process"
+                f" {cost.mean_bytes_per_s:.0f} B/s, highest of the store's bytes"
+                f" {cost.highest_store_bytes_per_s:.0f} B/s; pushes per ticket {pushes:.1f};"
+                f" fetches {cost.messages.get('TicketFetch', 0)}"
+            )
+        print(f"  in force at the last process after {latest * 1000:.1f} ms")
+        print(f"  most calls in one of the 10 s after the outage: {peak:.0f}")
+        print(f"  faults: {fleet.sim.failures}")
+    print({name: round(us) for name, us in step_times_us().items()})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/tickets/simulation.py
@@ -0,0 +1,429 @@
+"""A fleet in one process over virtual time: fake store, fake network, greenlets for calls.
+
+Everything runs on one TimerService, so a run is decided by its seed. Faults are fields of the
+fakes; whatever a process shows is checked at each change.
+"""
+
+import collections
+import random
+from dataclasses import dataclass
+
+import msgspec
+from greenlet import GreenletExit, getcurrent, greenlet
+
+from burdocklug.kernel import TimerService
+from burdocklug.peers import Member, MemberState, PeerNotReached, PeerSilent
+from burdocklug.platform import Entry, StoreUnavailable, StoreUncertain, VersionMismatch
+from burdocklug.tickets import Configuration, TicketService, TicketSpread
+from burdocklug.tickets._loop import Loop
+
+STORE_TRIP_S = 0.004
+STORE_TIMEOUT_S = 2.0
+LOCAL_TRIP_S = 0.0002
+REMOTE_TRIP_S = 0.0015
+HEARTBEAT_S = 0.5
+SUSPECT_S = 2.0
+DEAD_S = 5.0
+REMOTE_LINKS = 4
+
+
+class Simulation:
+    """Virtual time, the greenlets that block in it, and the faults found while it runs."""
+
+    def __init__(self, seed=1):
+        self.now_s = 0.0
+        self.rng = random.Random(seed)
+        self.timers = TimerService(now=lambda: self.now_s)
+        self.failures = []
+        self._main = getcurrent()
+
+    def run(self, seconds):
+        end_s = self.now_s + seconds
+        while (due_s := self.timers.next_due_s()) is not None and due_s <= end_s:
+            self.now_s = due_s
+            self.timers.run_due()
+        self.now_s = end_s
+
+    def checked(self, function, *args):
+        try:
+            return function(*args)
+        except GreenletExit:
+            raise
+        except Exception as exc:
+            self.failures.append(exc)
+
+    def block(self):
+        return self._main.switch()
+
+    def spawn(self, timers, function, *args):
+        call = Call(timers, greenlet(lambda: self.checked(function, *args), parent=self._main))
+        timers.after(0, call.resume)
+        return call
+
+    def sleep(self, timers, seconds):
+        timers.after(seconds, Call(timers, getcurrent()).resume)
+        self.block()
+
+
+@dataclass
+class Call:
+    timers: object
+    greenlet: object
+
+    def resume(self, value=None):
+        if not self.greenlet.dead:
+            self.greenlet.switch(value) if self.greenlet else self.greenlet.switch()
+
+    def kill(self):
+        self.timers.after(0, lambda: self.greenlet.dead or self.greenlet.throw())
+
+
+class ProcessTimers:
+    """A process's view of the timers: nothing is called while it is frozen, or ever once killed."""
+
+    def __init__(self, sim):
+        self.sim = sim
+        self.now = sim.timers.now
+        self.frozen = False
+        self.killed = False
+        self._held = []
+
+    def after(self, delay_s, callback):
+        return self.sim.timers.after(delay_s, lambda: self._call(callback))
+
+    def every(self, period_s, callback):
+        return self.sim.timers.every(period_s, lambda: self._call(callback, keep=False))
+
+    def thaw(self):
+        self.frozen = False
+        held, self._held = self._held, []
+        for callback in held:
+            self.after(0, callback)
+
+    def _call(self, callback, keep=True):
+        if self.frozen and keep:
+            self._held.append(callback)
+        elif not self.frozen and not self.killed:
+            self.sim.checked(callback)
+
+
+class FakeStore:
+    """The platform's store with its faults; calls and bytes are counted by purpose.
+
+    Parameters of faults: `down`; `cut`, names of processes whose calls time out; `silent`, names
+    of processes whose open watches never end; `stale`, an old entry by process name that
+    its reads give; `lose_answers`, how many writes take effect and then time out.
+    """
+
+    def __init__(self, sim):
+        self.sim = sim
+        self.entry = None
+        self.down = False
+        self.cut = set()
+        self.silent = set()
+        self.stale = {}
+        self.lose_answers = 0
+        self.calls = collections.Counter()
+        self.bytes = collections.Counter()
+        self.waiting = []
+
+    def write(self, key, value, expected):
+        current = 0 if self.entry is None else self.entry.version
+        if expected != current:
+            return VersionMismatch(key, expected, self.entry)
+        self.entry = Entry(key, value, current + 1)
+        waiting, self.waiting = self.waiting, []
+        for wake in waiting:
+            wake()
+        return self.entry
+
+
+class StoreClient:
+    """The store as one process reaches it."""
+
+    def __init__(self, store, process):
+        self.store = store
+        self.process = process
+
+    def get(self, key, *, purpose):
+        self._begin(purpose)
+        return self._finish(self.store.stale.get(self.process.name, self.store.entry))
+
+    def put(self, key, value, *, expected_version, lease_id=None, purpose):
+        self._begin(purpose, uncertain=True)
+        result = self.store.write(key, value, expected_version)
+        self.store.bytes[self.process.name] += len(value)
+        if self.store.lose_answers:
+            self.store.lose_answers -= 1
+            self._pause(STORE_TIMEOUT_S)
+            raise StoreUncertain("no answer")
+        self._pause(STORE_TRIP_S / 2)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    def watch(self, key, *, after_version, timeout_s, purpose):
+        self._begin(purpose)
+        end_s = self.store.sim.now_s + timeout_s
+        while self.process.name not in self.store.silent:
+            entry = self.store.stale.get(self.process.name, self.store.entry)
+            if entry is not None and entry.version > after_version:
+                return self._finish(entry)
+            if self.store.sim.now_s >= end_s:
+                return self._finish(None)
+            self._pause(end_s - self.store.sim.now_s, until_write=True)
+        return self.store.sim.block()
+
+    def _begin(self, purpose, uncertain=False):
+        self.store.calls[purpose] += 1
+        if self.store.down:
+            self._pause(STORE_TRIP_S)
+            raise StoreUnavailable("refused")
+        if self.process.name in self.store.cut:
+            self._pause(STORE_TIMEOUT_S)
+            raise StoreUncertain("no answer") if uncertain else StoreUnavailable("no answer")
+        self._pause(STORE_TRIP_S / 2)
+
+    def _finish(self, entry):
+        if entry is not None:
+            self.store.bytes[self.process.name] += len(entry.value)
+        self._pause(STORE_TRIP_S / 2)
+        if self.process.name in self.store.cut or self.store.down:
+            self._pause(STORE_TIMEOUT_S)
+            raise StoreUnavailable("no answer")
+        return entry
+
+    def _pause(self, seconds, until_write=False):
+        call = Call(self.process.timers, getcurrent())
+        done = []
+
+        def wake():
+            if not done:
+                done.append(True)
+                call.resume()
+
+        self.process.timers.after(seconds, wake)
+        if until_write:
+            self.store.waiting.append(lambda: self.process.timers.after(0, wake))
+        self.store.sim.block()
+
+
+class FakeNetwork:
+    """The PeerNetwork of one process."""
+
+    def __init__(self, fleet, process):
+        self.fleet = fleet
+        self.process = process
+        self.incarnation = process.incarnation
+        self.handlers = {}
+        self.parts = {}
+        process.timers.every(HEARTBEAT_S, self._send_heartbeats)
+
+    def register(self, message_type, handler=None):
+        self.handlers[message_type] = handler
+
+    def add_heartbeat_part(self, name, produce, consume):
+        self.parts[name] = (produce, consume)
+
+    def members(self):
+        return [self.fleet.member(self.process, other) for other in self.fleet.others(self.process)]
+
+    def send(self, incarnation, message):
+        target = self.fleet.by_incarnation(incarnation)
+        self.fleet.carry(
+            self.process, target, message, lambda: target.network.handle(self, message)
+        )
+
+    def handle(self, sender, message, reply=None):
+        def run():
+            answer = self.handlers[type(message)](sender.incarnation, message)
+            if reply is not None:
+                self.fleet.carry(self.process, sender.process, answer, lambda: reply(answer))
+
+        self.fleet.sim.spawn(self.process.timers, run)
+
+    def call(self, incarnation, message, *, timeout_s):
+        target = self.fleet.by_incarnation(incarnation)
+        if target is None or target.timers.killed:
+            raise PeerNotReached(incarnation, "refused")
+        call, done = Call(self.process.timers, getcurrent()), []
+
+        def reply(answer):
+            if not done:
+                done.append(answer)
+                call.resume()
+
+        self.fleet.carry(
+            self.process, target, message, lambda: target.network.handle(self, message, reply)
+        )
+        self.process.timers.after(timeout_s, lambda: reply(None))
+        self.fleet.sim.block()
+        if done[0] is None:
+            raise PeerSilent(incarnation, "no reply")
+        return done[0]
+
+    def _send_heartbeats(self):
+        for target in self.fleet.linked(self.process):
+            value = self.parts["tickets"][0]()
+            plain = msgspec.msgpack.decode(msgspec.msgpack.encode(value))
+            self.fleet.carry(self.process, target, value, self._consumer(target, plain))
+
+    def _consumer(self, target, value):
+        member = self.fleet.member(target, self.process)
+        return lambda: target.network.parts["tickets"][1](member, value)
+
+
+class FakeProcess:
+    """One process with its configuration; checks what it shows at each change."""
+
+    def __init__(self, fleet, name, failure_domain):
+        sim = fleet.sim
+        self.fleet = fleet
+        self.name = name
+        self.failure_domain = failure_domain
+        self.incarnation = f"127.0.0.1:{fleet.next_port()}~0123456789abcdef01234567"
+        address = self.incarnation.partition("~")[0]
+        self.as_member = {
+            state: Member(self.incarnation, name, address, failure_domain, state)
+            for state in MemberState
+        }
+        self.timers = ProcessTimers(sim)
+        self.cfg = Configuration()
+        self.network = FakeNetwork(fleet, self)
+        store = StoreClient(fleet.store, self)
+        loop = Loop(
+            lambda function, *args: sim.spawn(self.timers, function, *args),
+            lambda seconds: sim.sleep(self.timers, seconds),
+        )
+        rng = random.Random(sim.rng.random())
+        self.spread = TicketSpread(
+            self.cfg,
+            store,
+            self.network,
+            self.timers,
+            failure_domain=failure_domain,
+            loop=loop,
+            rng=rng,
+        )
+        self.service = TicketService(
+            store, self.spread, self.network, self.timers, name=name, loop=loop, rng=rng
+        )
+        self.shown = {}
+        self.changed_s = {}
+        self.cfg.subscribe(self._check)
+        sim.spawn(self.timers, self.spread.start)
+
+    def apply(self, ticket):
+        """Apply a ticket concurrently; the result or error is appended to the returned list."""
+        result = []
+
+        def run():
+            try:
+                result.append(self.service.apply(ticket))
+                self.fleet.accepted_s.setdefault(ticket.number, self.fleet.sim.now_s)
+            except Exception as exc:
+                result.append(exc)
+
+        self.fleet.tickets.append(ticket)
+        self.fleet.sim.spawn(self.timers, run)
+        return result
+
+    def numbers(self):
+        return {name: version.number for name, version in self.cfg.value.objects.items()}
+
+    def _check(self):
+        value = self.cfg.value
+        for name in self.shown.keys() | value.objects.keys():
+            number = value.number_of(name)
+            if number < self.shown.get(name, 0):
+                self.fleet.sim.failures.append(f"{self.name}: {name} went down to {number}")
+            self.shown[name] = number
+        for ticket in self.fleet.tickets:
+            has = [value.number_of(name) >= ticket.number for name in ticket.objects]
+            mine = [v for v in value.objects.values() if v.number == ticket.number]
+            if mine and not all(has):
+                self.fleet.sim.failures.append(f"{self.name}: half of ticket {ticket.number}")
+            if mine or all(has):
+                self.changed_s.setdefault(ticket.number, self.fleet.sim.now_s)
+
+
+class Fleet:
+    """Processes in failure domains over one store; `cut` holds pairs of domains without a way."""
+
+    def __init__(self, size, *, domains=("freistadt", "rohrbach", "perg"), seed=1):
+        self.sim = Simulation(seed)
+        self.store = FakeStore(self.sim)
+        self.tickets = []
+        self.accepted_s = {}
+        self.messages = collections.Counter()
+        self.bytes = collections.Counter()
+        self.domains = domains
+        self._cut_since = {}
+        self._ports = iter(range(10_001, 65_000))
+        self.processes = [
+            FakeProcess(
+                self, f"{domains[i % len(domains)]}-{i // len(domains)}", domains[i % len(domains)]
+            )
+            for i in range(size)
+        ]
+
+    def next_port(self):
+        return next(self._ports)
+
+    def in_domain(self, domain):
+        return [p for p in self.processes if p.failure_domain == domain]
+
+    def others(self, process):
+        return [other for other in self.processes if other is not process]
+
+    def by_incarnation(self, incarnation):
+        return next((p for p in self.processes if p.incarnation == incarnation), None)
+
+    def linked(self, process):
+        near = self.in_domain(process.failure_domain)
+        far = [p for p in self.processes if p.failure_domain != process.failure_domain]
+        first = self.processes.index(process)
+        far = [far[(first + i) % len(far)] for i in range(min(REMOTE_LINKS, len(far)))]
+        return [p for p in [*near, *far] if p is not process]
+
+    def cut(self, *domains):
+        """Cut the given failure domains off from all others."""
+        for a in domains:
+            for b in set(self.domains) - {a}:
+                self._cut_since.setdefault(frozenset((a, b)), self.sim.now_s)
+
+    def heal(self):
+        self._cut_since.clear()
+
+    def freeze(self, process):
+        process.timers.frozen = True
+        process.frozen_since = self.sim.now_s
+
+    def restart(self, process):
+        process.timers.killed = True
+        index = self.processes.index(process)
+        self.processes[index] = FakeProcess(self, process.name, process.failure_domain)
+        return self.processes[index]
+
+    def member(self, observer, other):
+        pair = frozenset((observer.failure_domain, other.failure_domain))
+        since_s = self._cut_since.get(pair)
+        if other.timers.frozen:
+            since_s = min(since_s or other.frozen_since, other.frozen_since)
+        silent_s = 0 if since_s is None else self.sim.now_s - since_s
+        state = MemberState.ALIVE if silent_s < SUSPECT_S else MemberState.SUSPECT
+        state = state if silent_s < DEAD_S else MemberState.DEAD
+        return other.as_member[state]
+
+    def carry(self, sender, target, message, deliver):
+        """Count a message and deliver it after its trip, unless the way is cut."""
+        size = 0 if message is None else len(msgspec.msgpack.encode(message))
+        self.messages[type(message).__name__] += 1
+        self.bytes[sender.name] += size
+        if target is None or target.timers.killed:
+            return
+        if frozenset((sender.failure_domain, target.failure_domain)) in self._cut_since:
+            return
+        local = sender.failure_domain == target.failure_domain
+        trip_s = (LOCAL_TRIP_S if local else REMOTE_TRIP_S) * self.sim.rng.uniform(1, 1.5)
+        target.timers.after(trip_s, deliver)
