--- a/burdocklug/tickets/_configuration.py
+++ b/burdocklug/tickets/_configuration.py
@@ -53,6 +53,14 @@
         """Return the sorted names of all teams."""
         return self._names("team/")
 
+    def failure_domains(self):
+        """Return the failure domains of all endpoints, as a set."""
+        return {
+            endpoint.failure_domain
+            for service in self._names("endpoints/")
+            for endpoint in self.endpoints(service)
+        }
+
     def is_empty(self):
         """Return whether this process knows of no configuration at all."""
         return not self.value.objects and self.value.floor == 0
--- a/burdocklug/tickets/_wait.py
+++ b/burdocklug/tickets/_wait.py
@@ -101,8 +101,8 @@
         if m.state in (MemberState.ALIVE, MemberState.SUSPECT)
     ]
     states.sort(key=lambda state: (state.failure_domain, state.name, state.incarnation))
-    domains = {m.failure_domain for m in members} | {failure_domain}
-    domains |= _endpoint_domains(configuration)
+    domains = {m.failure_domain for m in members} | configuration.failure_domains()
+    domains.add(failure_domain)
     missing = domains - {state.failure_domain for state in states if state.in_force}
     complete = not missing and all(state.in_force for state in states)
     return WaitState(number, True, tuple(states), tuple(sorted(missing)), complete)
@@ -153,11 +153,3 @@
         return ProcessTicketState(name, incarnation, failure_domain, None, None)
     in_force = reply.in_force or reply.digest == own.digest
     return ProcessTicketState(name, incarnation, failure_domain, in_force, reply.digest.hex())
-
-
-def _endpoint_domains(configuration):
-    return {
-        endpoint.failure_domain
-        for service in configuration.services()
-        for endpoint in configuration.endpoints(service)
-    }
--- a/tests/tickets/test_faults.py
+++ b/tests/tickets/test_faults.py
@@ -1,13 +1,17 @@
 """Faults in virtual time, one row each: what is applied where, what fails, what must hold after."""
 
+from unittest import mock
+
 from testtools import TestCase
 from testtools.content import text_content
 from testtools.matchers import Equals, HasLength, LessThan
 
 from burdocklug.kernel import ErrorKind, Ran
 from burdocklug.tickets import OutcomeKind, TicketAnswer
+from burdocklug.tickets import _merge as merge
 from tests.tickets.builders import make_ticket, team
 from tests.tickets.simulation import Fleet
+from tests.tickets.test_merge import SMALL_BOUNDS
 
 IN_FORCE_S = 9.0
 SEEDS = range(1, 9)
@@ -47,6 +51,8 @@
                 late_s = process.changed_s.get(number, float("inf")) - start_s
                 self.assertThat(late_s, LessThan(IN_FORCE_S), f"{number} at {process.name}")
         self.assertThat(fleet.sim.failures, Equals([]))
+        digests = {process.cfg.digest for process in processes or fleet.processes}
+        self.assertThat(digests, HasLength(1))
 
     def assert_numbers(self, fleet, **numbers):
         expected = {f"team/{name}": number for name, number in numbers.items()}
@@ -250,6 +256,30 @@
     test.assert_numbers(fleet, vat=3, t1=1, t2=2, t3=3)
 
 
+def row_two_tickets_in_a_row_with_a_domain_cut_off_from_peers(test, seed):
+    fleet = test.fleet(seed)
+    fleet.cut("perg")
+    test.accept(fleet, fleet.processes[0], ticket(1), run_s=0.1 * seed)
+    test.accept(fleet, fleet.processes[0], ticket(2))
+    test.assert_in_force(fleet, 1, 2)
+
+
+def row_removals_are_forgotten_while_a_domain_is_cut_off(test, seed):
+    with mock.patch.multiple(merge, **SMALL_BOUNDS):
+        fleet = test.fleet(seed)
+        test.accept(fleet, fleet.processes[0], ticket(1, "gone", "kept"))
+        fleet.cut("perg")
+        fleet.store.cut = {p.name for p in fleet.in_domain("perg")}
+        removal = make_ticket(2, {"team/gone": None})
+        test.accept(fleet, fleet.processes[0], removal)
+        for number in range(3, 9):
+            test.accept(fleet, fleet.processes[number % 2], ticket(number, "vat"))
+        test.assertThat(fleet.processes[0].cfg.value.floor >= 2, Equals(True))
+        fleet.heal()
+        test.assert_in_force(fleet, 8, since_s=fleet.sim.now_s)
+        test.assert_numbers(fleet, kept=1, vat=8)
+
+
 def row_process_frozen_past_its_lease(test, seed):
     fleet = test.fleet(seed)
     frozen = min(fleet.in_domain("perg"), key=lambda p: p.incarnation)
