--- a/burdocklug/peers/_channel.py
+++ b/burdocklug/peers/_channel.py
@@ -105,6 +105,8 @@
         Whether frames with items arrived since the last frame was sent.
     refusals : int
         Refused connections since the last frame arrived.
+    heartbeat : Outgoing or None
+        The heartbeat that was queued last.
     """
 
     incarnation: str
@@ -118,6 +120,7 @@
     heard_s: float | None = None
     owes_acknowledgement: bool = False
     refusals: int = 0
+    heartbeat: object = None
     next_correlation: int = 1
 
     @property
--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -17,6 +17,7 @@
 MAX_BATCH_BYTES = 262_144  # a frame takes further items up to this size
 MAX_QUEUED_BYTES = 4 * MAX_MESSAGE_BYTES
 CONNECT_GRACE_S = 0.05  # before the address is probed
+MAX_PATIENCE_S = 1.0  # between probes
 PROBE_TIMEOUT_S = 0.5
 
 
@@ -34,12 +35,17 @@
         Called once its frame was handed to nng.
     on_dropped : callable, optional
         Takes the reason, when the item leaves the queue undelivered.
+    expires_s : float, optional
+        Time after which the item is dropped if it is still in the queue.
+    withdrawn : bool
+        Set to keep the item from being sent.
     """
 
     item: object
     size: int
     on_handed: object = None
     on_dropped: object = None
+    expires_s: float | None = None
     withdrawn: bool = False
 
 
@@ -74,7 +80,8 @@
     -----
     `wanted` is the last sequence that the peer has to acknowledge, `acknowledged` the highest
     that it did. `unacknowledged_since_s` is the time from which it has been silent about that
-    on the present connection, `unreached_since_s` the same over all connections.
+    on the present connection, `unreached_since_s` the same over all connections, and
+    `untaken_since_s` the time from which the connection has not taken a waiting frame.
     """
 
     address: str
@@ -87,8 +94,10 @@
     wanted: int = 0
     unacknowledged_since_s: float | None = None
     unreached_since_s: float | None = None
+    untaken_since_s: float | None = None
     last_sent_s: float = 0.0
     traffic: LinkTraffic = field(default_factory=LinkTraffic)
+    _patience_s: float = CONNECT_GRACE_S
     _queue: collections.deque = field(default_factory=collections.deque)
     _queued_bytes: int = 0
     _dialer: PushDialer | None = None
@@ -140,25 +149,34 @@
         if self._dialer.try_send(frame):
             self._commit(batch, len(frame))
             return
+        if self.untaken_since_s is None:
+            self.untaken_since_s = self.now()
         try:
-            self._dialer.wait_writable(CONNECT_GRACE_S)
+            self._dialer.wait_writable(self._patience_s)
         except NotWritable:
+            self._patience_s = min(2 * self._patience_s, MAX_PATIENCE_S)
             self._probe()
 
     def _next_batch(self):
+        now = self.now()
+        while self._queue and self._is_void(self._queue[0], now):
+            self._queued_bytes -= self._queue.popleft().size
         batch, size = [], 0
         for outgoing in self._queue:
-            if outgoing.withdrawn:
+            if self._is_void(outgoing, now):
                 continue
             if batch and size + outgoing.size > MAX_BATCH_BYTES:
                 break
             batch.append(outgoing)
             size += outgoing.size
-        if not batch:
-            self._queue.clear()
-            self._queued_bytes = 0
         return batch
 
+    def _is_void(self, outgoing, now):
+        if not outgoing.withdrawn and outgoing.expires_s is not None and outgoing.expires_s < now:
+            outgoing.withdrawn = True
+            self.traffic.dropped += 1
+        return outgoing.withdrawn
+
     def _commit(self, batch, frame_bytes):
         last = batch[-1]
         while True:
@@ -168,6 +186,8 @@
                 break
         self.sequence += 1
         self.last_sent_s = self.now()
+        self.untaken_since_s = None
+        self._patience_s = CONNECT_GRACE_S
         if any(outgoing.item is not None for outgoing in batch):
             self.wanted = self.sequence
             if self.unacknowledged_since_s is None:
@@ -215,9 +235,11 @@
             self.unacknowledged_since_s = self.now() if waiting else None
 
     def is_silent(self, now_s, *, after_s):
-        """Return whether the connection has had no acknowledgement for `after_s` seconds."""
-        since_s = self.unacknowledged_since_s
-        return since_s is not None and now_s - since_s > after_s
+        """Return whether the connection took or acknowledged nothing for `after_s` seconds."""
+        return any(
+            since_s is not None and now_s - since_s > after_s
+            for since_s in (self.unacknowledged_since_s, self.untaken_since_s)
+        )
 
     def is_idle(self, now_s, *, after_s):
         """Return whether an open link has sent nothing for `after_s` seconds."""
@@ -229,6 +251,8 @@
             self.unacknowledged_since_s += paused_s
         if self.unreached_since_s is not None:
             self.unreached_since_s += paused_s
+        if self.untaken_since_s is not None:
+            self.untaken_since_s += paused_s
 
     def redial(self):
         """Close the socket, so that what follows goes out on a new connection."""
@@ -236,11 +260,11 @@
         if writer is not None:
             writer.kill()
         self._hang_up()
-        self.unacknowledged_since_s = None
         if self._queue:
             self._writer = eventlet.spawn(self._drain)
 
     def _hang_up(self):
+        self.unacknowledged_since_s = self.untaken_since_s = None
         dialer, self._dialer = self._dialer, None
         if dialer is not None:
             dialer.close()
--- a/burdocklug/peers/_membership_service.py
+++ b/burdocklug/peers/_membership_service.py
@@ -116,6 +116,14 @@
     def _watched(self):
         return [r for r in self.table.records.values() if r.watched_s is not None]
 
+    def _reached(self, now):
+        table, settings = self.table, self._settings
+        return [
+            r
+            for r in self._watched()
+            if membership.state_of(table, r, now, settings) is MemberState.ALIVE
+        ]
+
     def _judge(self, now):
         settings = self._settings
         for record in self._watched():
@@ -135,9 +143,8 @@
         record.asked_s = now
         record.confirmed_by.clear()
         record.denied_by.clear()
-        for other in self._watched():
-            if other is not record:
-                self._transport.send(other.incarnation, SilenceQuestion(record.incarnation))
+        for other in self._reached(now):
+            self._transport.send(other.incarnation, SilenceQuestion(record.incarnation))
 
     def _watch(self, now):
         failed = self._failed_links
@@ -203,12 +210,19 @@
         change_body = encode(entries_of(changed, now)) if changed else None
         for record in watched:
             is_link = record.incarnation in self._links
-            self._transport.send_body(record.incarnation, link_body if is_link else plain_body)
+            body = link_body if is_link else plain_body
+            self._transport.send_heartbeat(record.incarnation, body)
             if change_body is not None:
                 self._transport.send_body(record.incarnation, change_body)
-        if watched and self._ticks % DIGEST_PERIODS == 0:
-            record = watched[self._ticks // DIGEST_PERIODS % len(watched)]
-            self._transport.send(record.incarnation, make_digest(self.table, now, self._settings))
+        if self._ticks % DIGEST_PERIODS == 0:
+            self._send_digest(now)
+
+    def _send_digest(self, now):
+        reached = self._reached(now)
+        if reached:
+            record = reached[self._ticks // DIGEST_PERIODS % len(reached)]
+            digest = make_digest(self.table, now, self._settings)
+            self._transport.send(record.incarnation, digest)
 
     def _heartbeat(self, *, chosen, parts):
         return Heartbeat(self._sequence, chosen, self.draining, parts)
--- a/burdocklug/peers/_transport.py
+++ b/burdocklug/peers/_transport.py
@@ -16,6 +16,7 @@
 
 ITEM_BYTES = 32  # of an item around its body
 ASK_AGAIN_S = 0.2  # after a refused connection, before the outcome of calls counts as unknown
+UNSENT_LIFETIME_S = 10.0  # in the queue, of items that nobody waits for
 LINK_IDLE_S = 60.0  # without a frame, before the connection is closed
 MAX_CHANNELS = 4096
 
@@ -127,7 +128,14 @@
 
     def send_body(self, incarnation, body):
         """Queue a one-way message that is encoded already."""
-        self.put(self.channel(incarnation), codec.Notice(msgspec.Raw(body)), len(body))
+        return self.put(self.channel(incarnation), codec.Notice(msgspec.Raw(body)), len(body))
+
+    def send_heartbeat(self, incarnation, body):
+        """Queue an encoded heartbeat in place of one that is still queued."""
+        channel = self.channel(incarnation)
+        if channel.heartbeat is not None:
+            channel.heartbeat.withdrawn = True
+        channel.heartbeat = self.send_body(incarnation, body)
 
     def send_to_seed(self, address, message):
         """Queue a one-way message to whichever incarnation listens at an address."""
@@ -136,7 +144,9 @@
             link = Link(address, self._seal_for_seed, lambda: None, self.now)
             self.seed_links[address] = link
         body = self.encode(address, message)
-        link.put(Outgoing(codec.Notice(msgspec.Raw(body)), len(body) + ITEM_BYTES))
+        outgoing = Outgoing(codec.Notice(msgspec.Raw(body)), len(body) + ITEM_BYTES)
+        outgoing.expires_s = self.now() + UNSENT_LIFETIME_S
+        link.put(outgoing)
 
     def close_seed_link(self, address):
         """Close the link to a seed address, if there is one."""
@@ -145,8 +155,11 @@
             link.close()
 
     def put(self, channel, item, body_bytes=0):
-        """Queue an item that nobody waits for; return False if there is no room."""
-        return channel.link.put(Outgoing(item, body_bytes + ITEM_BYTES))
+        """Queue an item that nobody waits for, and return it as queued."""
+        outgoing = Outgoing(item, body_bytes + ITEM_BYTES)
+        outgoing.expires_s = self.now() + UNSENT_LIFETIME_S
+        channel.link.put(outgoing)
+        return outgoing
 
     # Calls
 
@@ -257,6 +270,9 @@
                 self.put(channel, None)
             if not channel.calls and link.is_idle(now, after_s=LINK_IDLE_S):
                 link.redial()
+        for link in self.seed_links.values():
+            if link.is_silent(now, after_s=silence_s):
+                link.redial()
         self._bound_channels()
 
     def _bound_channels(self):
--- /dev/null
+++ b/tests/peers/test_faults.py
@@ -0,0 +1,377 @@
+import eventlet
+
+eventlet.monkey_patch()
+
+import socket  # noqa: E402
+
+import msgspec  # noqa: E402
+import pynng  # noqa: E402
+from testtools import ExpectedException  # noqa: E402
+from testtools.matchers import Equals, Is  # noqa: E402
+
+from burdocklug.peers import PeerNotReached, PeerSilent  # noqa: E402
+from burdocklug.peers._codec import (  # noqa: E402
+    MAX_FRAME_BYTES,
+    Envelope,
+    FrameCodec,
+    Misdirected,
+    Refusal,
+    RefusalReason,
+    Reply,
+    Request,
+)
+from burdocklug.peers._incarnation import mint_incarnation  # noqa: E402
+from tests.peers.support import (  # noqa: E402
+    KEY,
+    Echo,
+    Handled,
+    NetworkCase,
+    Slow,
+    free_address,
+    living,
+    states,
+)
+
+
+class KilledPeerTest(NetworkCase):
+    def test_call_after_the_kill_is_not_reached_and_one_in_flight_is_silent(self):
+        one = self.network("p1")
+        two = self.process("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"})
+        in_flight = eventlet.spawn(one.call, two.incarnation, Slow(1, 30), timeout_s=30)
+        eventlet.sleep(0.2)
+        two.kill()
+        with ExpectedException(PeerSilent):
+            in_flight.wait()
+        with ExpectedException(PeerNotReached):
+            one.call(two.incarnation, Echo(2), timeout_s=5)
+
+    def test_killed_peer_is_declared_dead_everywhere(self):
+        nets = self.fleet({"perg": ["p1", "p2"], "rohrbach": ["r1", "r2"]})
+        victim = self.process("p3", seeds=[nets["p1"].address])
+        self.wait_for(lambda: all("p3" in living(n) for n in nets.values()))
+        victim.kill()
+        self.wait_for(lambda: all(states(n)["p3"] == "dead" for n in nets.values()))
+        self.assertThat([n.deaths for n in nets.values()], Equals([[]] * 4))
+
+
+class FrozenPeerTest(NetworkCase):
+    def test_frozen_peer_is_dead_stays_dead_and_learns_it(self):
+        nets = self.fleet({"perg": ["p1", "p2"], "rohrbach": ["r1"]})
+        one = nets["p1"]
+        three = self.process("p3", seeds=[one.address])
+        self.wait_for(lambda: all("p3" in living(n) for n in nets.values()))
+        self.assertThat(one.call(three.incarnation, Echo(1), timeout_s=5), Equals(Echo(1)))
+        three.freeze()
+        with ExpectedException(PeerSilent):
+            one.call(three.incarnation, Echo(2), timeout_s=0.3)
+        self.wait_for(lambda: all(states(n)["p3"] == "dead" for n in nets.values()))
+        three.wake()
+
+        def ask():
+            return one.call(three.incarnation, Handled(), timeout_s=5)
+
+        self.wait_for(lambda: ask().declared_dead)
+        self.assertThat(ask().numbers, Equals([1]))
+        self.assertThat(states(one)["p3"], Equals("dead"))
+        self.assertThat(one.call(three.incarnation, Echo(3), timeout_s=5), Equals(Echo(3)))
+        self.assertThat([n.deaths for n in nets.values()], Equals([[]] * 3))
+
+    def test_peer_that_was_frozen_alone_blames_nobody(self):
+        one = self.network("p1", options={"dead_after_s": 600})
+        two = self.process("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"})
+        two.freeze()
+        self.wait_for(lambda: states(one)["p2"] == "suspect")
+        eventlet.sleep(2)
+        two.wake()
+        self.wait_for(lambda: living(one) == {"p2"})
+        eventlet.sleep(0.5)
+        self.assertThat(one.deaths, Equals([]))
+
+
+class ReplacedPeerTest(NetworkCase):
+    def test_old_incarnation_is_not_reached_and_dead(self):
+        one, two = self.network("p1"), self.network("p2")
+        old = two.incarnation
+        one.call(old, Echo(1), timeout_s=5)
+        two.stop()
+        new = self.network("p2", address=two.address, seeds=[one.address])
+        with ExpectedException(PeerNotReached):
+            one.call(old, Echo(2), timeout_s=5)
+        self.wait_for(lambda: new.incarnation in {m.incarnation for m in one.members()})
+        with ExpectedException(PeerNotReached):
+            one.call(old, Echo(3), timeout_s=5)
+        self.assertThat(new.handled, Equals([]))
+
+    def test_call_that_the_old_incarnation_took_is_silent(self):
+        one = self.network("p1")
+        two = self.process("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"})
+        in_flight = eventlet.spawn(one.call, two.incarnation, Slow(1, 30), timeout_s=30)
+        eventlet.sleep(0.2)
+        two.kill()
+        new = self.network("p2", address=two.address, seeds=[one.address])
+        with ExpectedException(PeerSilent):
+            in_flight.wait()
+        self.assertThat(new.handled, Equals([]))
+
+
+class SilentLinkTest(NetworkCase):
+    def behind_forwarder(self, name, **options):
+        listen_address = free_address()
+        forwarder = self.forwarder(listen_address)
+        network = self.network(
+            name, address=forwarder.address, listen_address=listen_address, **options
+        )
+        return network, forwarder
+
+    def check_call_survives(self, direction):
+        one, to_one = self.behind_forwarder("p1")
+        two, to_two = self.behind_forwarder("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"} and living(two) == {"p1"})
+        one.call(two.incarnation, Echo(0), timeout_s=5)
+        if direction != "reply":
+            to_two.silence_open_connections()
+        if direction != "request":
+            to_one.silence_open_connections()
+        self.assertThat(one.call(two.incarnation, Echo(1), timeout_s=10), Equals(Echo(1)))
+        self.assertThat(two.handled, Equals([0, 1]))
+
+    def test_call_survives_a_silent_link_and_runs_once(self):
+        for direction in ("request", "reply", "both"):
+            with self.subTest(direction):
+                self.check_call_survives(direction)
+
+    def test_membership_survives_a_silent_link(self):
+        one, to_one = self.behind_forwarder("p1")
+        two, to_two = self.behind_forwarder("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"} and living(two) == {"p1"})
+        to_one.silence_open_connections()
+        to_two.silence_open_connections()
+        self.wait_for(lambda: one.counts().get("links_redialled", 0) > 0)
+        self.wait_for(lambda: living(one) == {"p2"} and living(two) == {"p1"})
+        self.assertThat(one.deaths + two.deaths, Equals([]))
+
+    def test_cut_in_one_direction_makes_suspects_on_both_sides_and_no_dead(self):
+        one, _to_one = self.behind_forwarder("p1")
+        two, to_two = self.behind_forwarder("p2", seeds=[one.address])
+        three = self.network("p3", seeds=[one.address])
+        self.wait_for(lambda: all(len(living(n)) == 2 for n in (one, two, three)))
+        to_two.cut()
+        self.wait_for(lambda: states(two)["p1"] == "suspect")
+        self.wait_for(lambda: states(one)["p2"] == "suspect")
+        to_two.heal()
+        self.wait_for(lambda: all(len(living(n)) == 2 for n in (one, two, three)))
+        self.assertThat(one.deaths + two.deaths + three.deaths, Equals([]))
+
+
+class MuteListenerTest(NetworkCase):
+    def test_connection_whose_handshake_hangs_is_dialled_anew_and_no_backlog_grows(self):
+        one = self.network("p1")
+        two = self.process("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"})
+        two.kill()
+        host, _, port = two.address.partition(":")
+        mute = eventlet.listen((host, int(port)))
+        self.addCleanup(mute.close)
+
+        def link():
+            return one.dump()["links"][0]
+
+        dials = link()["traffic"]["dials"]
+        self.wait_for(lambda: link()["traffic"]["dials"] >= dials + 3)
+        self.assertTrue(link()["queued"] <= 20)
+        with ExpectedException(PeerNotReached, ".*timeout"):
+            one.call(two.incarnation, Echo(1), timeout_s=0.5)
+
+
+class SplitTest(NetworkCase):
+    def test_failure_domains_cut_off_are_suspect_and_come_back(self):
+        layout = {"perg": ["p1", "p2"], "rohrbach": ["r1", "r2"]}
+        nets, forwarders = {}, []
+        seed = None
+        for domain, names in layout.items():
+            for name in names:
+                listen_address = free_address()
+                forwarders.append(self.forwarder(listen_address))
+                nets[name] = self.network(
+                    name,
+                    domain=domain,
+                    address=forwarders[-1].address,
+                    listen_address=listen_address,
+                    seeds=[seed] if seed else [],
+                )
+                seed = seed or nets[name].address
+        self.wait_for(lambda: all(len(living(n)) == 3 for n in nets.values()))
+        filters = [
+            (nets["p1"], ("r1", "r2")),
+            (nets["p2"], ("r1", "r2")),
+            (nets["r1"], ("p1", "p2")),
+            (nets["r2"], ("p1", "p2")),
+        ]
+        cut = [self.cut_off(net, [nets[name].incarnation for name in far]) for net, far in filters]
+        self.wait_for(lambda: living(nets["p1"]) == {"p2"} and living(nets["r1"]) == {"r2"})
+        self.wait_for(lambda: living(nets["p2"]) == {"p1"} and living(nets["r2"]) == {"r1"})
+        eventlet.sleep(2)
+        self.assertThat(
+            {state for n in nets.values() for state in states(n).values()},
+            Equals({"alive", "suspect"}),
+        )
+        for heal in cut:
+            heal()
+        self.wait_for(lambda: all(len(living(n)) == 3 for n in nets.values()))
+        self.assertThat([n.deaths for n in nets.values()], Equals([[]] * 4))
+
+    def cut_off(self, network, incarnations):
+        """Drop the frames that come to `network` from the given incarnations."""
+        receiver = network._receiver
+        opened = receiver._transport.codec.open
+
+        def receive(frame):
+            if opened(frame).sender not in incarnations:
+                type(receiver).receive(receiver, frame)
+
+        receiver._listener._handle = receive
+
+        def heal():
+            receiver._listener._handle = receiver.receive
+
+        return heal
+
+
+class LeaveTest(NetworkCase):
+    def test_leaver_is_left_and_the_chain_of_successors_is_followed(self):
+        nets = self.fleet({"perg": ["p1", "p2"], "rohrbach": ["r1", "r2"]})
+        one, two, three = nets["p1"], nets["p2"], nets["r1"]
+        self.assertThat(one.leave(two.incarnation), Equals([]))
+        one.stop()
+        self.wait_for(lambda: states(nets["r2"])["p1"] == "left")
+        self.assertThat(nets["r2"].successor_of(one.incarnation), Equals(two.incarnation))
+        two.leave(three.incarnation)
+        two.stop()
+        self.wait_for(lambda: states(nets["r2"])["p2"] == "left")
+        self.assertThat(nets["r2"].successor_of(one.incarnation), Equals(three.incarnation))
+        self.assertThat(nets["r2"].successor_of(three.incarnation), Is(None))
+        late = self.network("p9", seeds=[nets["r2"].address])
+        self.wait_for(lambda: late.successor_of(one.incarnation) == three.incarnation)
+
+
+class HostileFrameTest(NetworkCase):
+    """Frames that no honest peer sends, from a socket of the test's own."""
+
+    def setUp(self):
+        super().setUp()
+        self.one = self.network("p1")
+        self.codec = FrameCodec(KEY)
+        self.sender = mint_incarnation(free_address())
+        self.sock = pynng.Push0()
+        self.addCleanup(self.sock.close)
+        self.sock.dial(f"tcp://{self.one.address}", block=False)
+        self.sequence = 0
+
+    def push(self, frame):
+        while True:
+            try:
+                return self.sock.send(frame, block=False)
+            except pynng.TryAgain:
+                eventlet.sleep(0.01)
+
+    def push_items(self, *items, sender=None, target=None, codec=None, low_water=0):
+        self.sequence += 1
+        target = self.one.incarnation if target is None else target
+        envelope = Envelope(
+            sender or self.sender, target, "p9", "perg", self.sequence, 0.0, 0, low_water, items
+        )
+        self.push((codec or self.codec).seal(envelope))
+
+    def count(self, name):
+        self.wait_for(lambda: self.one.counts().get(name, 0) > 0)
+        return self.one.counts()[name]
+
+    def request(self, correlation=1, *, number=1, expires_s=1e9):
+        body = self.one._transport.types.encode(Echo(number))
+        return Request(correlation, 1, expires_s, msgspec.Raw(body))
+
+    def test_table_of_bad_frames(self):
+        truncated = self.codec.seal(Envelope("a", "b", "c", "d", 1, 0.0, 0, 0, []))[:-3]
+        codec = self.codec
+        digest = codec._digest(b"\xc1garbage")
+        rows = [
+            ("wrong key", FrameCodec("f" * 16).seal(self.envelope()), "frames_not_authentic"),
+            ("garbage", b"\x00" * 100, "frames_not_authentic"),
+            ("short", b"x", "frames_not_authentic"),
+            ("truncated", truncated, "frames_not_authentic"),
+            ("malformed", digest + b"\xc1garbage", "frames_malformed"),
+            ("own id", codec.seal(self.envelope(self.one.incarnation)), "frames_from_nobody"),
+            ("no id", codec.seal(self.envelope("nobody")), "frames_from_nobody"),
+        ]
+        for name, frame, counter in rows:
+            with self.subTest(name):
+                before = self.one.counts().get(counter, 0)
+                self.push(frame)
+                self.wait_for(lambda n=before, c=counter: self.one.counts().get(c, 0) == n + 1)
+        self.push_items(self.request(number=7))
+        self.wait_for(lambda: self.one.handled == [7])
+
+    def envelope(self, sender=None):
+        items = [self.request(number=9)]
+        return Envelope(
+            sender or self.sender, self.one.incarnation, "p9", "perg", 1, 0.0, 0, 0, items
+        )
+
+    def test_oversized_frame_is_dropped_and_the_listener_lives(self):
+        self.push(b"x" * (MAX_FRAME_BYTES + 1))
+        eventlet.sleep(0.2)
+        self.push_items(self.request(number=3))
+        self.wait_for(lambda: self.one.handled == [3])
+
+    def test_raw_bytes_on_the_socket_do_no_harm(self):
+        host, _, port = self.one.address.partition(":")
+        with socket.create_connection((host, int(port))) as raw:
+            raw.sendall(b"GET / HTTP/1.1\r\n\r\n" * 100)
+            self.push_items(self.request(number=4))
+            self.wait_for(lambda: self.one.handled == [4])
+
+    def test_repeated_request_is_handled_once(self):
+        for _ in range(3):
+            self.push_items(self.request())
+        self.assertThat(self.count("requests_replied") <= 2, Is(True))
+        self.assertThat(self.one.handled, Equals([1]))
+
+    def test_request_below_the_low_water_mark_is_not_handled(self):
+        self.push_items(self.request(5, number=5), low_water=5)
+        self.push_items(self.request(4, number=4), low_water=5)
+        self.count("requests_passed")
+        self.assertThat(self.one.handled, Equals([5]))
+
+    def test_expired_request_is_not_handled_even_when_repeated(self):
+        self.push_items(self.request(1, number=1))
+        self.push_items(self.request(2, number=2, expires_s=-1.0))
+        self.push_items(self.request(2, number=2))
+        self.wait_for(lambda: self.one.counts().get("requests_expired", 0) == 2)
+        self.assertThat(self.one.handled, Equals([1]))
+
+    def test_request_to_another_incarnation_is_refused(self):
+        other = mint_incarnation(self.one.address)
+        self.push_items(self.request(), target=other)
+        self.count("items_misdirected")
+        self.assertThat(self.one.handled, Equals([]))
+
+    def test_replies_that_nobody_waits_for_are_counted(self):
+        two = self.network("p2")
+        call = eventlet.spawn(self.one.call, two.incarnation, Slow(1, 0.5), timeout_s=5)
+        eventlet.sleep(0.2)
+        crossed = self.one._transport.types.encode(Echo(666))
+        refusal = Refusal(1, 1, RefusalReason.EXPIRED)
+        misdirected = Misdirected(two.incarnation, 1, 1)
+        self.push_items(Reply(1, crossed), refusal, misdirected)
+        # A call asked after may get its own reply twice, which is counted as well.
+        self.wait_for(lambda: self.one.counts().get("replies_late_or_repeated", 0) >= 2)
+        self.assertThat(self.count("frames_from_nobody"), Equals(1))
+        self.assertThat(call.wait(), Equals(Slow(1, 0.5)))
+        eventlet.sleep(0.2)
+        before = self.one.counts()["replies_late_or_repeated"]
+        body = self.one._transport.types.encode(Echo(1))
+        self.push_items(Reply(1, body), Reply(1, body), sender=two.incarnation)
+        self.wait_for(lambda: self.one.counts()["replies_late_or_repeated"] == before + 2)
--- /dev/null
+++ b/tests/peers/test_membership.py
@@ -0,0 +1,181 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+from testtools.matchers import Equals, Is
+
+from burdocklug.kernel import PeerSettings
+from burdocklug.peers import _membership as membership
+from burdocklug.peers._gossip import Entry, Heartbeat, make_digest, missing_in_digest
+from burdocklug.peers._membership import MemberTable, Status
+
+SETTINGS = PeerSettings(shared_key="0123456789abcdef")  # suspect after 2 s, dead after 5 s
+OWN, MATE, OTHER, FAR = (f"127.0.0.1:{port}~{port:016x}00000000" for port in (1, 2, 3, 4))
+
+
+def beat(table, incarnation, now_s, *, sequence, domain="perg", chosen=False):
+    heartbeat = Heartbeat(sequence, chosen, False, {})
+    return membership.note_heartbeat(
+        table, incarnation, heartbeat, now_s, name="p", failure_domain=domain
+    )[0]
+
+
+def table_with(*mates):
+    table = MemberTable(OWN, "perg")
+    for mate in mates:
+        beat(table, mate, 0.0, sequence=1)
+    beat(table, FAR, 0.0, sequence=1, domain="rohrbach")
+    membership.watch_only(table, {*mates, FAR}, 0.0)
+    return table
+
+
+def state(table, incarnation, now_s):
+    record = table.records[incarnation]
+    return str(membership.state_of(table, record, now_s, SETTINGS))
+
+
+class StateTest(TestCase):
+    def test_silence_makes_a_suspect_and_a_heartbeat_ends_it(self):
+        table = table_with(MATE)
+        self.assertThat(state(table, MATE, 1.9), Equals("alive"))
+        self.assertThat(state(table, MATE, 2.1), Equals("suspect"))
+        beat(table, MATE, 2.2, sequence=1)
+        self.assertThat(state(table, MATE, 2.3), Equals("suspect"))
+        beat(table, MATE, 2.4, sequence=2)
+        self.assertThat(state(table, MATE, 2.5), Equals("alive"))
+
+    def test_member_that_acknowledges_nothing_is_suspect(self):
+        table = table_with(MATE)
+        beat(table, MATE, 9.9, sequence=2)
+        table.records[MATE].unreached_s = 7.0
+        self.assertThat(state(table, MATE, 10.0), Equals("suspect"))
+
+    def test_unwatched_member_is_as_reachable_as_its_failure_domain(self):
+        table = table_with(MATE)
+        beat(table, OTHER, 0.0, sequence=1, domain="rohrbach")
+        self.assertThat(state(table, OTHER, 1.0), Equals("alive"))
+        self.assertThat(state(table, OTHER, 3.0), Equals("suspect"))
+
+    def test_the_dead_do_not_return(self):
+        table = table_with(MATE)
+        membership.mark_dead(table, table.records[MATE], 6.0)
+        beat(table, MATE, 7.0, sequence=99)
+        self.assertThat(state(table, MATE, 7.0), Equals("dead"))
+        self.assertThat(membership.forget(table, 607.0, SETTINGS), Equals(2))
+        self.assertThat(beat(table, MATE, 608.0, sequence=100), Is(None))
+        entry = Entry(MATE, "p", "perg", Status.ALIVE, None, 0.0)
+        self.assertThat(membership.join_entry(table, entry, 608.0), Is(None))
+
+    def test_unreachable_member_is_forgotten_and_may_come_back(self):
+        table = table_with(MATE)
+        self.assertThat(membership.forget(table, 601.0, SETTINGS), Equals(2))
+        self.assertThat(sorted(table.old_addresses), Equals(["127.0.0.1:2", "127.0.0.1:4"]))
+        beat(table, MATE, 602.0, sequence=9)
+        membership.watch_only(table, {MATE}, 602.0)
+        self.assertThat(state(table, MATE, 602.1), Equals("alive"))
+
+    def test_newer_incarnation_at_the_address_ends_the_older(self):
+        table = table_with(MATE)
+        newer = f"127.0.0.1:2~{99:016x}00000000"
+        record = beat(table, newer, 1.0, sequence=1)
+        ended = membership.replace_older(table, record, 1.0)
+        self.assertThat([r.incarnation for r in ended], Equals([MATE]))
+        self.assertThat(table.records[MATE].replaced, Is(True))
+
+    def test_own_pause_counts_as_no_silence(self):
+        table = table_with(MATE)
+        membership.shift_times(table, 60.0)
+        self.assertThat(state(table, MATE, 61.0), Equals("alive"))
+
+
+# Name, members of the own failure domain, confirming and denying voters, time, verdict.
+VERDICTS = [
+    ("no answer", 1, [], [], 6, False),
+    ("outside witness", 1, [FAR], [], 6, True),
+    ("too early", 1, [FAR], [], 4, False),
+    ("someone hears it", 2, [OTHER], [FAR], 6, False),
+    ("majority", 2, [OTHER], [], 6, True),
+    ("minority", 5, [OTHER, FAR], [], 6, False),
+]
+
+
+class VoteTest(TestCase):
+    def test_verdict(self):
+        more = [f"127.0.0.1:{port}~{port:016x}00000000" for port in range(10, 14)]
+        for name, mates, confirming, denying, now_s, expected in VERDICTS:
+            table = table_with(*[MATE, OTHER, *more][:mates])
+            record = table.records[MATE]
+            record.asked_s = now_s - 0.5
+            for voter in confirming:
+                membership.add_vote(table, MATE, voter, silent=True)
+            for voter in denying:
+                membership.add_vote(table, MATE, voter, silent=False)
+            verdict = membership.vote_is_dead(table, record, now_s, SETTINGS)
+            self.assertThat(verdict, Equals(expected), name)
+
+    def test_nobody_outside_declares_a_member_dead(self):
+        table = table_with(MATE)
+        record = table.records[FAR]
+        record.asked_s = 5.5
+        membership.add_vote(table, FAR, MATE, silent=True)
+        self.assertThat(membership.vote_is_dead(table, record, 6.0, SETTINGS), Is(False))
+
+
+ENTRIES = st.lists(
+    st.builds(
+        Entry,
+        st.sampled_from([MATE, OTHER, FAR]),
+        st.just("p"),
+        st.just("perg"),
+        st.sampled_from(Status),
+        st.none(),
+        st.floats(min_value=0, max_value=100),
+    ),
+    max_size=12,
+)
+
+
+def view(table):
+    return {r.incarnation: (r.status, r.evidence_s) for r in table.records.values()}
+
+
+class JoinTest(TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(ENTRIES, st.randoms(use_true_random=False))
+    def test_order_and_repetition_do_not_matter(self, entries, random):
+        one, two = MemberTable(OWN, "perg"), MemberTable(OWN, "perg")
+        for entry in entries:
+            membership.join_entry(one, entry, 100.0)
+        shuffled = entries + entries[:3]
+        random.shuffle(shuffled)
+        for entry in shuffled:
+            membership.join_entry(two, entry, 100.0)
+        self.assertThat(view(two), Equals(view(one)))
+
+    @settings(derandomize=True, deadline=None)
+    @given(ENTRIES, ENTRIES)
+    def test_digests_find_all_differences_and_only_these(self, mine, theirs):
+        one, two = MemberTable(OWN, "perg"), MemberTable("them", "perg")
+        for table, entries in ((one, mine), (two, theirs)):
+            for entry in entries:
+                membership.join_entry(table, entry, 100.0)
+        missing, lacking = missing_in_digest(
+            one, make_digest(two, 100.0, SETTINGS), 100.0, SETTINGS
+        )
+        status = {r.incarnation: r.status for r in two.records.values()}
+        expected = {
+            r.incarnation
+            for r in one.records.values()
+            if r.incarnation not in status or status[r.incarnation] < r.status
+        }
+        self.assertThat({r.incarnation for r in missing}, Equals(expected))
+        known = {r.incarnation: r.status for r in one.records.values()}
+        is_lacking = any(i not in known or known[i] < s for i, s in status.items())
+        self.assertThat(lacking, Equals(is_lacking))
+
+    def test_evidence_does_not_stay_young_between_two_processes(self):
+        one, two = table_with(FAR), table_with(FAR)
+        for tick in range(1, 1400):
+            now_s = tick / 2
+            for table, other in ((one, two), (two, one)):
+                missing_in_digest(table, make_digest(other, now_s, SETTINGS), now_s, SETTINGS)
+        self.assertThat(membership.forget(one, 699.5, SETTINGS), Equals(1))
