--- a/burdocklug/peers/_incarnation.py
+++ b/burdocklug/peers/_incarnation.py
@@ -1,5 +1,6 @@
 """Incarnation ids: one for each start of a process, with the address that it listens on."""
 
+import functools
 import re
 import secrets
 import time
@@ -7,6 +8,8 @@
 __all__ = ["address_of", "mint_incarnation", "started_ns"]
 
 _PATTERN = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})~([0-9a-f]{16})([0-9a-f]{8})")
+_CACHED_IDS = 4096
+_MAX_PORT = 65_535
 
 
 def mint_incarnation(address, *, start_ns=None):
@@ -28,6 +31,7 @@
     return f"{address}~{start_ns:016x}{secrets.token_hex(4)}"
 
 
+@functools.lru_cache(_CACHED_IDS)
 def address_of(incarnation):
     """Return the address inside an incarnation id, or None if it is malformed.
 
@@ -35,11 +39,15 @@
     --------
     >>> address_of("127.0.0.1:7000~00000000000000ff0123abcd")
     '127.0.0.1:7000'
-    >>> address_of("nobody") is None
-    True
+    >>> address_of("nobody") is None, address_of("127.0.0.1:70000~00000000000000ff0123abcd") is None
+    (True, True)
     """
     match = _PATTERN.fullmatch(incarnation)
-    return match[1] if match else None
+    if match is None:
+        return None
+    host, _, port = match[1].partition(":")
+    is_valid = int(port) <= _MAX_PORT and all(int(part) < 256 for part in host.split("."))
+    return match[1] if is_valid else None
 
 
 def started_ns(incarnation):
--- a/burdocklug/peers/_membership.py
+++ b/burdocklug/peers/_membership.py
@@ -22,6 +22,7 @@
     "make_member",
     "mark_dead",
     "note_heartbeat",
+    "reached_domains",
     "replace_older",
     "shift_times",
     "state_of",
@@ -33,6 +34,8 @@
 MAX_TOMBSTONES = 4096
 MAX_SUCCESSORS = 4096
 MAX_OLD_ADDRESSES = 64
+OLD_ADDRESS_KEEP_S = 6 * 3600.0
+GOSSIP_SLACK_S = 30.0  # for evidence to come round over other processes
 
 
 class Status(enum.IntEnum):
@@ -109,7 +112,7 @@
     successors : dict
         Successors by incarnation that left, oldest first.
     old_addresses : dict
-        Addresses of members that were forgotten without having ended.
+        Addresses of members that were forgotten without having ended, and when.
     """
 
     own: str
@@ -141,13 +144,29 @@
     return unreached is None or now_s - unreached <= settings.suspect_after_s
 
 
-def state_of(table, record, now_s, settings):
+def reached_domains(table, now_s, settings):
+    """Return for each failure domain with watched members whether one of them is reached."""
+    reached = {}
+    for record in table.records.values():
+        if record.watched_s is not None:
+            domain = record.failure_domain
+            reached[domain] = reached.get(domain) or _is_reached(record, now_s, settings)
+    return reached
+
+
+def state_of(table, record, now_s, settings, *, domains=None):
     """Return the state of a member as this process sees it.
 
+    Parameters
+    ----------
+    domains : dict, optional
+        Result of `reached_domains`, for callers that ask for many members.
+
     Notes
     -----
     A member that is not watched is as reachable as its failure domain: it is suspect while no
-    watched member of that failure domain is reached.
+    watched member of that failure domain is reached. Where none is watched, the age of what
+    others tell decides.
     """
     if record.status is Status.DEAD:
         return MemberState.DEAD
@@ -156,22 +175,20 @@
     if record.watched_s is not None:
         reached = _is_reached(record, now_s, settings)
     else:
-        reached = any(
-            _is_reached(other, now_s, settings)
-            for other in table.records.values()
-            if other.failure_domain == record.failure_domain and other.status is Status.ALIVE
-        )
+        domains = reached_domains(table, now_s, settings) if domains is None else domains
+        heard_of = now_s - record.evidence_s <= settings.dead_after_s + GOSSIP_SLACK_S
+        reached = domains.get(record.failure_domain, heard_of)
     return MemberState.ALIVE if reached else MemberState.SUSPECT
 
 
-def make_member(table, record, now_s, settings):
+def make_member(table, record, now_s, settings, *, domains=None):
     """Return the public view of a record."""
     return Member(
         record.incarnation,
         record.name,
         address_of(record.incarnation),
         record.failure_domain,
-        state_of(table, record, now_s, settings),
+        state_of(table, record, now_s, settings, domains=domains),
         record.successor,
         record.draining,
     )
@@ -333,7 +350,10 @@
         elif now_s - record.evidence_s > limit_s:
             dropped.append(record)
             address = address_of(record.incarnation)
-            _put_bounded(table.old_addresses, address, None, MAX_OLD_ADDRESSES)
+            _put_bounded(table.old_addresses, address, now_s, MAX_OLD_ADDRESSES)
+    for address, since_s in list(table.old_addresses.items()):
+        if now_s - since_s > OLD_ADDRESS_KEEP_S:
+            del table.old_addresses[address]
     for record in dropped:
         del table.records[record.incarnation]
     return len(dropped)
--- a/burdocklug/peers/_membership_service.py
+++ b/burdocklug/peers/_membership_service.py
@@ -270,12 +270,11 @@
 
     def _consume_parts(self, record, parts, now):
         member = membership.make_member(self.table, record, now, self._settings)
-        for name, value in parts.items():
-            if name in self.parts:
-                try:
-                    self.parts[name][1](member, msgspec.msgpack.decode(value))
-                except Exception:
-                    log.exception("heartbeat_part_failed", part=name, sender=record.incarnation)
+        for name in parts.keys() & self.parts.keys():
+            try:
+                self.parts[name][1](member, msgspec.msgpack.decode(parts[name]))
+            except Exception:
+                log.exception("heartbeat_part_failed", part=name, sender=record.incarnation)
 
     def _on_hello(self, sender, hello):
         record = self._on_heartbeat(sender, hello.heartbeat)
--- a/burdocklug/peers/_network.py
+++ b/burdocklug/peers/_network.py
@@ -148,8 +148,9 @@
     def members(self):
         """Return a list of the known members, without this process."""
         table, now = self._membership.table, self._timers.now()
+        domains = membership.reached_domains(table, now, self.settings)
         return [
-            membership.make_member(table, record, now, self.settings)
+            membership.make_member(table, record, now, self.settings, domains=domains)
             for record in table.records.values()
         ]
 
--- a/burdocklug/peers/_sockets.py
+++ b/burdocklug/peers/_sockets.py
@@ -8,6 +8,7 @@
 
 import eventlet
 import pynng
+import structlog
 from eventlet import patcher
 from eventlet.green import socket as green_socket
 from eventlet.hubs import trampoline
@@ -21,6 +22,10 @@
 FRAMES_PER_TURN = 64  # frames read before other greenlets run
 NNG_THREADS = {1: 2, 2: 1, 3: 1, 4: 1}  # nng_init_parameter: task, expire, poller, resolver
 
+RECV_FLAGS = pynng.lib.NNG_FLAG_ALLOC | pynng.lib.NNG_FLAG_NONBLOCK
+
+log = structlog.get_logger(__name__)
+
 _threading = patcher.original("threading")
 
 
@@ -65,23 +70,35 @@
             raise
         self._fd = self._sock.recv_fd
         self._handle = handle
+        self._data = pynng.ffi.new("char **")
+        self._size = pynng.ffi.new("size_t *")
         self._reader = eventlet.spawn(self._read)
 
     def _read(self):
         count = 0
         while True:
-            try:
-                frame = self._sock.recv(block=False)
-            except pynng.TryAgain:
+            frame = self._try_recv()
+            if frame is None:
                 trampoline(self._fd, read=True)
                 continue
-            except pynng.Closed:
-                return
-            self._handle(frame)
+            try:
+                self._handle(frame)
+            except Exception:
+                log.exception("peer_frame_failed")
             count += 1
             if count % FRAMES_PER_TURN == 0:
                 eventlet.sleep(0)
 
+    def _try_recv(self):
+        # pynng's own recv raises where there is no frame, which costs more than the call.
+        lib, ffi = pynng.lib, pynng.ffi
+        code = lib.nng_recv(self._sock.socket, self._data, self._size, RECV_FLAGS)
+        if code != 0:
+            return None
+        frame = ffi.unpack(self._data[0], self._size[0])
+        lib.nng_free(self._data[0], self._size[0])
+        return frame
+
     def close(self):
         """Stop reading and close the socket."""
         self._reader.kill()
@@ -108,7 +125,7 @@
         """Hand a frame to nng; return False, with nothing handed over, if it takes none now."""
         try:
             self._sock.send(frame, block=False)
-        except pynng.TryAgain:
+        except pynng.NNGException:
             return False
         return True
 
--- a/burdocklug/peers/_topology.py
+++ b/burdocklug/peers/_topology.py
@@ -8,14 +8,15 @@
 
 
 def rendezvous_weight(one, other):
-    """Return the weight of a pair of ids; higher is preferred.
+    """Return the weight of a pair of ids, in either order; higher is preferred.
 
     Examples
     --------
-    >>> rendezvous_weight("a", "b") == rendezvous_weight("a", "b")
+    >>> rendezvous_weight("a", "b") == rendezvous_weight("b", "a")
     True
     """
-    digest = hashlib.blake2b(f"{one}|{other}".encode(), digest_size=WEIGHT_BYTES).digest()
+    low, high = sorted((one, other))
+    digest = hashlib.blake2b(f"{low}|{high}".encode(), digest_size=WEIGHT_BYTES).digest()
     return int.from_bytes(digest)
 
 
@@ -36,7 +37,8 @@
     Returns
     -------
     set of str
-        At most `count` incarnations.
+        One incarnation of each other failure domain, of at most `count` of them. Half of
+        `count` are chosen where there are fewer failure domains.
 
     Notes
     -----
@@ -44,7 +46,8 @@
     begin at different places of the turn, by their rank, so that together they cover all other
     failure domains as long as they have as many links as there are failure domains. Inside a
     failure domain the member with the highest rendezvous weight comes first, so that a change
-    of one member moves few links.
+    of one member moves few links. The weight of a pair is the same for both, so that many
+    links are chosen from both ends and serve for both.
 
     Examples
     --------
@@ -61,13 +64,14 @@
     mates = [incarnation for incarnation, domain in members.items() if domain == own_domain]
     rank = sum(mate < own for mate in mates)
     domains = sorted(by_domain)
-    start = rank * count % len(domains)
+    wanted = max(min(count, len(domains)), (count + 1) // 2)
+    start = rank * wanted % len(domains)
     domains = domains[start:] + domains[:start]
     for ranked in by_domain.values():
         ranked.sort(key=lambda incarnation: (rendezvous_weight(own, incarnation), incarnation))
     chosen = set()
-    while len(chosen) < count and any(by_domain.values()):
+    while len(chosen) < wanted and any(by_domain.values()):
         for domain in domains:
-            if by_domain[domain] and len(chosen) < count:
+            if by_domain[domain] and len(chosen) < wanted:
                 chosen.add(by_domain[domain].pop())
     return chosen
