--- a/burdocklug/peers/_channel.py
+++ b/burdocklug/peers/_channel.py
@@ -89,8 +89,8 @@
 
     Parameters
     ----------
-    incarnation : str
-        The peer.
+    incarnation, name, failure_domain : str
+        The peer; name and failure domain are empty until it was heard.
     link : Link
         Outgoing link.
     calls : dict
@@ -105,9 +105,13 @@
         Whether frames with items arrived since the last frame was sent.
     refusals : int
         Refused connections since the last frame arrived.
+    heartbeat : Outgoing or None
+        The heartbeat that was queued last.
     """
 
     incarnation: str
+    name: str = ""
+    failure_domain: str = ""
     link: object = None
     calls: dict = field(default_factory=dict)
     window: RequestWindow = field(default_factory=RequestWindow)
@@ -116,6 +120,7 @@
     heard_s: float | None = None
     owes_acknowledgement: bool = False
     refusals: int = 0
+    heartbeat: object = None
     next_correlation: int = 1
 
     @property
@@ -125,6 +130,8 @@
 
     def note_frame(self, envelope, now_s):
         """Take in sequence, acknowledgement, mark and time of a received envelope."""
+        self.name = envelope.name
+        self.failure_domain = envelope.failure_domain
         self.heard_s = now_s
         self.refusals = 0
         self.clock.observe(sent_s=envelope.sent_s, now_s=now_s)
--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -17,12 +17,13 @@
 MAX_BATCH_BYTES = 262_144  # a frame takes further items up to this size
 MAX_QUEUED_BYTES = 4 * MAX_MESSAGE_BYTES
 CONNECT_GRACE_S = 0.05  # before the address is probed
+MAX_PATIENCE_S = 1.0  # between probes
 PROBE_TIMEOUT_S = 0.5
 
 
 @dataclass(slots=True, eq=False)
 class Outgoing:
-    """One queued item; `on_handed` is called when its frame was handed to nng.
+    """One queued item.
 
     Parameters
     ----------
@@ -31,15 +32,20 @@
     size : int
         Bytes of its body.
     on_handed : callable, optional
-        Takes the link's generation and the frame's sequence.
+        Called once its frame was handed to nng.
     on_dropped : callable, optional
         Takes the reason, when the item leaves the queue undelivered.
+    expires_s : float, optional
+        Time after which the item is dropped if it is still in the queue.
+    withdrawn : bool
+        Set to keep the item from being sent.
     """
 
     item: object
     size: int
     on_handed: object = None
     on_dropped: object = None
+    expires_s: float | None = None
     withdrawn: bool = False
 
 
@@ -73,7 +79,9 @@
     Notes
     -----
     `wanted` is the last sequence that the peer has to acknowledge, `acknowledged` the highest
-    that it did; `unacknowledged_since_s` is the time from which it has been silent about it.
+    that it did. `unacknowledged_since_s` is the time from which it has been silent about that
+    on the present connection, `unreached_since_s` the same over all connections, and
+    `untaken_since_s` the time from which the connection has not taken a waiting frame.
     """
 
     address: str
@@ -85,8 +93,11 @@
     acknowledged: int = 0
     wanted: int = 0
     unacknowledged_since_s: float | None = None
-    last_sent_s: float | None = None
+    unreached_since_s: float | None = None
+    untaken_since_s: float | None = None
+    last_sent_s: float = 0.0
     traffic: LinkTraffic = field(default_factory=LinkTraffic)
+    _patience_s: float = CONNECT_GRACE_S
     _queue: collections.deque = field(default_factory=collections.deque)
     _queued_bytes: int = 0
     _dialer: PushDialer | None = None
@@ -98,6 +109,11 @@
         """Whether there is a socket."""
         return self._dialer is not None
 
+    @property
+    def is_acknowledged(self):
+        """Whether the queue is empty and the peer has acknowledged all that was sent."""
+        return not self._queue and self.acknowledged >= self.wanted
+
     @property
     def queued(self):
         """Number of items in the queue."""
@@ -133,25 +149,34 @@
         if self._dialer.try_send(frame):
             self._commit(batch, len(frame))
             return
+        if self.untaken_since_s is None:
+            self.untaken_since_s = self.now()
         try:
-            self._dialer.wait_writable(CONNECT_GRACE_S)
+            self._dialer.wait_writable(self._patience_s)
         except NotWritable:
+            self._patience_s = min(2 * self._patience_s, MAX_PATIENCE_S)
             self._probe()
 
     def _next_batch(self):
+        now = self.now()
+        while self._queue and self._is_void(self._queue[0], now):
+            self._queued_bytes -= self._queue.popleft().size
         batch, size = [], 0
         for outgoing in self._queue:
-            if outgoing.withdrawn:
+            if self._is_void(outgoing, now):
                 continue
             if batch and size + outgoing.size > MAX_BATCH_BYTES:
                 break
             batch.append(outgoing)
             size += outgoing.size
-        if not batch:
-            self._queue.clear()
-            self._queued_bytes = 0
         return batch
 
+    def _is_void(self, outgoing, now):
+        if not outgoing.withdrawn and outgoing.expires_s is not None and outgoing.expires_s < now:
+            outgoing.withdrawn = True
+            self.traffic.dropped += 1
+        return outgoing.withdrawn
+
     def _commit(self, batch, frame_bytes):
         last = batch[-1]
         while True:
@@ -161,16 +186,20 @@
                 break
         self.sequence += 1
         self.last_sent_s = self.now()
+        self.untaken_since_s = None
+        self._patience_s = CONNECT_GRACE_S
         if any(outgoing.item is not None for outgoing in batch):
             self.wanted = self.sequence
             if self.unacknowledged_since_s is None:
                 self.unacknowledged_since_s = self.last_sent_s
+            if self.unreached_since_s is None:
+                self.unreached_since_s = self.last_sent_s
         self.traffic.frames += 1
         self.traffic.items += len(batch)
         self.traffic.bytes += frame_bytes
         for outgoing in batch:
             if outgoing.on_handed is not None:
-                outgoing.on_handed(self.generation, self.sequence)
+                outgoing.on_handed()
 
     def _dial(self):
         self.generation += 1
@@ -200,8 +229,30 @@
         if not self.acknowledged < seen <= self.sequence:
             return
         self.acknowledged = seen
+        waiting = seen < self.wanted
+        self.unreached_since_s = self.now() if waiting else None
+        if self.unacknowledged_since_s is not None:
+            self.unacknowledged_since_s = self.now() if waiting else None
+
+    def is_silent(self, now_s, *, after_s):
+        """Return whether the connection took or acknowledged nothing for `after_s` seconds."""
+        return any(
+            since_s is not None and now_s - since_s > after_s
+            for since_s in (self.unacknowledged_since_s, self.untaken_since_s)
+        )
+
+    def is_idle(self, now_s, *, after_s):
+        """Return whether an open link has sent nothing for `after_s` seconds."""
+        return self.is_open and not self._queue and now_s - self.last_sent_s > after_s
+
+    def forgive_pause(self, paused_s):
+        """Leave out of the silence a time in which this process was paused."""
         if self.unacknowledged_since_s is not None:
-            self.unacknowledged_since_s = None if seen >= self.wanted else self.now()
+            self.unacknowledged_since_s += paused_s
+        if self.unreached_since_s is not None:
+            self.unreached_since_s += paused_s
+        if self.untaken_since_s is not None:
+            self.untaken_since_s += paused_s
 
     def redial(self):
         """Close the socket, so that what follows goes out on a new connection."""
@@ -209,11 +260,11 @@
         if writer is not None:
             writer.kill()
         self._hang_up()
-        self.unacknowledged_since_s = None
         if self._queue:
             self._writer = eventlet.spawn(self._drain)
 
     def _hang_up(self):
+        self.unacknowledged_since_s = self.untaken_since_s = None
         dialer, self._dialer = self._dialer, None
         if dialer is not None:
             dialer.close()
