Tickets: idle connections are dropped with a silent call; one look at the members per tick

Cause: giving up a silent watch kept the client's idle connections of the same age, so the next call could land on another silent one; the store's close() drops them.

--- a/burdocklug/tickets/_decisions.py
+++ b/burdocklug/tickets/_decisions.py
@@ -15,6 +15,7 @@
     "TICK_S",
     "WATCH_TIMEOUT_S",
     "FollowState",
+    "Role",
     "StoreAction",
     "choose_watcher",
     "is_fresh",
@@ -26,10 +27,10 @@
     "record_failure",
 ]
 
-TICK_S = 0.25
+TICK_S = 0.5
 WATCH_TIMEOUT_S = 2.5
 POLL_TIMEOUT_S = 2.0
-CALL_MARGIN_S = 1.0  # past its timeout, after which an unanswered call counts as silent
+CALL_MARGIN_S = 2.5  # past its timeout, after which an unanswered call counts as silent
 NEWS_GAP_S = 2.0  # pause after news, so that tickets in quick succession share one read
 FRESH_S = 5.5  # age of a failure domain's last store answer over which others poll
 POLL_JITTER_S = 1.0
@@ -46,6 +47,22 @@
     POLL = "poll"
 
 
+@dataclass(frozen=True, slots=True)
+class Role:
+    """What a process has to do for its failure domain.
+
+    Parameters
+    ----------
+    watcher : bool
+        Whether it watches the store.
+    fresh : bool
+        Whether any process of the failure domain had an answer from the store lately.
+    """
+
+    watcher: bool
+    fresh: bool
+
+
 @dataclass(slots=True)
 class FollowState:
     """What a process knows of its own calls to the store; times in seconds.
@@ -86,26 +103,23 @@
     ]
 
 
-def choose_watcher(own_incarnation, failure_domain, members):
+def choose_watcher(own_incarnation, domain_members):
     """Return which incarnation watches the store for a failure domain.
 
     Parameters
     ----------
     own_incarnation : str
         This process, a member of the failure domain.
-    failure_domain : str
-        The failure domain.
-    members : list of Member
-        All other known members.
+    domain_members : list of Member
+        The other live members of the failure domain.
 
     Returns
     -------
     str
-        The lowest live incarnation. A hint: two processes with other views may both watch, which
+        The lowest incarnation. A hint: two processes with other views may both watch, which
         costs calls and nothing else.
     """
-    peers = [member.incarnation for member in live_members(members, failure_domain)]
-    return min([own_incarnation, *peers])
+    return min([own_incarnation, *(member.incarnation for member in domain_members)])
 
 
 def push_targets(failure_domain, members, *, across):
@@ -144,7 +158,7 @@
     return any(contact is not None and now_s - contact <= FRESH_S for contact in contacts_s)
 
 
-def next_action(state, now_s, *, watcher, fresh, jitter):
+def next_action(state, now_s, role, *, jitter):
     """Return what to ask the store now.
 
     Parameters
@@ -153,10 +167,8 @@
         Changed only by the delay with which several processes start to poll.
     now_s : float
         The time.
-    watcher : bool
-        Whether this process watches for its failure domain.
-    fresh : bool
-        Whether the failure domain had a recent store answer.
+    role : Role
+        That of this process.
     jitter : float
         A random number from 0 to 1.
 
@@ -165,14 +177,14 @@
     StoreAction
         NONE while a call is open or delayed.
     """
-    if not fresh and not state.stale and not watcher:
+    if not role.fresh and not state.stale and not role.watcher:
         state.not_before_s = max(state.not_before_s, now_s + jitter * POLL_JITTER_S)
-    state.stale = not fresh
+    state.stale = not role.fresh
     if state.deadline_s is not None or now_s < state.not_before_s:
         return StoreAction.NONE
-    if watcher:
+    if role.watcher:
         return StoreAction.POLL if now_s >= state.safety_due_s else StoreAction.WATCH
-    return StoreAction.NONE if fresh else StoreAction.POLL
+    return StoreAction.NONE if role.fresh else StoreAction.POLL
 
 
 def record_call(state, now_s, timeout_s):
--- a/burdocklug/tickets/_exchange.py
+++ b/burdocklug/tickets/_exchange.py
@@ -7,7 +7,7 @@
 
 from burdocklug.kernel import BurdocklugError
 from burdocklug.tickets._codec import value_digest
-from burdocklug.tickets._decisions import live_members, push_targets
+from burdocklug.tickets._decisions import push_targets
 from burdocklug.tickets._delta import (
     apply_delta,
     changes_since,
@@ -129,9 +129,9 @@
             self.counters.pushes_sent += 1
             self._network.send(incarnation, message)
 
-    def contacts_s(self):
-        """Yield the time of the last store answer of each live peer of the failure domain."""
-        for member in live_members(self._network.members(), self._failure_domain):
+    def contacts_s(self, members):
+        """Yield the time of each member's last store answer, where a heartbeat told it."""
+        for member in members:
             report = self.reports.get(member.incarnation)
             if report is not None:
                 yield report.contact_s
--- a/burdocklug/tickets/_follow.py
+++ b/burdocklug/tickets/_follow.py
@@ -49,8 +49,8 @@
         Source of jitter.
     on_entry : callable
         Takes each Entry; an entry may be older than one before it.
-    is_watcher, is_fresh : callable
-        Whether this process watches, and whether its failure domain heard from the store lately.
+    role : callable
+        Returns a `Role`.
 
     Notes
     -----
@@ -58,7 +58,7 @@
     connection can go silent for good. An answer that comes after that is still used.
     """
 
-    def __init__(self, store, timers, *, loop, rng, on_entry, is_watcher, is_fresh):
+    def __init__(self, store, timers, *, loop, rng, on_entry, role):
         self.state = FollowState()
         self.counters = FollowCounters()
         self._store = store
@@ -66,8 +66,7 @@
         self._loop = loop
         self._rng = rng
         self._on_entry = on_entry
-        self._is_watcher = is_watcher
-        self._is_fresh = is_fresh
+        self._role = role
         self._generation = 0
         self._call = None
         self._tick = None
@@ -86,22 +85,22 @@
     def tick(self):
         """Give up a silent call and begin the one that is due."""
         now_s = self._timers.now()
-        state = self.state
-        if state.deadline_s is not None and now_s >= state.deadline_s:
-            self.counters.silent += 1
-            self._end_call()
-            record_failure(state, now_s, jitter=self._rng.random())
-            log.warning("store_call_silent", key=CONFIGURATION_KEY, failures=state.failures)
-        action = next_action(
-            state,
-            now_s,
-            watcher=self._is_watcher(),
-            fresh=self._is_fresh(),
-            jitter=self._rng.random(),
-        )
+        if self.state.deadline_s is not None:
+            if now_s < self.state.deadline_s:
+                return
+            self._give_up(now_s)
+        action = next_action(self.state, now_s, self._role(), jitter=self._rng.random())
         if action is not StoreAction.NONE:
             self._begin(action, now_s)
 
+    def _give_up(self, now_s):
+        self.counters.silent += 1
+        self._end_call()
+        # Idle connections of the same age may have gone silent too.
+        self._store.close()
+        record_failure(self.state, now_s, jitter=self._rng.random())
+        log.warning("store_call_silent", key=CONFIGURATION_KEY, failures=self.state.failures)
+
     def _begin(self, action, now_s):
         watch = action is StoreAction.WATCH
         record_call(self.state, now_s, WATCH_TIMEOUT_S if watch else POLL_TIMEOUT_S)
--- a/burdocklug/tickets/_spread.py
+++ b/burdocklug/tickets/_spread.py
@@ -16,7 +16,7 @@
 import structlog
 
 from burdocklug.tickets._codec import ValueUnreadable, decode_value
-from burdocklug.tickets._decisions import choose_watcher, is_fresh
+from burdocklug.tickets._decisions import Role, choose_watcher, is_fresh, live_members
 from burdocklug.tickets._exchange import PeerExchange
 from burdocklug.tickets._follow import StoreFollower
 from burdocklug.tickets._loop import eventlet_loop
@@ -69,8 +69,7 @@
             loop=loop,
             rng=rng or random.Random(),
             on_entry=self._on_entry,
-            is_watcher=self.is_watcher,
-            is_fresh=self._is_fresh,
+            role=self.role,
         )
 
     def start(self):
@@ -82,10 +81,15 @@
         """Make no further call."""
         self.follower.stop()
 
-    def is_watcher(self):
-        """Return whether this process watches the store for its failure domain."""
-        own = self._network.incarnation
-        return choose_watcher(own, self.failure_domain, self._network.members()) == own
+    def role(self):
+        """Return what this process has to do now for its failure domain."""
+        members = live_members(self._network.members(), self.failure_domain)
+        watcher = choose_watcher(self._network.incarnation, members)
+        contacts_s = [self._own_contact_s(), *self.exchange.contacts_s(members)]
+        return Role(
+            watcher=watcher == self._network.incarnation,
+            fresh=is_fresh(self._timers.now(), contacts_s),
+        )
 
     def publish(self, value):
         """Put an accepted value in force here at once and push it to peers everywhere."""
@@ -106,10 +110,6 @@
         state = self.follower.state
         return None if state.failures else state.contact_s
 
-    def _is_fresh(self):
-        contacts_s = [self._own_contact_s(), *self.exchange.contacts_s()]
-        return is_fresh(self._timers.now(), contacts_s)
-
     def dump(self):
         """Return the state as plain data for the state dump."""
         state, counters = self.follower.state, self.follower.counters
@@ -117,7 +117,7 @@
         return {
             "digest": self.configuration.digest.hex(),
             "highest": self.configuration.value.highest_number(),
-            "watcher": self.is_watcher(),
+            "watcher": self.role().watcher,
             "store_version": state.version,
             "store_failures": state.failures,
             "store_contact_s": state.contact_s,
--- a/tests/tickets/simulation.py
+++ b/tests/tickets/simulation.py
@@ -174,6 +174,9 @@
             self._pause(end_s - self.store.sim.now_s, until_write=True)
         return self.store.sim.block()
 
+    def close(self):
+        pass
+
     def _begin(self, purpose, uncertain=False):
         self.store.calls[purpose] += 1
         if self.store.down:
