--- a/burdocklug/tickets/_exchange.py
+++ b/burdocklug/tickets/_exchange.py
@@ -6,13 +6,18 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError
-from burdocklug.tickets._codec import decode_value, encode_value, value_digest
-from burdocklug.tickets._decisions import live_members, push_targets
-from burdocklug.tickets._merge import ConfigValue, join
+from burdocklug.tickets._codec import value_digest
+from burdocklug.tickets._decisions import push_targets
+from burdocklug.tickets._delta import (
+    apply_delta,
+    changes_since,
+    decode_delta,
+    encode_delta,
+    known_versions,
+    newer_than,
+)
 from burdocklug.tickets._messages import (
-    KNOWN_DIGEST_BYTES,
     HeartbeatPart,
-    KnownVersion,
     TicketDelta,
     TicketFetch,
     TicketProbe,
@@ -20,7 +25,7 @@
     TicketPush,
 )
 
-__all__ = ["ExchangeCounters", "PeerExchange", "changes_since", "newer_than", "probe"]
+__all__ = ["ExchangeCounters", "PeerExchange", "probe"]
 
 FETCH_TIMEOUT_S = 1.5
 MAX_COVERED_DIGESTS = 256
@@ -52,45 +57,6 @@
         return None if age_s is None else self.seen_s - age_s
 
 
-def changes_since(value, before):
-    """Return the part of a value that `before` lacks.
-
-    Parameters
-    ----------
-    value, before : ConfigValue
-        Two values, the second at or under the first.
-
-    Returns
-    -------
-    ConfigValue
-        Joined with `before`, it gives the same objects as `value`.
-    """
-    changed = {n: v for n, v in value.objects.items() if before.objects.get(n) != v}
-    return ConfigValue(changed, {}, value.floor)
-
-
-def newer_than(value, known):
-    """Return the part of a value that the holder of the known versions lacks.
-
-    Parameters
-    ----------
-    value : ConfigValue
-        The value.
-    known : iterable of KnownVersion
-        Versions that the other process holds.
-    """
-    held = {version.name: version for version in known}
-
-    def lacks(name, version):
-        other = held.get(name)
-        if other is None or other.number != version.number:
-            return other is None or other.number < version.number
-        return other.digest != version.digest[:KNOWN_DIGEST_BYTES]
-
-    objects = {name: v for name, v in value.objects.items() if lacks(name, v)}
-    return ConfigValue(objects, {}, value.floor)
-
-
 class PeerExchange:
     """Keeps this process's configuration at or over that of every reachable peer.
 
@@ -155,18 +121,17 @@
             Whether to reach other failure domains too.
         """
         value = self._cfg.value
-        delta = changes_since(value, before)
-        if not delta.objects and value.floor == before.floor:
+        if value.objects == before.objects and value.floor == before.floor:
             return
-        message = TicketPush(self._cfg.digest, encode_value(delta))
+        message = TicketPush(self._cfg.digest, encode_delta(changes_since(value, before)))
         targets = push_targets(self._failure_domain, self._network.members(), across=across)
         for incarnation in targets:
             self.counters.pushes_sent += 1
             self._network.send(incarnation, message)
 
-    def contacts_s(self):
-        """Yield the time of the last store answer of each live peer of the failure domain."""
-        for member in live_members(self._network.members(), self._failure_domain):
+    def contacts_s(self, members):
+        """Yield the time of each member's last store answer, where a heartbeat told it."""
+        for member in members:
             report = self.reports.get(member.incarnation)
             if report is not None:
                 yield report.contact_s
@@ -204,12 +169,14 @@
 
     def _fetch(self, incarnation, digest):
         self.counters.fetches += 1
-        objects = self._cfg.value.objects.items()
-        known = [KnownVersion(n, v.number, v.digest[:KNOWN_DIGEST_BYTES]) for n, v in objects]
+        before = self._cfg.value
+        message = TicketFetch(known_versions(before))
         try:
-            reply = self._network.call(incarnation, TicketFetch(known), timeout_s=FETCH_TIMEOUT_S)
-            self.adopt(decode_value(reply.value))
-            self._cover(reply.digest)
+            reply = self._network.call(incarnation, message, timeout_s=FETCH_TIMEOUT_S)
+            unchanged = self._cfg.value is before
+            self.adopt(apply_delta(self._cfg.value, decode_delta(reply.delta)))
+            if unchanged:
+                self._cover(reply.digest)
         except BurdocklugError as exc:
             self.counters.fetches_failed += 1
             log.info("ticket_fetch_failed", peer=incarnation, fault=exc.message)
@@ -217,13 +184,13 @@
             self._fetching.discard(digest)
 
     def _on_fetch(self, _sender, message):
-        value = newer_than(self._cfg.value, message.known)
-        return TicketDelta(self._cfg.digest, encode_value(value))
+        delta = newer_than(self._cfg.value, message.known)
+        return TicketDelta(self._cfg.digest, encode_delta(delta))
 
     def _on_push(self, sender, message):
         if message.digest in self._covered:
             return
-        joined = join(self._cfg.value, decode_value(message.value))
+        joined = apply_delta(self._cfg.value, decode_delta(message.delta))
         if value_digest(joined) != message.digest:
             self._fetch_if_unknown(sender, message.digest)
             return
--- a/burdocklug/tickets/_messages.py
+++ b/burdocklug/tickets/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 __all__ = [
+    "EncodedDelta",
     "HeartbeatPart",
     "KnownVersion",
     "TicketDelta",
@@ -12,8 +13,6 @@
     "TicketPush",
 ]
 
-KNOWN_DIGEST_BYTES = 4
-
 
 class HeartbeatPart(msgspec.Struct, array_like=True, frozen=True):
     """What a heartbeat says of the sender's configuration.
@@ -42,11 +41,18 @@
     digest: bytes
 
 
+class EncodedDelta(msgspec.Struct, array_like=True, frozen=True):
+    """Newer objects and the floor as an encoded value, and the names of removed objects."""
+
+    value: bytes
+    removed: list[str]
+
+
 class TicketPush(msgspec.Struct, array_like=True, tag="ticket_push", frozen=True):
-    """Changed objects; who joins them and reaches `digest` holds all that the sender holds."""
+    """A change; who applies it and reaches `digest` holds all that the sender holds."""
 
     digest: bytes
-    value: bytes
+    delta: EncodedDelta
 
 
 class TicketFetch(msgspec.Struct, array_like=True, tag="ticket_fetch", frozen=True):
@@ -56,10 +62,10 @@
 
 
 class TicketDelta(msgspec.Struct, array_like=True, tag="ticket_delta", frozen=True):
-    """Reply to `TicketFetch`: the newer objects and the digest of the sender's whole value."""
+    """Reply to `TicketFetch`: what is newer, and the digest of the sender's whole value."""
 
     digest: bytes
-    value: bytes
+    delta: EncodedDelta
 
 
 class TicketProbe(msgspec.Struct, array_like=True, tag="ticket_probe", frozen=True):
