Peers: heartbeats at multiples of the wall clock's period

Cause: each heartbeat woke the process by itself, with cold caches; the work per frame in a busy process is a third of that.

--- a/burdocklug/peers/_network.py
+++ b/burdocklug/peers/_network.py
@@ -1,5 +1,7 @@
 """The network of one process: messages to its peers and membership."""
 
+import time
+
 import eventlet
 
 from burdocklug.peers import _membership as membership
@@ -16,6 +18,23 @@
 SENT = frozenset({"frames", "items", "bytes"})  # the other counts of traffic are of links
 
 
+def delay_to_tick(wall_s, period_s):
+    """Return the seconds until the next heartbeat.
+
+    Heartbeats are sent at multiples of the period of the wall clock. Where clocks are set alike,
+    those of all peers arrive together, and one wake-up of the process serves them all.
+
+    Examples
+    --------
+    >>> delay_to_tick(100.1, 0.5), delay_to_tick(100.45, 0.5)
+    (0.4, 0.55)
+    """
+    remaining_s = period_s - wall_s % period_s
+    if remaining_s < period_s / 4:
+        remaining_s += period_s
+    return round(remaining_s, 6)
+
+
 class PeerNetwork:
     """Messages between this process and its peers, and the members of the fleet.
 
@@ -31,6 +50,8 @@
         Source of time; its `serve` must run for heartbeats to go out.
     listen_address : str, optional
         Where to listen, if it differs from `address`.
+    wall_now : callable, optional
+        Returns seconds since the epoch; only aligns heartbeats.
 
     Attributes
     ----------
@@ -38,7 +59,17 @@
         Id of this start of the process.
     """
 
-    def __init__(self, name, failure_domain, address, settings, timers, *, listen_address=None):
+    def __init__(
+        self,
+        name,
+        failure_domain,
+        address,
+        settings,
+        timers,
+        *,
+        listen_address=None,
+        wall_now=time.time,
+    ):
         self.name = name
         self.failure_domain = failure_domain
         self.address = address
@@ -46,6 +77,7 @@
         self.incarnation = mint_incarnation(address)
         self._listen_address = listen_address or address
         self._timers = timers
+        self._wall_now = wall_now
         self._subscription = None
         self._transport = Transport(
             Identity(self.incarnation, name, failure_domain),
@@ -66,7 +98,11 @@
     def start(self):
         """Listen, and begin to send heartbeats."""
         self._receiver.listen(self._listen_address)
-        self._subscription = self._timers.every(self.settings.heartbeat_s, self._membership.tick)
+        self._tick()
+
+    def _tick(self):
+        delay_s = delay_to_tick(self._wall_now(), self.settings.heartbeat_s)
+        self._subscription = self._timers.after(delay_s, self._tick)
         self._membership.tick()
 
     def stop(self):
--- a/burdocklug/peers/_sockets.py
+++ b/burdocklug/peers/_sockets.py
@@ -19,7 +19,7 @@
 
 RECONNECT_MIN_MS = 50
 RECONNECT_MAX_MS = 1000
-FRAMES_PER_TURN = 64  # frames read before other greenlets run
+FRAMES_PER_TURN = 16  # frames read before other greenlets run
 NNG_THREADS = {1: 2, 2: 1, 3: 1, 4: 1}  # nng_init_parameter: task, expire, poller, resolver
 
 RECV_FLAGS = pynng.lib.NNG_FLAG_ALLOC | pynng.lib.NNG_FLAG_NONBLOCK
