--- a/burdocklug/routing/__init__.py
+++ b/burdocklug/routing/__init__.py
@@ -26,7 +26,7 @@
     RouteMember,
     SlotLease,
     WeightPolicy,
-    choose_allocator,
+    choose_allocators,
 )
 from burdocklug.routing._router import TICK_S, ServiceRouter
 
@@ -52,5 +52,5 @@
     "TICK_S",
     "WEIGHTS",
     "WeightPolicy",
-    "choose_allocator",
+    "choose_allocators",
 ]
--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -11,16 +11,16 @@
     SlotRecall,
     SlotRenewal,
 )
-from burdocklug.routing._models import Outgoing
+from burdocklug.routing._models import WEIGHTS, Outgoing
 
 __all__ = ["LEASE_TERM_S", "SlotAllocator"]
 
 LEASE_TERM_S = 10.0
 TAKE_OVER_S = 0.5  # holders report their leases meanwhile
-DEMAND_TERM_S = 3.0
+DEMAND_TERM_S = 5.0
 LOST_GRANT_S = 1.0  # a report without a lease older than this means that its grant was lost
 FULL_PAUSE_S = 0.25
-RECALL_PAUSE_S = 0.02
+RECALL_PAUSE_S = 0.05
 RECALL_TERM_S = 2.0
 ID_BITS = 24  # room for the leases of one incarnation; the higher bits name the incarnation
 
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class _Recall:
-    idle_s: float = -math.inf  # time of the last recall
+    sent_s: float = -math.inf
     owed: int = 0
 
 
@@ -61,6 +61,8 @@
         Name of the service.
     incarnation : str
         This process; it makes lease ids unique.
+    weight : str
+        The service's weight, a key of `WEIGHTS`.
 
     Examples
     --------
@@ -73,8 +75,9 @@
     ('p2', 2, 1)
     """
 
-    def __init__(self, *, service, incarnation):
+    def __init__(self, *, service, incarnation, weight="latency"):
         self.service = service
+        self.policy = WEIGHTS[weight]
         self._endpoints = {}
         self._leases = {}  # endpoint name to {lease id: _Granted}
         self._paused = {}  # endpoint name to end times of pauses, one for each refused start
@@ -83,6 +86,7 @@
         self._sequences = {}
         self._held = {}  # holder to number of leases
         self._recalls = {}
+        self._granted_s = -math.inf
         digest = hashlib.blake2b(incarnation.encode(), digest_size=4).digest()
         self._next_id = int.from_bytes(digest, "big") << ID_BITS
 
@@ -225,12 +229,15 @@
         if not self._demands:
             return []
         free = dict(self._free(now_s))
+        if not self._worth_granting(now_s, sum(free.values())):
+            return self._recall(now_s)
         granted = {}
         self._grant(now_s, free, granted, "waiting")
         self._grant(now_s, free, granted, "spare")
         left = sum(free.values())
         queued = sum(demand.waiting for demand in self._demands.values())
         out = []
+        self._granted_s = now_s
         for holder, leases in granted.items():
             demand = self._demands[holder]
             grant = SlotGrant(
@@ -242,6 +249,14 @@
                 del self._demands[holder]
         return out + self._recall(now_s)
 
+    def _worth_granting(self, now_s, free):
+        """Return False while a few free slots are better collected for one large grant."""
+        if free >= self.policy.chunk or any(
+            d.waiting < self.policy.chunk for d in self._demands.values()
+        ):
+            return free > 0
+        return free > 0 and now_s - self._granted_s >= self.policy.chunk_pause_s
+
     def _grant(self, now_s, free, granted, kind):
         """Grant one slot after another to the holder with the fewest, the oldest demand first."""
         while free:
@@ -266,26 +281,26 @@
             granted.setdefault(holder, []).append(lease)
 
     def _recall(self, now_s):
-        """Ask holders above the fair share, or without demand of their own, to give back."""
-        unmet = sum(demand.waiting for demand in self._demands.values())
-        for recall in self._recalls.values():
-            if now_s - recall.idle_s > RECALL_TERM_S:
-                recall.owed = 0
-        unmet -= sum(recall.owed for recall in self._recalls.values())
-        if unmet <= 0:
+        """Ask holders above the fair share to give back for demands below it."""
+        if not self._demands:
             return []
         capacity = sum(endpoint.slots for endpoint in self._endpoints.values())
         fair = math.ceil(capacity / max(1, len(self._held.keys() | self._demands.keys())))
+        unmet = sum(
+            min(demand.waiting, max(0, fair - self._held.get(holder, 0)))
+            for holder, demand in self._demands.items()
+        )
+        for recall in self._recalls.values():
+            if now_s - recall.sent_s > RECALL_TERM_S:
+                recall.owed = 0
+        unmet -= sum(recall.owed for recall in self._recalls.values())
         out = []
         for holder, held in sorted(self._held.items(), key=lambda item: (-item[1], item[0])):
             recall = self._recalls.setdefault(holder, _Recall())
-            if now_s - recall.idle_s < RECALL_PAUSE_S or unmet <= 0:
-                continue
-            busy = min(unmet, max(0, held - recall.owed - fair))
-            idle = 0 if holder in self._demands else min(unmet, held - recall.owed)
-            if busy or idle:
-                recall.idle_s = now_s
-                recall.owed += busy
-                unmet -= busy
-                out.append(Outgoing(holder, SlotRecall(self.service, max(0, idle - busy), busy)))
+            count = min(unmet, held - recall.owed - fair)
+            if count > 0 and now_s - recall.sent_s >= RECALL_PAUSE_S:
+                recall.sent_s = now_s
+                recall.owed += count
+                unmet -= count
+                out.append(Outgoing(holder, SlotRecall(self.service, recall.owed)))
         return out
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -15,7 +15,7 @@
 __all__ = ["SlotHolder"]
 
 REPORT_S = 3.0  # leases are renewed so often
-ASK_AGAIN_S = 1.0  # a request or its grant may be lost
+ASK_AGAIN_S = 2.0  # a request or its grant may be lost
 ASK_MORE_S = 0.02  # between two requests to an allocator that has not met the first
 FIRST_RUN_S = 0.3  # mean run time until a task has ended
 RUN_GAIN = 0.05  # of the moving average of run times
@@ -68,6 +68,7 @@
         self._returned = {}  # lease id to the time until which a grant of it is a repeat
         self._sequence = 0
         self._run_s = FIRST_RUN_S
+        self._unused_s = 0.0
 
     def update(self, now_s, endpoints, allocator_of):
         """Set all endpoints of the service and who allocates each.
@@ -136,13 +137,13 @@
             for lease_id in self._idle
             if self._leases[lease_id].allocator == allocator
         ]
-        given = idle[: message.idle + message.busy]
+        given = idle[: message.count]
         for lease in given:
             self._give_back(now_s, lease)
         entry = self._allocators.get(allocator)
         if entry is not None:
-            entry.owed = max(0, message.busy - len(given))
-        return self._flush(now_s, force=bool(given))
+            entry.owed = message.count - len(given)
+        return []
 
     def renewal(self, now_s, allocator, message):
         """Take a `SlotRenewal`; leases that it doesn't list run out at their old time."""
@@ -234,7 +235,7 @@
             short -= sum(self._live_ask(now_s, entry) for entry in self._allocators.values())
             if short > 0:
                 wants = self._share_out(now_s, short)
-        elif len(self._idle) + self.policy.batch <= self.policy.spare:
+        elif len(self._idle) + self.policy.spare_batch <= self._spare():
             return self._ask_spare(now_s)
         return [self._request(now_s, name, want, 0, oldest_age_s) for name, want in wants.items()]
 
@@ -248,7 +249,7 @@
         ready = [
             (name, entry)
             for name, entry in self._allocators.items()
-            if entry.capacity and (not entry.asked or now_s - entry.asked_s >= ASK_MORE_S)
+            if entry.capacity and self._may_ask(now_s, entry, short)
         ]
         ready.sort(key=lambda item: (item[1].free <= 0, not item[1].local, -item[1].free, item[0]))
         wants = {}
@@ -267,6 +268,11 @@
             wants[name] = wants.get(name, 0) + max(1, extra)
         return wants
 
+    def _may_ask(self, now_s, entry, short):
+        """Return whether a new request is worth its message beside one that waits already."""
+        pause_s = ASK_MORE_S if short >= entry.asked else self.policy.ask_pause_s
+        return not entry.asked or now_s - entry.asked_s >= pause_s
+
     def _wait_s(self, entry):
         trip_s = 0.0 if entry.local else REMOTE_TRIP_S
         return trip_s + (entry.queued + 1) * self._run_s / max(1, entry.capacity)
@@ -297,17 +303,28 @@
         else:
             self._idle.insert(0, lease.lease_id)
 
+    def _spare(self):
+        """Return the number of idle leases to keep: few while others wait."""
+        queued = any(entry.queued for entry in self._allocators.values())
+        return min(self.policy.spare, 1) if queued else self.policy.spare
+
     def _give_back_unused(self, now_s):
         """Give back leases that were idle for the hold time, beyond the spare ones."""
-        surplus = len(self._idle) - self.policy.spare
-        if surplus <= 0:
+        surplus = len(self._idle) - self._spare()
+        if surplus <= 0 or now_s < self._unused_s:
             return
+        self._unused_s = now_s + self.policy.return_pause_s
         for lease_id in list(self._idle):
             lease = self._leases[lease_id]
-            if surplus > 0 and now_s - lease.idle_since_s >= self.policy.hold_s:
+            if surplus > 0 and now_s - lease.idle_since_s >= self._hold_s(lease):
                 surplus -= 1
                 self._give_back(now_s, lease)
 
+    def _hold_s(self, lease):
+        entry = self._allocators.get(lease.allocator)
+        pressed = entry is not None and entry.queued > 0
+        return self.policy.pressed_hold_s if pressed else self.policy.hold_s
+
     def _give_back(self, now_s, lease, *, full=False):
         del self._leases[lease.lease_id]
         if lease.lease_id in self._idle:
--- a/burdocklug/routing/_messages.py
+++ b/burdocklug/routing/_messages.py
@@ -62,11 +62,10 @@
 
 
 class SlotRecall(msgspec.Struct, frozen=True, tag="slot_recall"):
-    """Asks a holder to give back leases because other holders wait."""
+    """Asks a holder to give back `count` leases: idle ones now, others as their tasks end."""
 
     service: str
-    idle: int  # at most so many that are idle now
-    busy: int = 0  # so many more, as their tasks end
+    count: int  # all that are owed; replaces earlier recalls
 
 
 class SlotReport(msgspec.Struct, frozen=True, tag="slot_report"):
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -2,6 +2,8 @@
 
 import enum
 import hashlib
+import math
+from collections import Counter
 from dataclasses import dataclass
 
 import msgspec
@@ -14,9 +16,11 @@
     "SlotLease",
     "WEIGHTS",
     "WeightPolicy",
-    "choose_allocator",
+    "choose_allocators",
 ]
 
+GROUP_ENDPOINTS = 32  # endpoints of a failure domain whose slots one process leases out
+
 
 @dataclass(frozen=True, slots=True)
 class RouteMember:
@@ -84,65 +88,116 @@
     ----------
     hold_s : float
         How long a lease stays idle before it goes back.
+    pressed_hold_s : float
+        The same while requests wait at the lease's allocator.
+    return_pause_s : float
+        Between two returns of idle leases, so that several go in one message.
+    return_delay_s : float
+        How long recalled leases are collected before they go back in one message.
     spare : int
         Idle leases that a holder keeps ahead of demand.
-    batch : int
-        Fewest leases worth a request for spare slots.
+    spare_batch : int
+        Fewest spare leases worth a request.
     hedge : int
         Allocators asked at once for the same task where none has a free slot.
     patience_s : float
         Wait that a holder accepts from its own leases before it asks for more.
-    return_delay_s : float
-        How long recalled leases are collected before they go back in one message.
+    ask_pause_s : float
+        Before a request that adds little to one that waits at the same allocator.
+    chunk : int
+        Slots that an allocator collects for a large request before it grants them.
+    chunk_pause_s : float
+        Longest time for which it does so.
     """
 
     hold_s: float
+    pressed_hold_s: float
+    return_pause_s: float
+    return_delay_s: float
     spare: int
-    batch: int
+    spare_batch: int
     hedge: int
     patience_s: float
-    return_delay_s: float
+    ask_pause_s: float
+    chunk: int
+    chunk_pause_s: float
 
 
 WEIGHTS = {
     "latency": WeightPolicy(
-        hold_s=0.5, spare=4, batch=2, hedge=2, patience_s=0.002, return_delay_s=0.001
+        hold_s=0.5,
+        pressed_hold_s=0.05,
+        return_pause_s=0.2,
+        return_delay_s=0.005,
+        spare=4,
+        spare_batch=3,
+        hedge=2,
+        patience_s=0.002,
+        ask_pause_s=0.1,
+        chunk=4,
+        chunk_pause_s=0.03,
     ),
     "messages": WeightPolicy(
-        hold_s=3.0, spare=0, batch=4, hedge=1, patience_s=0.02, return_delay_s=0.02
+        hold_s=2.0,
+        pressed_hold_s=0.2,
+        return_pause_s=0.5,
+        return_delay_s=0.05,
+        spare=0,
+        spare_batch=1,
+        hedge=1,
+        patience_s=0.02,
+        ask_pause_s=0.5,
+        chunk=8,
+        chunk_pause_s=0.1,
     ),
 }
 
 
-def choose_allocator(endpoint, members):
-    """Return the incarnation that leases out an endpoint's slots, or None.
+def choose_allocators(endpoints, members):
+    """Return for each endpoint the incarnation that leases out its slots.
 
     Parameters
     ----------
-    endpoint : RouteEndpoint
-        The endpoint.
+    endpoints : iterable of RouteEndpoint
+        All endpoints of a service.
     members : iterable of RouteMember
-        Every live process; those of the endpoint's failure domain go first.
+        Every live process; those of an endpoint's failure domain go first.
+
+    Returns
+    -------
+    dict of str to str
+        Endpoint name to incarnation; empty without members.
 
     Notes
     -----
-    Rendezvous hash: a process that joins or dies moves only its own endpoints. Processes with
-    different views may choose differently; the endpoint's slot guard refuses the overflow.
+    Endpoints of a failure domain are put into groups of about `GROUP_ENDPOINTS` by hash, and a
+    group goes to one process by rendezvous hash: few allocators make large batches, and a
+    process that joins or dies moves only its own groups. Processes with different views may
+    choose differently; the endpoint's slot guard refuses the overflow.
 
     Examples
     --------
     >>> members = [RouteMember("10.0.0.1:1~a", "north"), RouteMember("10.0.0.2:1~b", "south")]
-    >>> choose_allocator(RouteEndpoint("e1", "south", 8), members)
-    '10.0.0.2:1~b'
+    >>> choose_allocators([RouteEndpoint("e1", "south", 8)], members)
+    {'e1': '10.0.0.2:1~b'}
     """
-    members = list(members)
-    local = [member for member in members if member.failure_domain == endpoint.failure_domain]
-    return max(
-        (member.incarnation for member in local or members),
-        key=lambda incarnation: _rank(endpoint.name, incarnation),
-        default=None,
-    )
-
-
-def _rank(endpoint, incarnation):
-    return hashlib.blake2b(f"{endpoint}\0{incarnation}".encode(), digest_size=8).digest()
+    endpoints, members = list(endpoints), list(members)
+    if not members:
+        return {}
+    sizes = Counter(endpoint.failure_domain for endpoint in endpoints)
+    chosen = {}
+    allocators = {}
+    for endpoint in endpoints:
+        domain = endpoint.failure_domain
+        groups = math.ceil(sizes[domain] / GROUP_ENDPOINTS)
+        group = f"{domain}/{_hash(endpoint.name) % groups}"
+        if group not in chosen:
+            local = [member for member in members if member.failure_domain == domain]
+            names = [member.incarnation for member in local or members]
+            chosen[group] = max(names, key=lambda name: _hash(f"{group}\0{name}"))
+        allocators[endpoint.name] = chosen[group]
+    return allocators
+
+
+def _hash(text):
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -3,7 +3,7 @@
 from burdocklug.routing import _messages as messages
 from burdocklug.routing._allocator import SlotAllocator
 from burdocklug.routing._holder import SlotHolder
-from burdocklug.routing._models import choose_allocator
+from burdocklug.routing._models import choose_allocators
 
 __all__ = ["ServiceRouter"]
 
@@ -63,7 +63,7 @@
     def __init__(self, *, service, incarnation, failure_domain, weight="latency"):
         self.service = service
         self.incarnation = incarnation
-        self.allocator = SlotAllocator(service=service, incarnation=incarnation)
+        self.allocator = SlotAllocator(service=service, incarnation=incarnation, weight=weight)
         self.holder = SlotHolder(service=service, failure_domain=failure_domain, weight=weight)
         self._tick_s = 0.0
 
@@ -85,11 +85,7 @@
             Messages to send.
         """
         endpoints, members = list(endpoints), list(members)
-        allocator_of = {
-            endpoint.name: name
-            for endpoint in endpoints
-            if (name := choose_allocator(endpoint, members)) is not None
-        }
+        allocator_of = choose_allocators(endpoints, members)
         mine = [
             endpoint
             for endpoint in endpoints
