--- /dev/null
+++ b/burdocklug/tickets/__init__.py
@@ -0,0 +1,64 @@
+"""Change tickets: models, merge, apply, spread, and the configuration in force."""
+
+from burdocklug.tickets._codec import (
+    MAX_VALUE_BYTES,
+    ValueUnreadable,
+    decode_value,
+    encode_value,
+    value_digest,
+)
+from burdocklug.tickets._configuration import Configuration
+from burdocklug.tickets._follow import CONFIGURATION_KEY
+from burdocklug.tickets._merge import (
+    ConfigValue,
+    ObjectVersion,
+    Outcome,
+    OutcomeKind,
+    apply_ticket,
+    join,
+    refusal,
+)
+from burdocklug.tickets._models import (
+    EndpointSet,
+    EndpointState,
+    ServiceState,
+    TeamState,
+    Ticket,
+    ticket_digest,
+)
+from burdocklug.tickets._parse import TicketInvalid, parse_ticket, ticket_from_data
+from burdocklug.tickets._service import TicketAnswer, TicketService, TicketView
+from burdocklug.tickets._spread import TicketSpread
+from burdocklug.tickets._wait import ProcessTicketState, WaitState
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "MAX_VALUE_BYTES",
+    "ConfigValue",
+    "Configuration",
+    "EndpointSet",
+    "EndpointState",
+    "ObjectVersion",
+    "Outcome",
+    "OutcomeKind",
+    "ProcessTicketState",
+    "ServiceState",
+    "TeamState",
+    "Ticket",
+    "TicketAnswer",
+    "TicketInvalid",
+    "TicketService",
+    "TicketSpread",
+    "TicketView",
+    "ValueUnreadable",
+    "WaitState",
+    "apply_ticket",
+    "decode_value",
+    "encode_value",
+    "join",
+    "parse_ticket",
+    "refusal",
+    "ticket_digest",
+    "ticket_from_data",
+    "value_digest",
+]
