Platform: join of host lists

Cause: host lists reach a process late, twice and out of order; a leaving host must not come back by an old list.

--- a/burdocklug/platform/__init__.py
+++ b/burdocklug/platform/__init__.py
@@ -1,5 +1,6 @@
 """The platform's key-value service: its interface, clients, call budget and breaker."""
 
+from burdocklug.platform._hosts import merge_host_lists
 from burdocklug.platform._http import HttpStore
 from burdocklug.platform._memory import MemoryStore
 from burdocklug.platform._store import (
@@ -29,5 +30,6 @@
     "StoreUncertain",
     "ValueTooLarge",
     "VersionMismatch",
+    "merge_host_lists",
     "stores",
 ]
