--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,186 @@
+import eventlet
+
+eventlet.monkey_patch()
+
+import urllib3  # noqa: E402
+from testtools import TestCase  # noqa: E402
+from testtools.matchers import Equals, Is, LessThan  # noqa: E402
+
+from burdocklug.platform import HttpStore, StoreUnavailable, StoreUncertain  # noqa: E402
+from standins.launch import free_address, launch  # noqa: E402
+from tests.platform.store_contract import P, StoreContract  # noqa: E402
+
+TIMEOUT_S = 0.5
+
+
+class HttpHarness:
+    """Starts the stand-in service and sets its faults."""
+
+    def make_store(self):
+        self.address = free_address()
+        url = f"http://{self.address}/health"
+        self.child = launch("standins.store", "--listen", self.address, health=url)
+        self.addCleanup(self.child.stop)
+        return HttpStore([self.address], timeout_s=TIMEOUT_S)
+
+    def control(self, method, path, **body):
+        answer = urllib3.request(method, f"http://{self.address}{path}", json=body or None)
+        self.assertThat(answer.status, Equals(200))
+        return answer.json()
+
+    def set_faults(self, *, stale=None, drop_calls=None, **faults):
+        if stale is not None:
+            faults["stale_versions"] = int(stale)
+        if drop_calls is not None:
+            faults["drop_calls"] = bool(drop_calls)
+        self.control("POST", "/faults", **faults)
+
+    def count_calls(self):
+        return self.control("GET", "/record")["calls"]["test"]
+
+    def set_hosts(self, live, leaving):
+        self.control("POST", "/hosts", live=live, leaving=leaving)
+
+
+class HttpStoreTest(HttpHarness, StoreContract, TestCase):
+    def test_stale_reads_by_age(self):
+        self.write(put=b"1", expected_version=0)
+        self.set_faults(stale_s=60.0)
+        self.assertThat(self.store.get("k", **P), Is(None))
+        self.assertThat(self.store.watch("k", after_version=0, timeout_s=0.1, **P), Is(None))
+
+    def test_lagging_host_list(self):
+        self.control("POST", "/hosts", live=["10.0.0.1"], leaving=[], lag_s=0.3)
+        self.assertThat(self.store.hosts(**P).live, Equals(frozenset()))
+        eventlet.sleep(0.5)
+        self.assertThat(self.store.hosts(**P).live, Equals(frozenset({"10.0.0.1"})))
+
+    def test_slow_store(self):
+        self.present = self.write(put=b"1", expected_version=0)
+        self.lease = self.store.grant_lease(60, **P)
+        self.set_faults(slow_s=TIMEOUT_S * 4)
+        for kind, call in self.calls():
+            reads = kind in ("get", "watch", "hosts")
+            if kind != "watch":  # its own time leaves room for the delay
+                self.assertRaises(StoreUnavailable if reads else StoreUncertain, call)
+
+    def test_slow_write_can_land_after_it_was_given_up(self):
+        self.set_faults(slow_s=TIMEOUT_S * 2)
+        self.assertRaises(StoreUncertain, self.write, put=b"1", expected_version=0)
+        self.set_faults(slow_s=0)
+        self.assertThat(self.store.get("k", **P), Is(None))
+        eventlet.sleep(TIMEOUT_S * 3)
+        self.assertThat(self.store.get("k", **P).value, Equals(b"1"))
+
+    def test_garbage_answers(self):
+        self.present = self.write(put=b"1", expected_version=0)
+        self.lease = self.store.grant_lease(60, **P)
+        self.set_faults(garbage=True)
+        for kind, call in self.calls()[:4]:
+            self.assertRaises(StoreUncertain if kind == "put" else StoreUnavailable, call)
+        self.set_faults(garbage=False)
+        self.assertThat(self.store.get("k", **P).value, Equals(b"2"))
+
+    def test_dead_watch_is_given_up_after_its_time(self):
+        self.set_faults(watch_dead=True)
+        waiting = eventlet.spawn(self.store.watch, "k", after_version=0, timeout_s=0.2, **P)
+        self.write(put=b"1", expected_version=0)
+        self.assertRaises(StoreUnavailable, waiting.wait)
+
+    def test_killed_store(self):
+        self.write(put=b"1", expected_version=0)
+        self.child.kill()
+        exc = self.assertRaises(StoreUnavailable, self.store.get, "k", **P)
+        self.assertIn(self.address, exc.message)
+        # The refused connection is known to have carried nothing.
+        call = dict(put=b"1", expected_version=0)
+        self.assertRaises(StoreUnavailable, self.write, **call)
+
+    def test_frozen_store(self):
+        self.write(put=b"1", expected_version=0)
+        self.child.pause()
+        self.assertRaises(StoreUnavailable, self.store.get, "k", **P)
+        self.assertRaises(StoreUncertain, self.write, put=b"2", expected_version=1)
+        self.child.resume()
+
+    def test_concurrent_watches_are_counted(self):
+        waiting = [
+            eventlet.spawn(self.store.watch, f"k{n}", after_version=0, timeout_s=0.3, **P)
+            for n in range(5)
+        ]
+        for thread in waiting:
+            thread.wait()
+        record = self.control("GET", "/record")
+        self.assertThat((record["watches"], record["watches_max"]), Equals((0, 5)))
+        self.assertThat(sum(s["total"] for s in record["per_second"]), Equals(5))
+
+
+class SeveralAddressesTest(HttpHarness, StoreContract, TestCase):
+    """The first address is dead: reads go on to the second, and so do later writes."""
+
+    def make_store(self):
+        store = super().make_store()
+        store.close()
+        store = HttpStore([free_address(), self.address], timeout_s=TIMEOUT_S)
+        call = dict(expected_version=0, **P)
+        self.assertRaises(StoreUnavailable, store.put, "never", b"1", **call)
+        self.assertThat(store.get("never", **P), Is(None))
+        self.control("DELETE", "/record")
+        return store
+
+    def test_writes_alternate_between_a_slow_and_a_dead_address(self):
+        self.set_faults(slow_s=TIMEOUT_S * 4)
+        for error in (StoreUncertain, StoreUnavailable, StoreUncertain, StoreUnavailable):
+            self.assertRaises(error, self.store.grant_lease, 5, **P)
+
+
+class SilentLinkTest(HttpHarness, TestCase):
+    """Open connections go silent for good; the store must answer over new ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.make_store()
+        self.listen, self.link_control = free_address(), free_address()
+        args = ("--listen", self.listen, "--to", self.address, "--control", self.link_control)
+        link = launch("standins.link", *args, health=f"http://{self.link_control}/health")
+        self.addCleanup(link.stop)
+        self.store = HttpStore([self.listen], timeout_s=TIMEOUT_S)
+
+    def write(self, *, put, expected_version):
+        return self.store.put("k", put, expected_version=expected_version, **P)
+
+    def set_link(self, **body):
+        urllib3.request("POST", f"http://{self.link_control}/mode", json=body)
+
+    def open_connections(self, count):
+        waiting = [
+            eventlet.spawn(self.store.watch, f"k{n}", after_version=0, timeout_s=0.2, **P)
+            for n in range(count)
+        ]
+        for thread in waiting:
+            thread.wait()
+
+    def test_one_timeout_retires_the_silent_siblings(self):
+        self.open_connections(5)
+        self.set_link(mode="silent", scope="existing")
+        failures = 0
+        for _ in range(6):
+            try:
+                self.store.get("k", **P)
+            except StoreUnavailable:
+                failures += 1
+        self.assertThat(failures, LessThan(2))
+
+    def test_cut_link(self):
+        self.open_connections(1)
+        self.set_link(mode="cut")
+        self.assertRaises(StoreUnavailable, self.store.get, "k", **P)
+        self.assertRaises(StoreUnavailable, self.write, put=b"1", expected_version=0)
+        self.set_link(mode="forward")
+        self.assertThat(self.store.get("k", **P), Is(None))
+
+    def test_write_whose_answer_is_silenced_is_uncertain_and_landed(self):
+        self.open_connections(1)
+        self.set_link(mode="silent", scope="existing", direction="to_client")
+        self.assertRaises(StoreUncertain, self.write, put=b"1", expected_version=0)
+        self.assertThat(self.store.get("k", **P).value, Equals(b"1"))
