--- a/burdocklug/platform/_budgeted.py
+++ b/burdocklug/platform/_budgeted.py
@@ -12,6 +12,8 @@
 __all__ = ["DEFAULT_PRIORITIES", "BudgetedStore"]
 
 BURST_S = 1.0  # a full bucket holds the calls of this time
+WRITE_BURST_S = 0.5
+WRITE_SHARE = 0.3  # of the calls; the platform carries far fewer writes than reads
 
 DEFAULT_PRIORITIES = {
     "ticket_apply": Priority.URGENT,
@@ -29,6 +31,8 @@
         The store that does the calls.
     calls_per_s : float
         Budget of this process, a watch counting as one call.
+    writes_per_s : float, optional
+        Budget of its writes, which count in `calls_per_s` too; WRITE_SHARE of that by default.
     priorities : dict, optional
         Priority by purpose; others are NORMAL. DEFAULT_PRIORITIES by default.
     now : callable, optional
@@ -51,13 +55,25 @@
     {'example': {'ok': 1}}
     """
 
-    def __init__(self, store, *, calls_per_s, priorities=None, now=time.monotonic, rng=random):
+    def __init__(
+        self,
+        store,
+        *,
+        calls_per_s,
+        writes_per_s=None,
+        priorities=None,
+        now=time.monotonic,
+        rng=random,
+    ):
         self._store = store
         self._priorities = DEFAULT_PRIORITIES if priorities is None else priorities
         self._now = now
         self._rng = rng
         burst = max(1.0, calls_per_s * BURST_S)
-        self._bucket = Bucket(calls_per_s, burst, tokens=burst, at_s=now())
+        self._calls = Bucket(calls_per_s, burst, tokens=burst, at_s=now())
+        rate_per_s = calls_per_s * WRITE_SHARE if writes_per_s is None else writes_per_s
+        write_burst = max(1.0, rate_per_s * WRITE_BURST_S)
+        self._writes = Bucket(rate_per_s, write_burst, tokens=write_burst, at_s=now())
         self._breaker = Breaker()
         self._flights = Flights()
         self._counts = Counter()
@@ -129,11 +145,15 @@
 
     def grant_lease(self, ttl_s, *, purpose):
         """Return the id of a new lease; see `Store.grant_lease`."""
-        return self._call(purpose, lambda trial: self._store.grant_lease(ttl_s, purpose=purpose))
+        return self._call(
+            purpose, lambda trial: self._store.grant_lease(ttl_s, purpose=purpose), write=True
+        )
 
     def keep_lease(self, lease_id, *, purpose):
         """Prolong a lease; see `Store.keep_lease`."""
-        self._call(purpose, lambda trial: self._store.keep_lease(lease_id, purpose=purpose))
+        self._call(
+            purpose, lambda trial: self._store.keep_lease(lease_id, purpose=purpose), write=True
+        )
 
     def close(self):
         """Close the wrapped store's idle connections."""
@@ -150,12 +170,12 @@
     def _write(self, key, purpose, call):
         # A read that began before the write must not answer one that begins after it.
         try:
-            return self._call(purpose, lambda trial: call())
+            return self._call(purpose, lambda trial: call(), write=True)
         finally:
             self._flights.forget(lambda flight: flight[1:2] == (key,))
 
-    def _call(self, purpose, call):
-        trial = self._admit(purpose)
+    def _call(self, purpose, call, *, write=False):
+        trial = self._admit(purpose, write)
         outcome = "abandoned"
         try:
             result = call(trial)
@@ -174,7 +194,7 @@
             self._counts[purpose, outcome] += 1
             self._end(trial, outcome)
 
-    def _admit(self, purpose):
+    def _admit(self, purpose, write):
         now_s = self._now()
         if not allows_call(self._breaker, now_s):
             self._counts[purpose, "breaker_open"] += 1
@@ -182,14 +202,24 @@
             raise StoreUnavailable(
                 f"{purpose}: the store fails, no call is made", retry_after_s=wait_s
             )
-        priority = self._priorities.get(purpose, Priority.NORMAL)
-        self._bucket, wait_s = take_token(self._bucket, priority, now_s)
+        wait_s = self._take_tokens(self._priorities.get(purpose, Priority.NORMAL), write, now_s)
         if wait_s > 0:
             self._counts[purpose, "over_budget"] += 1
             raise StoreUnavailable(f"{purpose}: over the call budget", retry_after_s=wait_s)
         self._breaker, trial = begin_call(self._breaker)
         return trial
 
+    def _take_tokens(self, priority, write, now_s):
+        calls, wait_s = take_token(self._calls, priority, now_s)
+        if wait_s > 0:
+            return wait_s
+        if write:
+            self._writes, wait_s = take_token(self._writes, priority, now_s)
+            if wait_s > 0:
+                return wait_s
+        self._calls = calls
+        return 0.0
+
     def _end(self, trial, outcome):
         if outcome == "abandoned" and not trial:
             return
@@ -203,4 +233,5 @@
             jitter=self._rng.random(),
         )
         if before is BreakerState.HALF_OPEN and self._breaker.state is BreakerState.CLOSED:
-            self._bucket = drain_tokens(self._bucket, now_s)
+            self._calls = drain_tokens(self._calls, now_s)
+            self._writes = drain_tokens(self._writes, now_s)
