--- a/burdocklug/tickets/__init__.py
+++ b/burdocklug/tickets/__init__.py
@@ -1,7 +1,6 @@
 """Change tickets: models, merge, apply, spread, and the configuration in force."""
 
 from burdocklug.tickets._codec import (
-    MAX_VALUE_BYTES,
     ValueUnreadable,
     decode_value,
     encode_value,
@@ -33,7 +32,6 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
-    "MAX_VALUE_BYTES",
     "ConfigValue",
     "Configuration",
     "EndpointSet",
--- a/burdocklug/tickets/_codec.py
+++ b/burdocklug/tickets/_codec.py
@@ -6,18 +6,17 @@
 import msgspec
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.platform import MAX_VALUE_BYTES
 from burdocklug.tickets._merge import ConfigValue, ObjectVersion
 from burdocklug.tickets._models import state_model
 
 __all__ = [
-    "MAX_VALUE_BYTES",
     "ValueUnreadable",
     "decode_value",
     "encode_value",
     "value_digest",
 ]
 
-MAX_VALUE_BYTES = 1_000_000
 MAX_PLAIN_BYTES = 8_000_000
 VALUE_DIGEST_BYTES = 8
 FORMAT = b"\x01"
@@ -91,13 +90,15 @@
     )
 
 
-def decode_value(raw):
+def decode_value(raw, *, known=None):
     """Decode what `encode_value` gave.
 
     Parameters
     ----------
     raw : bytes
         The encoded value.
+    known : ConfigValue, optional
+        Versions that it holds too are taken from it instead of being decoded again.
 
     Returns
     -------
@@ -122,13 +123,16 @@
         if not inflate.eof:
             raise ValueError(f"over {MAX_PLAIN_BYTES} bytes before compression, or cut off")
         stored = _decoder.decode(plain)
-        objects = {obj.name: _to_version(obj) for obj in stored.objects}
+        held = {} if known is None else known.objects
+        objects = {obj.name: _to_version(obj, held.get(obj.name)) for obj in stored.objects}
     except (ValueError, KeyError, zlib.error, msgspec.MsgspecError) as exc:
         raise ValueUnreadable(f"the configuration of {len(raw)} bytes: {exc}") from exc
     return ConfigValue(objects, dict(stored.recent_tickets), stored.floor)
 
 
-def _to_version(obj):
+def _to_version(obj, held):
+    if held is not None and held.rank == (obj.number, obj.digest):
+        return held
     model = state_model(obj.name)
     state = msgspec.msgpack.decode(obj.state, type=model | None)
     return ObjectVersion(obj.number, obj.digest, state)
--- a/burdocklug/tickets/_exchange.py
+++ b/burdocklug/tickets/_exchange.py
@@ -136,12 +136,6 @@
             if report is not None:
                 yield report.contact_s
 
-    def forget_lost_members(self):
-        """Drop the reports of members that are no longer known."""
-        known = {member.incarnation for member in self._network.members()}
-        for incarnation in self.reports.keys() - known:
-            del self.reports[incarnation]
-
     def _cover(self, digest):
         self._covered.pop(digest, None)
         self._covered[digest] = True
@@ -159,9 +153,16 @@
         except msgspec.ValidationError as exc:
             log.warning("heartbeat_part_invalid", peer=member.incarnation, fault=str(exc))
             return
+        if member.incarnation not in self.reports:
+            self._forget_lost_members()
         self.reports[member.incarnation] = PeerReport(part, self._timers.now())
         self._fetch_if_unknown(member.incarnation, part.digest)
 
+    def _forget_lost_members(self):
+        known = {member.incarnation for member in self._network.members()}
+        for incarnation in self.reports.keys() - known:
+            del self.reports[incarnation]
+
     def _fetch_if_unknown(self, incarnation, digest):
         if digest not in self._covered and digest not in self._fetching:
             self._fetching.add(digest)
--- a/burdocklug/tickets/_service.py
+++ b/burdocklug/tickets/_service.py
@@ -145,7 +145,7 @@
 
     def _attempt(self, ticket, *, uncertain):
         entry = self._store.get(CONFIGURATION_KEY, purpose="ticket_apply")
-        stored = ConfigValue() if entry is None else decode_value(entry.value)
+        stored = ConfigValue() if entry is None else self._decode(entry)
         changed, outcome = apply_ticket(join(stored, self._cfg.value), ticket)
         refused = refusal(ticket, outcome)
         if refused is not None:
@@ -161,6 +161,9 @@
         log.info("ticket_accepted", number=ticket.number, outcome=outcome.kind)
         return _answer(ticket, outcome, own_write=uncertain)
 
+    def _decode(self, entry):
+        return decode_value(entry.value, known=self._cfg.value)
+
     def _retry_delay_s(self, attempt):
         longest_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**attempt)
         return self._rng.uniform(RETRY_MIN_S, longest_s)
@@ -211,7 +214,7 @@
         try:
             entry = self._store.get(CONFIGURATION_KEY, purpose="ticket_show")
             if entry is not None:
-                self._spread.exchange.adopt(decode_value(entry.value))
+                self._spread.exchange.adopt(self._decode(entry))
         except BurdocklugError as exc:
             log.info("ticket_show_without_store", fault=exc.message)
             return False
--- a/burdocklug/tickets/_spread.py
+++ b/burdocklug/tickets/_spread.py
@@ -97,9 +97,8 @@
         self.exchange.push(before, across=True)
 
     def _on_entry(self, entry):
-        self.exchange.forget_lost_members()
         try:
-            value = decode_value(entry.value)
+            value = decode_value(entry.value, known=self.configuration.value)
         except ValueUnreadable as exc:
             log.error("configuration_unreadable", version=entry.version, fault=exc.message)
             return
@@ -128,4 +127,8 @@
             "pushes_adopted": exchange.pushes_adopted,
             "fetches": exchange.fetches,
             "fetches_failed": exchange.fetches_failed,
+            "peers": {
+                incarnation: {"digest": r.part.digest.hex(), "highest": r.part.highest}
+                for incarnation, r in self.exchange.reports.items()
+            },
         }
