Endpoints: passive health with ejection and single trials, batched cancellations

Cause: an endpoint that fails everything answers fast and draws work; one that is silent holds its slots; a wave of cancellations must not become a wave of messages. An endpoint is ejected at the first run of failures that is unlikely (1 in 100) at its peers' failure ratio, or at a failure ratio of 0.3 and five times its peers'. Bounds: a third of the fleet and half of a failure domain for failing tasks; for unreachable ones half of the fleet and a whole failure domain, beyond that one paced trial a second each.

--- a/burdocklug/endpoints/__init__.py
+++ b/burdocklug/endpoints/__init__.py
@@ -1,5 +1,8 @@
 """The endpoint protocol: starting, asking after and cancelling attempts."""
 
+from burdocklug.endpoints._cancel import CancelBatcher
+from burdocklug.endpoints._health import EndpointHealth, Outcome, OutcomeKind
+from burdocklug.endpoints._health_rules import Fault, Standing
 from burdocklug.endpoints._http import HttpEndpoints
 from burdocklug.endpoints._models import (
     Attempt,
@@ -18,11 +21,17 @@
     "AttemptPhase",
     "AttemptResult",
     "AttemptState",
+    "CancelBatcher",
+    "EndpointHealth",
     "EndpointProtocol",
     "EndpointSilent",
     "EndpointStatus",
+    "Fault",
     "HttpEndpoints",
     "MaybeStarted",
     "NotStarted",
+    "Outcome",
+    "OutcomeKind",
+    "Standing",
     "endpoint_protocols",
 ]
