--- /dev/null
+++ b/burdocklug/peers/_network.py
@@ -0,0 +1,278 @@
+"""The network of one process: messages to its peers and membership."""
+
+import time
+
+import eventlet
+
+from burdocklug.peers import _membership as membership
+from burdocklug.peers._dump import dump_network
+from burdocklug.peers._errors import PeerNotReached
+from burdocklug.peers._incarnation import mint_incarnation
+from burdocklug.peers._membership_service import MembershipService
+from burdocklug.peers._receiver import Receiver
+from burdocklug.peers._transport import Identity, Transport
+
+__all__ = ["PeerNetwork"]
+
+LEAVE_POLL_S = 0.02
+SENT = frozenset({"frames", "items", "bytes"})  # the other counts of traffic are of links
+
+
+def delay_to_tick(wall_s, period_s):
+    """Return the seconds until the next heartbeat.
+
+    Heartbeats are sent at multiples of the period of the wall clock. Where clocks are set alike,
+    those of all peers arrive together, and one wake-up of the process serves them all.
+
+    Examples
+    --------
+    >>> delay_to_tick(100.1, 0.5), delay_to_tick(100.45, 0.5)
+    (0.4, 0.55)
+    """
+    remaining_s = period_s - wall_s % period_s
+    if remaining_s < period_s / 4:
+        remaining_s += period_s
+    return round(remaining_s, 6)
+
+
+class PeerNetwork:
+    """Messages between this process and its peers, and the members of the fleet.
+
+    Parameters
+    ----------
+    name, failure_domain : str
+        Of this process.
+    address : str
+        IP number and port at which peers reach this process.
+    settings : PeerSettings
+        Key, seeds and periods.
+    timers : TimerService
+        Source of time; its `serve` must run for heartbeats to go out.
+    listen_address : str, optional
+        Where to listen, if it differs from `address`.
+    wall_now : callable, optional
+        Returns seconds since the epoch; only aligns heartbeats.
+
+    Attributes
+    ----------
+    incarnation : str
+        Id of this start of the process.
+    """
+
+    def __init__(
+        self,
+        name,
+        failure_domain,
+        address,
+        settings,
+        timers,
+        *,
+        listen_address=None,
+        wall_now=time.time,
+    ):
+        self.name = name
+        self.failure_domain = failure_domain
+        self.address = address
+        self.settings = settings
+        self.incarnation = mint_incarnation(address)
+        self._listen_address = listen_address or address
+        self._timers = timers
+        self._wall_now = wall_now
+        self._subscription = None
+        self._transport = Transport(
+            Identity(self.incarnation, name, failure_domain),
+            shared_key=settings.shared_key,
+            now=timers.now,
+            after=timers.after,
+        )
+        self._receiver = Receiver(
+            self._transport, on_replaced=lambda old, new: self._membership.replaced(old, new)
+        )
+        self._membership = MembershipService(
+            self._transport,
+            register=lambda kind, handler: self.register(kind, handler, inline=True),
+            settings=settings,
+            address=address,
+        )
+
+    def start(self):
+        """Listen, and begin to send heartbeats."""
+        self._receiver.listen(self._listen_address)
+        self._tick()
+
+    def _tick(self):
+        delay_s = delay_to_tick(self._wall_now(), self.settings.heartbeat_s)
+        self._subscription = self._timers.after(delay_s, self._tick)
+        self._membership.tick()
+
+    def stop(self):
+        """Close every socket and cancel every timer; pending calls fail."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+            self._subscription = None
+        self._receiver.close()
+        self._transport.close()
+
+    # Messages
+
+    def register(self, message_type, handler=None, *, inline=False):
+        """Handle messages of a type.
+
+        Parameters
+        ----------
+        message_type : type
+            A msgspec Struct with a tag.
+        handler : callable, optional
+            Takes the sender's incarnation and the message; returns the reply or None. Without
+            one the type is only made known, as types of replies must be.
+        inline : bool
+            Run the handler in the reader, where it may not wait.
+        """
+        self._transport.types.add(message_type)
+        if handler is not None:
+            self._receiver.register(message_type, handler, inline=inline)
+
+    def call(self, incarnation, message, *, timeout_s):
+        """Send a message and wait for its reply.
+
+        Parameters
+        ----------
+        incarnation : str
+            Whom to call; it may be dead in the member table.
+        message : msgspec.Struct
+            Of a registered type.
+        timeout_s : float
+            Seconds to wait for the reply.
+
+        Returns
+        -------
+        msgspec.Struct or None
+            What the handler returned.
+
+        Raises
+        ------
+        PeerNotReached
+            If the message was certainly not delivered to that incarnation.
+        PeerSilent
+            If it may have been delivered.
+        """
+        if incarnation == self.incarnation:
+            return self._handle_here(message)
+        record = self._membership.table.records.get(incarnation)
+        if record is not None and record.replaced:
+            raise PeerNotReached(incarnation, "replaced by another incarnation")
+        return self._transport.call(incarnation, message, timeout_s=timeout_s)
+
+    def _handle_here(self, message):
+        handler = self._receiver.handler_of(type(message))
+        if handler is None:
+            raise PeerNotReached(self.incarnation, f"no handler for {type(message).__name__}")
+        return handler.handle(self.incarnation, message)
+
+    def send(self, incarnation, message):
+        """Send a message one way; it may get lost.
+
+        Messages to one peer that are sent in the same turn of the loop share a frame.
+        """
+        if incarnation == self.incarnation:
+            eventlet.spawn_n(self._handle_here, message)
+        else:
+            self._transport.send(incarnation, message)
+
+    # Membership
+
+    def members(self):
+        """Return a list of the known members, without this process."""
+        table, now = self._membership.table, self._timers.now()
+        domains = membership.reached_domains(table, now, self.settings)
+        return [
+            membership.make_member(table, record, now, self.settings, domains=domains)
+            for record in table.records.values()
+        ]
+
+    def member(self, incarnation):
+        """Return a member, or None if it is not known."""
+        table = self._membership.table
+        record = table.records.get(incarnation)
+        if record is None:
+            return None
+        return membership.make_member(table, record, self._timers.now(), self.settings)
+
+    def successor_of(self, incarnation):
+        """Return the incarnation that took over from one that left, or None.
+
+        The chain of successors is followed to its end.
+        """
+        return membership.successor_of(self._membership.table, incarnation)
+
+    def add_heartbeat_part(self, name, produce, consume):
+        """Add a value to every heartbeat.
+
+        Parameters
+        ----------
+        name : str
+            Key of the value.
+        produce : callable
+            Returns a value that msgspec encodes, or None for nothing.
+        consume : callable
+            Takes a `Member` and the value from its heartbeat, as plain data. It may not wait.
+        """
+        self._membership.parts[name] = (produce, consume)
+
+    def set_draining(self, draining=True):
+        """Tell peers on the heartbeat whether this process takes no new work."""
+        self._membership.draining = draining
+
+    @property
+    def declared_dead_by(self):
+        """The peer that told this process that it was declared dead, or None."""
+        return self._membership.declared_dead_by
+
+    def on_declared_dead(self, callback):
+        """Set the function to call, with the peer's incarnation, once this process is dead.
+
+        It may not wait. From then on no heartbeats go out; calls are still answered, so that
+        the owner of submissions can answer for them until it stops.
+        """
+        self._membership.on_declared_dead = callback
+
+    def leave(self, successor=None, *, timeout_s=2.0):
+        """Tell the members that this process leaves.
+
+        Parameters
+        ----------
+        successor : str, optional
+            The incarnation that took over its state.
+        timeout_s : float
+            Seconds to wait for acknowledgements.
+
+        Returns
+        -------
+        list of str
+            Incarnations that did not acknowledge in time.
+        """
+        told = self._membership.tell_left(successor)
+        until_s = self._timers.now() + timeout_s
+        while True:
+            channels = (self._transport.channels[incarnation] for incarnation in told)
+            open_ends = [c.incarnation for c in channels if not c.link.is_acknowledged]
+            if not open_ends or self._timers.now() >= until_s:
+                return open_ends
+            eventlet.sleep(LEAVE_POLL_S)
+
+    # State
+
+    def counts(self):
+        """Return counters by name."""
+        counts = dict(self._transport.counters)
+        links = [channel.link for channel in self._transport.channels.values()]
+        links.extend(self._transport.seed_links.values())
+        for name in ("frames", "items", "bytes", "dials", "refused", "dropped"):
+            counts[f"{name}_sent" if name in SENT else f"links_{name}"] = sum(
+                getattr(link.traffic, name) for link in links
+            )
+        return counts
+
+    def dump(self):
+        """Return members, links and counters as plain data."""
+        return dump_network(self, self._transport, self._membership)
