Peers: short ids on frames without requests

Frames with requests keep whole ids, so that another incarnation can refuse them. The split test dropped frames by whole id only and now drops both forms.

--- a/burdocklug/peers/_channel.py
+++ b/burdocklug/peers/_channel.py
@@ -130,8 +130,9 @@
 
     def note_frame(self, envelope, now_s):
         """Take in sequence, acknowledgement, mark and time of a received envelope."""
-        self.name = envelope.name
-        self.failure_domain = envelope.failure_domain
+        if envelope.name:
+            self.name = envelope.name
+            self.failure_domain = envelope.failure_domain
         self.heard_s = now_s
         self.refusals = 0
         self.clock.observe(sent_s=envelope.sent_s, now_s=now_s)
--- a/burdocklug/peers/_codec.py
+++ b/burdocklug/peers/_codec.py
@@ -103,9 +103,10 @@
     Parameters
     ----------
     sender, target : str
-        Incarnation ids; the target is empty in a message to a seed address.
+        Incarnation ids; the target is empty in a message to a seed address. Between peers that
+        know each other, frames without requests and questions have the short forms.
     name, failure_domain : str
-        Of the sender.
+        Of the sender; empty beside the short forms.
     sequence : int
         Number of this frame from sender to target, from 1.
     sent_s : float
--- a/burdocklug/peers/_incarnation.py
+++ b/burdocklug/peers/_incarnation.py
@@ -5,7 +5,9 @@
 import secrets
 import time
 
-__all__ = ["address_of", "mint_incarnation", "started_ns"]
+__all__ = ["SHORT_CHARS", "address_of", "mint_incarnation", "short_form", "started_ns"]
+
+SHORT_CHARS = 16
 
 _PATTERN = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}:\d{1,5})~([0-9a-f]{16})([0-9a-f]{8})")
 _CACHED_IDS = 4096
@@ -50,6 +52,17 @@
     return match[1] if is_valid else None
 
 
+def short_form(incarnation):
+    """Return the short form of an incarnation id, for peers that know the whole id.
+
+    Examples
+    --------
+    >>> short_form("127.0.0.1:7000~00000000000000ff0123abcd")
+    '000000ff0123abcd'
+    """
+    return incarnation[-SHORT_CHARS:]
+
+
 def started_ns(incarnation):
     """Return the start time inside an incarnation id, in nanoseconds since the epoch.
 
--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -92,6 +92,7 @@
     sequence: int = 0
     acknowledged: int = 0
     wanted: int = 0
+    first_sequence: int = 1
     unacknowledged_since_s: float | None = None
     unreached_since_s: float | None = None
     untaken_since_s: float | None = None
@@ -114,6 +115,11 @@
         """Whether the queue is empty and the peer has acknowledged all that was sent."""
         return not self._queue and self.acknowledged >= self.wanted
 
+    @property
+    def is_introduced(self):
+        """Whether the peer has acknowledged a frame of the present connection."""
+        return self.acknowledged >= self.first_sequence
+
     @property
     def queued(self):
         """Number of items in the queue."""
@@ -203,6 +209,7 @@
 
     def _dial(self):
         self.generation += 1
+        self.first_sequence = self.sequence + 1
         self.traffic.dials += 1
         self._dialer = PushDialer(self.address)
 
--- a/burdocklug/peers/_receiver.py
+++ b/burdocklug/peers/_receiver.py
@@ -10,7 +10,7 @@
 from burdocklug.peers._codec import RefusalReason
 from burdocklug.peers._dedupe import Verdict
 from burdocklug.peers._errors import PeerNotReached, PeerSilent
-from burdocklug.peers._incarnation import address_of
+from burdocklug.peers._incarnation import address_of, short_form
 from burdocklug.peers._sockets import PullListener
 
 __all__ = ["Handler", "Receiver"]
@@ -49,7 +49,8 @@
 
     def __init__(self, transport, *, on_replaced):
         self._transport = transport
-        self._own = transport.identity.incarnation
+        own = transport.identity.incarnation
+        self._own_targets = frozenset({"", own, short_form(own)})
         self._counters = transport.counters
         self._on_replaced = on_replaced
         self._handlers = {}
@@ -91,11 +92,11 @@
         except codec.FrameError as exc:
             counters["frames_malformed" if exc.authentic else "frames_not_authentic"] += 1
             return
-        if envelope.sender == self._own or address_of(envelope.sender) is None:
+        channel = self._transport.sender_channel(envelope.sender)
+        if channel is None:
             counters["frames_from_nobody"] += 1
             return
-        channel = self._transport.channel(envelope.sender)
-        if envelope.target and envelope.target != self._own:
+        if envelope.target not in self._own_targets:
             self._refuse_misdirected(channel, envelope)
             return
         channel.note_frame(envelope, self._transport.now())
--- a/burdocklug/peers/_transport.py
+++ b/burdocklug/peers/_transport.py
@@ -9,7 +9,7 @@
 from burdocklug.peers import _codec as codec
 from burdocklug.peers._channel import Channel
 from burdocklug.peers._errors import MessageTooLarge, PeerNotReached, PeerSilent
-from burdocklug.peers._incarnation import address_of
+from burdocklug.peers._incarnation import address_of, short_form
 from burdocklug.peers._link import Link, Outgoing
 
 __all__ = ["Identity", "Transport"]
@@ -19,6 +19,7 @@
 UNSENT_LIFETIME_S = 10.0  # in the queue, of items that nobody waits for
 LINK_IDLE_S = 60.0  # without a frame, before the connection is closed
 MAX_CHANNELS = 4096
+NEED_WHOLE_IDS = frozenset({codec.Request, codec.Ask})
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +53,7 @@
         self.counters = collections.Counter()
         self.channels = {}
         self.seed_links = {}
+        self._by_short_form = {}
         self.now = now
         self._after = after
 
@@ -77,6 +79,7 @@
             if address is None:
                 raise PeerNotReached(incarnation, "malformed incarnation id")
             channel = self.channels[incarnation] = Channel(incarnation)
+            self._by_short_form[short_form(incarnation)] = channel
             channel.link = Link(
                 address,
                 lambda sequence, items: self._seal(channel, sequence, items),
@@ -85,19 +88,23 @@
             )
         return channel
 
+    def sender_channel(self, sender):
+        """Return the channel of the sender of an envelope, or None if there can't be one."""
+        if sender in self._by_short_form:
+            return self._by_short_form[sender]
+        if sender == self.identity.incarnation or address_of(sender) is None:
+            return None
+        return self.channel(sender)
+
     def _seal(self, channel, sequence, items):
         channel.owes_acknowledgement = False
         who = self.identity
+        names = (who.incarnation, channel.incarnation, who.name, who.failure_domain)
+        # Requests carry whole ids: whoever gets them in place of the target must be able to answer.
+        if channel.link.is_introduced and not any(type(item) in NEED_WHOLE_IDS for item in items):
+            names = (short_form(who.incarnation), short_form(channel.incarnation), "", "")
         envelope = codec.Envelope(
-            who.incarnation,
-            channel.incarnation,
-            who.name,
-            who.failure_domain,
-            sequence,
-            self.now(),
-            channel.seen,
-            channel.low_water,
-            items,
+            *names, sequence, self.now(), channel.seen, channel.low_water, items
         )
         return self.codec.seal(envelope)
 
@@ -284,3 +291,4 @@
         for channel in idle[:excess]:
             channel.link.close()
             del self.channels[channel.incarnation]
+            del self._by_short_form[short_form(channel.incarnation)]
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -20,7 +20,7 @@
     Reply,
     Request,
 )
-from burdocklug.peers._incarnation import mint_incarnation  # noqa: E402
+from burdocklug.peers._incarnation import mint_incarnation, short_form  # noqa: E402
 from tests.peers.support import (  # noqa: E402
     KEY,
     Echo,
@@ -227,9 +227,10 @@
         """Drop the frames that come to `network` from the given incarnations."""
         receiver = network._receiver
         opened = receiver._transport.codec.open
+        far = {*incarnations, *map(short_form, incarnations)}
 
         def receive(frame):
-            if opened(frame).sender not in incarnations:
+            if opened(frame).sender not in far:
                 type(receiver).receive(receiver, frame)
 
         receiver._listener._handle = receive
@@ -352,6 +353,13 @@
         self.wait_for(lambda: self.one.counts().get("requests_expired", 0) == 2)
         self.assertThat(self.one.handled, Equals([1]))
 
+    def test_frame_with_an_unknown_short_id_is_from_nobody(self):
+        self.push_items(self.request(), sender=short_form(self.sender))
+        self.assertThat(self.count("frames_from_nobody"), Equals(1))
+        self.push_items(self.request(1, number=1))
+        self.push_items(self.request(2, number=2), sender=short_form(self.sender))
+        self.wait_for(lambda: self.one.handled == [1, 2])
+
     def test_request_to_another_incarnation_is_refused(self):
         other = mint_incarnation(self.one.address)
         self.push_items(self.request(), target=other)
