Limits: admission, corrected run times, strict quota shares with loans

The property test found a hole: a process that leaves gracefully while its base share still rested after a kill handed over nothing, so its successor used the base share beside the killed incarnation's tasks. Leases: a large demand is granted in chunks; idle leases go back together.

--- a/burdocklug/limits/__init__.py
+++ b/burdocklug/limits/__init__.py
@@ -3,6 +3,36 @@
 Everything here is a decision over plain data; the time is an argument.
 """
 
+from burdocklug.limits._admission import (
+    AdmissionLimits,
+    EndpointSize,
+    JobDemand,
+    TaskImpossible,
+    WouldMissDeadline,
+    admit,
+)
+from burdocklug.limits._messages import QuotaGrant, QuotaMessage, QuotaRequest, QuotaReturn
 from burdocklug.limits._queue import FairQueue, QueuedTask, QueueFull
+from burdocklug.limits._quotas import LentShare, QuotaHandover, QuotaShares, base_share
+from burdocklug.limits._times import RunTimes
 
-__all__ = ["FairQueue", "QueueFull", "QueuedTask"]
+__all__ = [
+    "AdmissionLimits",
+    "EndpointSize",
+    "FairQueue",
+    "JobDemand",
+    "LentShare",
+    "QueueFull",
+    "QueuedTask",
+    "QuotaGrant",
+    "QuotaHandover",
+    "QuotaMessage",
+    "QuotaRequest",
+    "QuotaReturn",
+    "QuotaShares",
+    "RunTimes",
+    "TaskImpossible",
+    "WouldMissDeadline",
+    "admit",
+    "base_share",
+]
--- /dev/null
+++ b/burdocklug/limits/_messages.py
@@ -0,0 +1,34 @@
+"""Messages between processes that lend each other shares of a team's quota."""
+
+import msgspec
+
+__all__ = ["QuotaGrant", "QuotaMessage", "QuotaRequest", "QuotaReturn"]
+
+
+class QuotaRequest(msgspec.Struct, frozen=True, tag="quota_request"):
+    """Asks a peer to lend up to `amount` of its share of a team's quota."""
+
+    team: str
+    request_id: int  # unique for the borrower's incarnation
+    amount: int
+    sent_s: float  # the borrower's clock, echoed by the grant
+
+
+class QuotaGrant(msgspec.Struct, frozen=True, tag="quota_grant"):
+    """Answer to a request; an amount of zero means that the peer has none to lend."""
+
+    team: str
+    request_id: int
+    amount: int
+    sent_s: float
+    term_s: float  # counted from `sent_s`
+
+
+class QuotaReturn(msgspec.Struct, frozen=True, tag="quota_return"):
+    """Ends a loan early: nothing of it is in use any more."""
+
+    team: str
+    request_id: int
+
+
+QuotaMessage = QuotaRequest | QuotaGrant | QuotaReturn
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -210,6 +210,11 @@
         """Return how many tasks wait in teams for which `eligible(team)` is true."""
         return sum(line.tasks for team, line in self._active.items() if eligible(team))
 
+    def team_cost_s(self, team):
+        """Return the summed expected run time of a team's waiting tasks, in seconds."""
+        line = self._active.get(team)
+        return 0.0 if line is None else line.cost_s
+
     def expected_wait_s(self, *, team, slots, job_cost_s=0.0):
         """Return the expected time until a new job of `team` has started its last task.
 
--- /dev/null
+++ b/burdocklug/limits/_times.py
@@ -0,0 +1,63 @@
+"""Expected run times: declared ones corrected by what was seen."""
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["RunTimes"]
+
+GAIN = 0.02  # of the moving averages
+FIRST_RUN_S = 0.3  # run time until a task of the team has ended
+MAX_LOG_RATIO = math.log(30.0)  # one observation counts for no larger error
+MIN_GAIN = 0.1  # log error by which the mean must beat the declared time
+MIN_RUN_S, MAX_RUN_S = 0.001, 3600.0
+
+
+@dataclass(slots=True)
+class _Seen:
+    log_ratio: float = 0.0  # of run time over declared time
+    mean_s: float = FIRST_RUN_S
+    declared_error: float = 0.5  # mean absolute log error of the corrected declared time
+    mean_error: float = 1.0  # the same of the mean run time
+    tasks: int = 0
+
+
+class RunTimes:
+    """Run times to expect of the tasks of one service, team by team.
+
+    The declared time is corrected by the team's usual ratio. Where declared times of a team
+    tell less than its mean run time, the mean is taken instead.
+
+    Examples
+    --------
+    >>> times = RunTimes()
+    >>> for _ in range(300):
+    ...     times.observe("a", declared_s=5.0, run_s=0.5)
+    >>> round(times.expect("a", declared_s=10.0), 1)
+    1.0
+    """
+
+    def __init__(self):
+        self._teams = {}
+
+    def observe(self, team, *, declared_s, run_s):
+        """Learn from a task that ended; times in seconds."""
+        seen = self._teams.setdefault(team, _Seen())
+        seen.tasks += 1
+        gain = max(GAIN, 1.0 / (seen.tasks + 1))
+        run_s = min(max(run_s, MIN_RUN_S), MAX_RUN_S)
+        ratio = math.log(run_s / min(max(declared_s, MIN_RUN_S), MAX_RUN_S))
+        ratio = min(max(ratio, -MAX_LOG_RATIO), MAX_LOG_RATIO)
+        seen.declared_error += gain * (abs(ratio - seen.log_ratio) - seen.declared_error)
+        seen.mean_error += gain * (abs(math.log(run_s / seen.mean_s)) - seen.mean_error)
+        seen.log_ratio += gain * (ratio - seen.log_ratio)
+        seen.mean_s += gain * (run_s - seen.mean_s)
+
+    def expect(self, team, *, declared_s):
+        """Return the run time to expect, in seconds; `declared_s` None means not declared."""
+        seen = self._teams.get(team)
+        if seen is None:
+            seen = _Seen()
+        if declared_s is None or seen.mean_error + MIN_GAIN < seen.declared_error:
+            return seen.mean_s
+        expected_s = declared_s * math.exp(seen.log_ratio)
+        return min(max(expected_s, MIN_RUN_S), MAX_RUN_S)
--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -37,6 +37,7 @@
     sequence: int
     waiting: int
     spare: int
+    small: bool  # served at once; a large one waits for several slots together
     since_s: float
     seen_s: float
     sent_s: float
@@ -144,8 +145,15 @@
         self._demands.pop(holder, None)
         if message.waiting or message.spare:
             since_s = now_s - max(0.0, message.oldest_age_s)
+            small = message.waiting < self.policy.chunk
             self._demands[holder] = _Demand(
-                message.sequence, message.waiting, message.spare, since_s, now_s, message.sent_s
+                message.sequence,
+                message.waiting,
+                message.spare,
+                small,
+                since_s,
+                now_s,
+                message.sent_s,
             )
         return self._serve(now_s)
 
@@ -229,41 +237,39 @@
         if not self._demands:
             return []
         free = dict(self._free(now_s))
-        if not self._worth_granting(now_s, sum(free.values())):
-            return self._recall(now_s)
         granted = {}
-        self._grant(now_s, free, granted, "waiting")
-        self._grant(now_s, free, granted, "spare")
-        left = sum(free.values())
+        small = [holder for holder, demand in self._demands.items() if demand.small]
+        self._grant(now_s, free, granted, small, "waiting")
+        collected = sum(free.values()) >= self.policy.chunk
+        if free and (collected or now_s - self._granted_s >= self.policy.chunk_pause_s):
+            self._grant(now_s, free, granted, self._demands, "waiting")
+            self._grant(now_s, free, granted, self._demands, "spare")
+        out = self._grant_messages(granted, sum(free.values()))
+        if any(holder not in small for holder in granted):
+            self._granted_s = now_s
+        for holder, demand in list(self._demands.items()):
+            if not demand.waiting:  # spare slots are asked for anew, they never queue
+                del self._demands[holder]
+        return out + self._recall(now_s)
+
+    def _grant_messages(self, granted, left):
         queued = sum(demand.waiting for demand in self._demands.values())
         out = []
-        self._granted_s = now_s
         for holder, leases in granted.items():
             demand = self._demands[holder]
             grant = SlotGrant(
                 self.service, demand.sequence, leases, demand.sent_s, LEASE_TERM_S, left, queued
             )
             out.append(Outgoing(holder, grant))
-        for holder, demand in list(self._demands.items()):
-            if not demand.waiting:  # spare slots are asked for anew, they never queue
-                del self._demands[holder]
-        return out + self._recall(now_s)
-
-    def _worth_granting(self, now_s, free):
-        """Return False while a few free slots are better collected for one large grant."""
-        if free >= self.policy.chunk or any(
-            d.waiting < self.policy.chunk for d in self._demands.values()
-        ):
-            return free > 0
-        return free > 0 and now_s - self._granted_s >= self.policy.chunk_pause_s
+        return out
 
-    def _grant(self, now_s, free, granted, kind):
+    def _grant(self, now_s, free, granted, holders, kind):
         """Grant one slot after another to the holder with the fewest, the oldest demand first."""
         while free:
             wanting = [
-                (self._held.get(holder, 0), demand.since_s, holder)
-                for holder, demand in self._demands.items()
-                if getattr(demand, kind) > 0
+                (self._held.get(holder, 0), self._demands[holder].since_s, holder)
+                for holder in holders
+                if getattr(self._demands[holder], kind) > 0
             ]
             if not wanting:
                 return
@@ -274,11 +280,14 @@
             free[name] -= 1
             if not free[name]:
                 del free[name]
-            lease = HeldLease(self._next_id, name)
-            self._next_id += 1
-            self._leases[name][lease.lease_id] = _Granted(holder, now_s, now_s + LEASE_TERM_S)
-            self._held[holder] = self._held.get(holder, 0) + 1
-            granted.setdefault(holder, []).append(lease)
+            granted.setdefault(holder, []).append(self._lease(now_s, holder, name))
+
+    def _lease(self, now_s, holder, endpoint):
+        lease = HeldLease(self._next_id, endpoint)
+        self._next_id += 1
+        self._leases[endpoint][lease.lease_id] = _Granted(holder, now_s, now_s + LEASE_TERM_S)
+        self._held[holder] = self._held.get(holder, 0) + 1
+        return lease
 
     def _recall(self, now_s):
         """Ask holders above the fair share to give back for demands below it."""
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -191,6 +191,8 @@
         elif entry is not None and entry.owed > 0:
             entry.owed -= 1
             self._give_back(now_s, lease)
+            if not entry.owed or len(self._giving[lease.allocator]) >= self.policy.chunk:
+                self._giving_s = now_s
         else:
             self._put_idle(lease)
 
@@ -309,16 +311,16 @@
         return min(self.policy.spare, 1) if queued else self.policy.spare
 
     def _give_back_unused(self, now_s):
-        """Give back leases that were idle for the hold time, beyond the spare ones."""
+        """Give back all idle leases but the spare ones once one of them reached its hold time."""
         surplus = len(self._idle) - self._spare()
         if surplus <= 0 or now_s < self._unused_s:
             return
+        unused = [self._leases[lease_id] for lease_id in self._idle[:surplus]]
+        if all(now_s - lease.idle_since_s < self._hold_s(lease) for lease in unused):
+            return
         self._unused_s = now_s + self.policy.return_pause_s
-        for lease_id in list(self._idle):
-            lease = self._leases[lease_id]
-            if surplus > 0 and now_s - lease.idle_since_s >= self._hold_s(lease):
-                surplus -= 1
-                self._give_back(now_s, lease)
+        for lease in unused:
+            self._give_back(now_s, lease)
 
     def _hold_s(self, lease):
         entry = self._allocators.get(lease.allocator)
--- /dev/null
+++ b/tests/limits/test_quotas.py
@@ -0,0 +1,196 @@
+import testtools
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from burdocklug.limits import QuotaHandover, QuotaRequest, QuotaReturn, QuotaShares, base_share
+from burdocklug.limits._quotas import LOAN_TERM_S
+
+FLEET = [f"p{n}" for n in range(4)]
+LONGEST_S = 3.0
+PROCESSES = st.sampled_from(FLEET)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Processes that lend, die, restart and are cut off; running tasks outlive their process."""
+
+    quota = 3
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.shares, self.names, self.cut = {}, {}, set()
+        self.post = []  # messages under way
+        self.running = []  # (process incarnation, end time)
+        self.number = 0
+        self.borrowed = 0
+        for name in FLEET:
+            self.boot(name, QuotaHandover())
+
+    def boot(self, name, handover):
+        self.number += 1
+        shares = QuotaShares(
+            process=name,
+            fleet=FLEET,
+            started_s=self.now_s,
+            longest_task_s=LONGEST_S,
+            handover=handover,
+        )
+        shares.set_quota(self.now_s, "a", self.quota)
+        self.names[name] = f"{name}~{self.number}"
+        self.shares[self.names[name]] = shares
+
+    def send(self, name, outgoing):
+        sender = self.names[name]
+        self.post += [(sender, item.to, item.message) for item in outgoing]
+
+    def owner(self, incarnation):
+        return incarnation.partition("~")[0]
+
+    @rule(name=PROCESSES, seconds=st.floats(0.0, LONGEST_S))
+    def start(self, name, seconds):
+        incarnation = self.names[name]
+        if self.shares[incarnation].may_start(self.now_s, "a"):
+            self.shares[incarnation].started(self.now_s, "a")
+            self.running.append((incarnation, self.now_s + seconds))
+
+    @rule(name=PROCESSES, waiting=st.integers(0, 6))
+    def tick(self, name, waiting):
+        peers = {n: i for n, i in self.names.items() if n != name}
+        outgoing = self.shares[self.names[name]].tick(self.now_s, {"a": waiting}, peers)
+        self.send(name, outgoing)
+
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.1, LOAN_TERM_S, LONGEST_S + 0.01]))
+    def wait(self, seconds):
+        self.now_s += seconds
+        for incarnation, end_s in self.running:
+            if end_s <= self.now_s and incarnation in self.shares:
+                self.shares[incarnation].ended(self.now_s, "a")
+        self.running = [item for item in self.running if item[1] > self.now_s]
+
+    @rule(index=st.integers(0, 50), repeat=st.booleans())
+    def deliver(self, index, repeat):
+        if not self.post:
+            return
+        index %= len(self.post)
+        sender, to, message = self.post[index] if repeat else self.post.pop(index)
+        if to in self.shares and not self.cut & {self.owner(sender), self.owner(to)}:
+            outgoing = self.shares[to].receive(self.now_s, sender, message)
+            self.borrowed += sum(getattr(item.message, "amount", 0) > 0 for item in outgoing)
+            self.send(self.owner(to), outgoing)
+
+    @rule(name=PROCESSES)
+    def partition(self, name):
+        self.cut ^= {name}
+
+    @rule(name=PROCESSES)
+    def kill(self, name):
+        del self.shares[self.names[name]]
+        self.boot(name, None)
+
+    @rule(name=PROCESSES)
+    def replace(self, name):
+        incarnation = self.names[name]
+        if any(item[0] == incarnation for item in self.running):
+            return
+        returns, handover = self.shares[incarnation].leave(self.now_s)
+        self.send(name, returns)
+        del self.shares[incarnation]
+        self.boot(name, handover)
+
+    @invariant()
+    def quota_holds(self):
+        assert len(self.running) <= self.quota, self.running
+
+
+class TestQuotaShares(testtools.TestCase):
+    def run_machine(self, fleet_quota):
+        machine = type("Machine", (Fleet,), {"quota": fleet_quota})
+        run_state_machine_as_test(
+            machine,
+            settings=settings(
+                derandomize=True,
+                deadline=None,
+                database=None,
+                max_examples=150,
+                stateful_step_count=50,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+
+    def test_running_never_exceeds_a_quota_below_the_number_of_processes(self):
+        self.run_machine(3)
+
+    def test_running_never_exceeds_a_quota_above_the_number_of_processes(self):
+        self.run_machine(9)
+
+    def test_base_shares_sum_to_the_quota_and_never_fall_as_it_rises(self):
+        fleet = [f"p{n}" for n in range(7)]
+        before = dict.fromkeys(fleet, 0)
+        for quota in range(40):
+            shares = {name: base_share("a", quota, name, fleet) for name in fleet}
+            self.assertEqual(quota, sum(shares.values()))
+            self.assertTrue(all(shares[name] >= before[name] for name in fleet))
+            before = shares
+
+
+class TestLoans(testtools.TestCase):
+    """Loans between two processes with a quota of four."""
+
+    def setUp(self):
+        super().setUp()
+        self.shares = {
+            name: QuotaShares(
+                process=name,
+                fleet=["p1", "p2"],
+                started_s=0.0,
+                longest_task_s=2.0,
+                handover=QuotaHandover(),
+            )
+            for name in ("p1", "p2")
+        }
+        for shares in self.shares.values():
+            shares.set_quota(0.0, "a", 4)
+
+    def borrow(self, now_s, waiting):
+        [ask] = self.shares["p1"].tick(now_s, {"a": waiting}, {"p2": "p2"})
+        [grant] = self.shares["p2"].receive(now_s, "p1", ask.message)
+        self.shares["p1"].receive(now_s, "p2", grant.message)
+        return ask.message
+
+    def shared(self, now_s):
+        return [self.shares[name].share(now_s, "a") for name in ("p1", "p2")]
+
+    def test_demand_moves_the_idle_share(self):
+        self.borrow(1.0, 4)
+        self.assertEqual([4, 0], self.shared(1.0))
+
+    def test_a_lender_keeps_what_it_needs_itself(self):
+        self.shares["p2"].tick(1.0, {"a": 1}, {})
+        self.borrow(1.0, 4)
+        self.assertEqual([3, 1], self.shared(1.0))
+
+    def test_an_unused_loan_goes_back_early(self):
+        self.borrow(1.0, 4)
+        [back] = self.shares["p1"].tick(2.5, {}, {"p2": "p2"})
+        self.assertIsInstance(back.message, QuotaReturn)
+        self.shares["p2"].receive(2.5, "p1", back.message)
+        self.assertEqual([2, 2], self.shared(2.5))
+
+    def test_a_lost_borrower_costs_the_lender_the_term_and_the_longest_task(self):
+        self.borrow(1.0, 4)
+        self.assertEqual(0, self.shares["p2"].share(1.0 + LOAN_TERM_S + 1.9, "a"))
+        self.assertEqual(2, self.shares["p2"].share(1.0 + LOAN_TERM_S + 2.0, "a"))
+
+    def test_a_repeated_request_lends_once(self):
+        ask = self.borrow(1.0, 3)
+        self.shares["p2"].receive(1.1, "p1", ask)
+        self.assertEqual([3, 1], self.shared(1.1))
+
+    def test_a_killed_predecessor_delays_the_base_share(self):
+        fresh = QuotaShares(process="p1", fleet=["p1"], started_s=10.0, longest_task_s=2.0)
+        fresh.set_quota(10.0, "a", 4)
+        self.assertEqual(0, fresh.share(10.0 + LOAN_TERM_S + 1.9, "a"))
+        self.assertEqual(4, fresh.share(10.0 + LOAN_TERM_S + 2.0, "a"))
+        [refusal] = fresh.receive(11.0, "p2", QuotaRequest("a", 1, 2, 11.0))
+        self.assertEqual(0, refusal.message.amount)
