--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -23,7 +23,6 @@
         self.post = []  # messages under way
         self.running = []  # (process incarnation, end time)
         self.number = 0
-        self.borrowed = 0
         for name in FLEET:
             self.boot(name, QuotaHandover())
 
@@ -54,13 +53,41 @@
             self.shares[incarnation].started(self.now_s, "a")
             self.running.append((incarnation, self.now_s + seconds))
 
+    @rule(name=PROCESSES)
+    def flood(self, name):
+        while self.shares[self.names[name]].may_start(self.now_s, "a"):
+            self.start(name, LONGEST_S)
+
+    @rule(name=PROCESSES, rounds=st.integers(1, 3))
+    def borrow(self, name, rounds):
+        for _ in range(rounds):
+            self.tick(name, 9)
+            for _ in range(2):
+                post, self.post = self.post, []
+                for sender, to, message in post:
+                    self.hand_over(sender, to, message)
+        self.flood(name)
+
+    @rule()
+    def flood_all(self):
+        for name in FLEET:
+            self.flood(name)
+
+    @rule()
+    def settle(self):
+        for name in FLEET:
+            self.tick(name, 0)
+        post, self.post = self.post, []
+        for sender, to, message in post:
+            self.hand_over(sender, to, message)
+
     @rule(name=PROCESSES, waiting=st.integers(0, 6))
     def tick(self, name, waiting):
         peers = {n: i for n, i in self.names.items() if n != name}
         outgoing = self.shares[self.names[name]].tick(self.now_s, {"a": waiting}, peers)
         self.send(name, outgoing)
 
-    @rule(seconds=st.sampled_from([0.01, 0.3, 1.1, LOAN_TERM_S, LONGEST_S + 0.01]))
+    @rule(seconds=st.sampled_from([0.01, 1.1, LOAN_TERM_S - 0.1, LOAN_TERM_S]))
     def wait(self, seconds):
         self.now_s += seconds
         for incarnation, end_s in self.running:
@@ -73,10 +100,11 @@
         if not self.post:
             return
         index %= len(self.post)
-        sender, to, message = self.post[index] if repeat else self.post.pop(index)
+        self.hand_over(*(self.post[index] if repeat else self.post.pop(index)))
+
+    def hand_over(self, sender, to, message):
         if to in self.shares and not self.cut & {self.owner(sender), self.owner(to)}:
             outgoing = self.shares[to].receive(self.now_s, sender, message)
-            self.borrowed += sum(getattr(item.message, "amount", 0) > 0 for item in outgoing)
             self.send(self.owner(to), outgoing)
 
     @rule(name=PROCESSES)
@@ -177,6 +205,21 @@
         self.shares["p2"].receive(2.5, "p1", back.message)
         self.assertEqual([2, 2], self.shared(2.5))
 
+    def test_a_loan_goes_back_only_once_running_tasks_fit_without_it(self):
+        self.borrow(1.0, 4)
+        for _ in range(3):
+            self.shares["p1"].started(1.0, "a")
+        for now_s in (3.0, 1.0 + LOAN_TERM_S):
+            self.assertEqual([], self.shares["p1"].tick(now_s, {}, {}))
+        self.shares["p1"].ended(6.5, "a")
+        [back] = self.shares["p1"].tick(6.5, {}, {})
+        self.assertIsInstance(back.message, QuotaReturn)
+
+    def test_an_expired_loan_starts_nothing(self):
+        self.borrow(1.0, 4)
+        self.assertEqual(4, self.shares["p1"].share(0.99 + LOAN_TERM_S, "a"))
+        self.assertEqual(2, self.shares["p1"].share(1.0 + LOAN_TERM_S, "a"))
+
     def test_a_lost_borrower_costs_the_lender_the_term_and_the_longest_task(self):
         self.borrow(1.0, 4)
         self.assertEqual(0, self.shares["p2"].share(1.0 + LOAN_TERM_S + 1.9, "a"))
