--- a/bench/endpoints.py
+++ b/bench/endpoints.py
@@ -4,6 +4,7 @@
 import sys
 import time
 import warnings
+from collections import Counter
 
 warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
 
@@ -11,7 +12,17 @@
 
 eventlet.monkey_patch()
 
-from burdocklug.endpoints import Attempt, HttpEndpoints  # noqa: E402
+from burdocklug.endpoints import (  # noqa: E402
+    Attempt,
+    CancelBatcher,
+    EndpointHealth,
+    EndpointProtocol,
+    HttpEndpoints,
+    Outcome,
+    OutcomeKind,
+)
+from burdocklug.kernel import TimerService  # noqa: E402
+from burdocklug.retries import run_attempt  # noqa: E402
 
 ENDPOINTS = 8
 CONCURRENCY = 32
@@ -55,18 +66,55 @@
     return (time.process_time() - began_s) * 1e6 / tasks
 
 
+def median_cost(run_one, addresses, tasks, rounds):
+    """Return the median of several `task_cost`, after a warm-up."""
+    task_cost(run_one, addresses, WARM_UP_TASKS)
+    costs = sorted(task_cost(run_one, addresses, tasks + i) for i in range(rounds))
+    return round(costs[rounds // 2], 1)
+
+
+def cancel_cost(cancellations=10_000, addresses=24):
+    """Return microseconds per collected cancellation."""
+    timers = TimerService()
+    batcher = CancelBatcher(EndpointProtocol(), timers, spawn=lambda *_: None)
+    began_s = time.process_time()
+    for number in range(cancellations):
+        batcher.add(f"10.0.0.{number % addresses}:1", f"a{number}")
+    return round((time.process_time() - began_s) * 1e6 / cancellations, 2)
+
+
+def health_cost(outcomes=50_000, addresses=24):
+    """Return microseconds of one noted outcome and one weight, at `addresses` endpoints."""
+    health = EndpointHealth({f"10.0.0.{n}:1": f"d{n % 3}" for n in range(addresses)})
+    success = Outcome(OutcomeKind.SUCCEEDED, 0.1, 0.1)
+    began_s = time.process_time()
+    for number in range(outcomes):
+        address = f"10.0.0.{number % addresses}:1"
+        health.note(address, success, number * 0.001)
+        health.weight(address, number * 0.001)
+    return round((time.process_time() - began_s) * 1e6 / outcomes, 2)
+
+
 def figures(tasks=10_000, rounds=3):
-    """Return the median processor time per task through `HttpEndpoints`, in microseconds."""
+    """Return processor time per task and per cancellation, in microseconds."""
     process, addresses = start_standins(ENDPOINTS)
     try:
-        endpoints = HttpEndpoints()
-
-        def run_one(address, attempt):
-            return endpoints.start(address, attempt, timeout_s=10.0)
-
-        task_cost(run_one, addresses, WARM_UP_TASKS)
-        costs = sorted(task_cost(run_one, addresses, tasks + i) for i in range(rounds))
-        return {"endpoint_start_cpu_us": round(costs[rounds // 2], 1)}
+        http = HttpEndpoints()
+        counts = Counter()
+
+        def start(address, attempt):
+            return http.start(address, attempt, timeout_s=10.0)
+
+        def run(address, attempt):
+            deadline_s = time.monotonic() + 10.0
+            return run_attempt(http, address, attempt, deadline_s, 1.0, counts=counts).result
+
+        return {
+            "endpoint_start_cpu_us": median_cost(start, addresses, tasks, rounds),
+            "endpoint_run_attempt_cpu_us": median_cost(run, addresses, tasks + rounds, rounds),
+            "endpoint_cancel_cpu_us": cancel_cost(),
+            "endpoint_health_cpu_us": health_cost(),
+        }
     finally:
         process.terminate()
         process.wait()
--- a/burdocklug/retries/__init__.py
+++ b/burdocklug/retries/__init__.py
@@ -1,7 +1,7 @@
 """What follows a failed attempt: the action table, backoff, the retry budget, recovery."""
 
 from burdocklug.retries._actions import ACTIONS, Action, FailedPhase, backoff_s, phase_of_state
-from burdocklug.retries._attempts import Finished, NotRun, Unknown, run_attempt
+from burdocklug.retries._attempts import Finished, NotRun, Unknown, health_outcome, run_attempt
 from burdocklug.retries._budget import RetryBudget
 
 __all__ = [
@@ -13,6 +13,7 @@
     "RetryBudget",
     "Unknown",
     "backoff_s",
+    "health_outcome",
     "phase_of_state",
     "run_attempt",
 ]
--- a/burdocklug/retries/_attempts.py
+++ b/burdocklug/retries/_attempts.py
@@ -14,10 +14,12 @@
     EndpointSilent,
     MaybeStarted,
     NotStarted,
+    Outcome,
+    OutcomeKind,
 )
 from burdocklug.retries._actions import ACTIONS, Action, FailedPhase, backoff_s, phase_of_state
 
-__all__ = ["Finished", "NotRun", "Unknown", "run_attempt"]
+__all__ = ["Finished", "NotRun", "Unknown", "health_outcome", "run_attempt"]
 
 ASK_WAIT_S = 1.0  # the endpoint holds a question about a running attempt for so long
 ASK_TIMEOUT_S = 1.0  # for connection and answer, on top of the wait
@@ -57,9 +59,45 @@
     ----------
     why : str
         Value of the `FailedPhase`.
+    last_phase : str
+        Value of the `FailedPhase` before the deadline: `ask_running` for a straggler.
     """
 
     why: str
+    last_phase: str = ""
+
+
+def health_outcome(outcome, expected_s):
+    """Return what an attempt's outcome shows of its endpoint, or None for nothing.
+
+    Parameters
+    ----------
+    outcome : Finished or NotRun or Unknown
+        The attempt's outcome; a cancelled attempt shows nothing and isn't to be passed.
+    expected_s : float
+        Expected run time of the task in seconds.
+
+    Returns
+    -------
+    Outcome or None
+        To be noted by `EndpointHealth`.
+
+    Examples
+    --------
+    >>> health_outcome(NotRun("full"), 0.2) is None
+    True
+    >>> health_outcome(Unknown("deadline", "ask_silent"), 0.2).kind.value
+    'silent'
+    """
+    match outcome:
+        case Finished(result):
+            kind = OutcomeKind.SUCCEEDED if result.ok else OutcomeKind.FAILED
+            return Outcome(kind, result.run_s, expected_s)
+        case NotRun(FailedPhase.REFUSED):
+            return Outcome(OutcomeKind.REFUSED)
+        case Unknown(FailedPhase.DEADLINE, FailedPhase.ASK_SILENT):
+            return Outcome(OutcomeKind.SILENT)
+    return None
 
 
 class _Resolved(BaseException):
@@ -165,7 +203,7 @@
     Returns
     -------
     Finished or NotRun or Unknown
-        One outcome; later answers to the same attempt are counted and dropped.
+        One outcome; every other answer to the same attempt is dropped.
 
     Notes
     -----
@@ -197,10 +235,9 @@
     except MaybeStarted as exc:
         race.started = True
         return _after_broken_start(run, race, exc.cause)
-    if race.outcome is not None:
-        run.counts["late_answers"] += 1
-        return race.outcome
     if _is_own(run, result):
+        # The result proves more than the answer to a question that came just before it.
+        run.counts["late_answers"] += race.outcome is not None
         return Finished(result)
     return _after_broken_start(run, race, "crossed")
 
@@ -224,11 +261,13 @@
 def _ask_until_settled(run, phase):
     """Ask with backoff until an answer settles the attempt or the deadline has passed."""
     silent_asks = 0
+    last_phase = phase
     while ACTIONS[phase] is Action.ASK:
         if phase is FailedPhase.ASK_SILENT:
             delay_s = backoff_s(silent_asks, run.rng)
             eventlet.sleep(max(0.0, min(delay_s, run.left_s())))
             silent_asks += 1
+        last_phase = phase
         if run.left_s() <= 0:
             phase = FailedPhase.DEADLINE
             break
@@ -237,7 +276,7 @@
             return Finished(result)
     if ACTIONS[phase] is Action.RETRY_ELSEWHERE:
         return NotRun(phase.value)
-    return Unknown(phase.value)
+    return Unknown(phase.value, last_phase.value)
 
 
 def _ask(run):
--- a/tests/endpoints/support.py
+++ b/tests/endpoints/support.py
@@ -1,9 +1,8 @@
-"""Stand-ins for the tests: in this process, in another one, and behind a link."""
+"""Stand-in endpoints for the tests, in this process and in another one."""
 
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -81,36 +80,3 @@
         self.process.kill()
         self.process.wait()
         self.process.stdout.close()
-
-
-class SilentLink:
-    """Forwards connections; `go_silent` makes the open ones drop every byte."""
-
-    def __init__(self, target):
-        self.target = target
-        self.silent_before = 0
-        self.opened = 0
-        self.listener = eventlet.listen(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        eventlet.spawn_n(self._accept)
-
-    def go_silent(self):
-        self.silent_before = self.opened
-
-    def _accept(self):
-        while True:
-            near, _ = self.listener.accept()
-            far = eventlet.connect(self.target)
-            number, self.opened = self.opened, self.opened + 1
-            eventlet.spawn_n(self._copy, number, near, far)
-            eventlet.spawn_n(self._copy, number, far, near)
-
-    def _copy(self, number, source, sink):
-        try:
-            while data := source.recv(65536):
-                if number >= self.silent_before:
-                    sink.sendall(data)
-            if number >= self.silent_before:
-                sink.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
--- a/tests/endpoints/test_health.py
+++ b/tests/endpoints/test_health.py
@@ -133,6 +133,29 @@
             self.assertThat(run.max_ejected["domain-0"], LessThan(5))
 
 
+class SharedBlackHoleTest(TestCase):
+    """Seven processes with their own view share the slots of one black hole."""
+
+    def test_first_second_costs_the_slots_and_later_ones_a_trial_per_process(self):
+        for seed in SEEDS:
+            rng = random.Random(seed)
+            views = [EndpointHealth(ADDRESSES, rng=random.Random(seed + n)) for n in range(7)]
+            spoilt = Counter()
+            in_flight = [(0.001, rng.choice(views)) for _ in range(SLOTS)]
+            for end_s, view in in_flight:
+                view.note(FIRST, Outcome(OutcomeKind.FAILED), end_s)
+                spoilt[0] += 1
+            for tick in range(2, 60_000):
+                now_s = tick * 0.001
+                for view in views:
+                    if view.try_acquire_trial(FIRST, now_s):
+                        view.note(FIRST, Outcome(OutcomeKind.FAILED), now_s + 0.001)
+                        spoilt[int(now_s)] += 1
+            self.assertThat(spoilt[0], Equals(SLOTS))
+            self.assertThat(max(spoilt[second] for second in range(1, 60)), LessThan(SLOTS))
+            self.assertThat(sum(spoilt.values()), LessThan(SLOTS + 7 * 7))
+
+
 class SlowTest(TestCase):
     def test_ten_times_slow_gets_a_tenth(self):
         def behave(address, _now_s, rng):
--- a/tests/retries/test_faults.py
+++ b/tests/retries/test_faults.py
@@ -14,9 +14,10 @@
 
 from burdocklug.endpoints import HttpEndpoints  # noqa: E402
 from burdocklug.retries import Finished, NotRun, Unknown, run_attempt  # noqa: E402
+from standins.launch import free_address  # noqa: E402
+from standins.link import Link  # noqa: E402
 from tests.endpoints.support import (  # noqa: E402
     RemoteEndpoint,
-    SilentLink,
     attempt,
     local_endpoint,
     own_value,
@@ -181,31 +182,55 @@
 
 
 class SilentLinkTest(Runner):
+    def setUp(self):
+        super().setUp()
+        self.endpoint = local_endpoint()
+        self.addCleanup(self.endpoint.close)
+        self.link = Link(free_address(), self.endpoint.address)
+        self.addCleanup(self.link.set_mode, "cut")
+
+    def silence(self, direction="both"):
+        self.link.set_mode("silent", scope="existing", direction=direction)
+
     def test_open_connections_silent_new_ones_work(self):
-        endpoint = local_endpoint()
-        self.addCleanup(endpoint.close)
-        link = SilentLink(("127.0.0.1", endpoint.port))
+        for direction, reason in [("both", NotRun), ("to_server", NotRun), ("to_client", Finished)]:
+            self.check_silent(direction, reason)
+
+    def check_silent(self, direction, kind):
+        self.endpoint.state.reset()
+        before = Counter(self.http.counts)
+        self.counts.clear()
+        names = [f"{direction}-{n}" for n in range(17)]
         pool = eventlet.GreenPool()
-        list(pool.imap(lambda n: self.run_one(link.address, attempt(n, run_s=0.05)), range(8)))
-        opened = self.http.counts["opened"]
-        link.go_silent()
-        lost = self.run_one(link.address, attempt(8, run_s=0.02))
-        self.assert_outcome(lost, NotRun, "ask_not_started")
-        self.assertThat(self.http.counts["retired"], Equals(opened - 1))
-        for number in range(9, 17):
-            self.assert_outcome(self.run_one(link.address, attempt(number)), Finished)
+        list(pool.imap(lambda name: self.run_link(name, run_s=0.05), names[:8]))
+        opened = self.http.counts["opened"] - before["opened"]
+        self.silence(direction)
+        self.assert_outcome(self.run_link(names[8], run_s=0.02), kind, "ask_not_started")
+        retired = self.http.counts["retired"] - before["retired"]
+        self.assertThat(retired, Equals(opened - 1 + bool(before)))
+        for name in names[9:]:
+            self.assert_outcome(self.run_link(name), Finished)
         self.assertThat(self.counts["silent_starts"], Equals(1))
-        starts = starts_by_task(endpoint.state.starts)
-        self.assertThat(starts, Equals({f"job.1/{n}": 1 for n in range(17) if n != 8}))
+        ran = {f"job.1/{name}": 1 for name in names if kind is Finished or name != names[8]}
+        self.assertThat(starts_by_task(self.endpoint.state.starts), Equals(ran))
+
+    def run_link(self, number, **payload):
+        return self.run_one(self.link.listen, attempt(number, **payload))
 
     def test_silent_while_the_task_runs(self):
-        endpoint = local_endpoint()
-        self.addCleanup(endpoint.close)
-        link = SilentLink(("127.0.0.1", endpoint.port))
-        pending = eventlet.spawn(self.run_one, link.address, attempt(run_s=0.3, value=7))
+        pending = eventlet.spawn(self.run_link, 0, run_s=0.3, value=7)
         eventlet.sleep(0.05)
-        link.go_silent()
+        self.silence()
         outcome = pending.wait()
         self.assert_outcome(outcome, Finished)
         self.assertThat(outcome.result.value, Equals(own_value(attempt(), 7)))
-        self.assertThat(len(endpoint.state.starts), Equals(1))
+        self.assertThat(len(self.endpoint.state.starts), Equals(1))
+
+    def test_cut_while_the_task_runs_and_back(self):
+        pending = eventlet.spawn(self.run_link, 0, run_s=0.3, value=7)
+        eventlet.sleep(0.05)
+        self.link.set_mode("cut")
+        eventlet.sleep(0.2)
+        self.link.set_mode("forward")
+        self.assert_outcome(pending.wait(), Finished)
+        self.assertThat(len(self.endpoint.state.starts), Equals(1))
