--- a/tests/tickets/simulation.py
+++ b/tests/tickets/simulation.py
@@ -110,9 +110,9 @@
 class FakeStore:
     """The platform's store with its faults; calls and bytes are counted by purpose.
 
-    Parameters of faults: `down`; `cut`, names of processes whose calls time out; `silent`, names
-    of processes whose open watches never end; `stale`, an old entry by process name that
-    its reads give; `lose_answers`, how many writes take effect and then time out.
+    Faults: `down`; `trip_s`, how long each call takes; `cut`, names of processes whose calls time
+    out; `silent`, names of processes whose open watches never end; `stale`, an old entry by
+    process name that its reads give; `lose_answers`, how many writes take effect and time out.
     """
 
     def __init__(self, sim):
@@ -123,6 +123,7 @@
         self.silent = set()
         self.stale = {}
         self.lose_answers = 0
+        self.trip_s = STORE_TRIP_S
         self.calls = collections.Counter()
         self.bytes = collections.Counter()
         self.waiting = []
@@ -157,7 +158,7 @@
             self.store.lose_answers -= 1
             self._pause(STORE_TIMEOUT_S)
             raise StoreUncertain("no answer")
-        self._pause(STORE_TRIP_S / 2)
+        self._pause(self.store.trip_s / 2)
         if isinstance(result, Exception):
             raise result
         return result
@@ -180,17 +181,17 @@
     def _begin(self, purpose, uncertain=False):
         self.store.calls[purpose] += 1
         if self.store.down:
-            self._pause(STORE_TRIP_S)
+            self._pause(self.store.trip_s)
             raise StoreUnavailable("refused")
         if self.process.name in self.store.cut:
             self._pause(STORE_TIMEOUT_S)
             raise StoreUncertain("no answer") if uncertain else StoreUnavailable("no answer")
-        self._pause(STORE_TRIP_S / 2)
+        self._pause(self.store.trip_s / 2)
 
     def _finish(self, entry):
         if entry is not None:
             self.store.bytes[self.process.name] += len(entry.value)
-        self._pause(STORE_TRIP_S / 2)
+        self._pause(self.store.trip_s / 2)
         if self.process.name in self.store.cut or self.store.down:
             self._pause(STORE_TIMEOUT_S)
             raise StoreUnavailable("no answer")
--- a/tests/tickets/test_faults.py
+++ b/tests/tickets/test_faults.py
@@ -131,6 +131,16 @@
     test.assert_in_force(fleet, 2)
 
 
+def row_store_slow(test, seed):
+    fleet = test.fleet(seed)
+    fleet.cut("perg")
+    fleet.store.trip_s = 1.5
+    fleet.sim.run(30 + seed * 0.3)
+    for number in (1, 2):
+        test.accept(fleet, fleet.processes[0], ticket(number), run_s=4)
+    test.assert_in_force(fleet, 1, 2)
+
+
 def row_answer_lost_after_the_write(test, seed):
     fleet = test.fleet(seed)
     fleet.store.lose_answers = 1
