Tickets: the follower's backoff does not add up with the store client's breaker

The breaker is open for up to 6 s and the follower's own backoff of up to 4 s came on top, so a lone process could miss 9 s after an outage in the worst case. It now tries when the client says it takes calls again. Tests: rows that apply right after an outage repeat the ticket while the breaker refuses it, which it does honestly and writes nothing; 7 repeats, from the breaker's 6 s, a tick and one call.

--- a/burdocklug/tickets/_decisions.py
+++ b/burdocklug/tickets/_decisions.py
@@ -37,6 +37,7 @@
 SAFETY_POLL_S = 30.0
 BACKOFF_MIN_S = 0.25
 BACKOFF_MAX_S = 4.0
+MAX_DOUBLINGS = 16
 
 
 class StoreAction(enum.Enum):
@@ -217,7 +218,7 @@
         state.safety_due_s = now_s + SAFETY_POLL_S
 
 
-def record_failure(state, now_s, *, jitter):
+def record_failure(state, now_s, *, jitter, retry_after_s=None):
     """Note that a call failed or stayed silent, and delay the next one.
 
     Parameters
@@ -228,8 +229,12 @@
         The time.
     jitter : float
         A random number from 0 to 1.
+    retry_after_s : float, optional
+        When the store's client takes calls again, if it said so. A backoff beyond that would add
+        up with the client's own.
     """
-    delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2**state.failures)
+    delay_s = min(BACKOFF_MAX_S, BACKOFF_MIN_S * 2 ** min(state.failures, MAX_DOUBLINGS))
     state.failures += 1
     state.deadline_s = None
-    state.not_before_s = now_s + delay_s * (0.5 + 0.5 * jitter)
+    delay_s *= 0.5 + 0.5 * jitter
+    state.not_before_s = now_s + (delay_s if retry_after_s is None else min(delay_s, retry_after_s))
--- a/burdocklug/tickets/_service.py
+++ b/burdocklug/tickets/_service.py
@@ -140,7 +140,9 @@
                 log.warning("ticket_write_uncertain", number=ticket.number, fault=exc.message)
             except StoreUnavailable as exc:
                 if not uncertain:
-                    raise _not_written(ticket, exc.message, uncertain=False) from exc
+                    raise _not_written(
+                        ticket, exc.message, uncertain=False, retry_after_s=exc.retry_after_s
+                    ) from exc
         raise _not_written(ticket, f"{MAX_ATTEMPTS} attempts failed", uncertain=uncertain)
 
     def _attempt(self, ticket, *, uncertain):
@@ -228,12 +230,14 @@
     return TicketAnswer(ticket.number, kind, outcome.superseded, ticket_digest(ticket).hex())
 
 
-def _not_written(ticket, fault, *, uncertain):
+def _not_written(ticket, fault, *, uncertain, retry_after_s=None):
     if uncertain:
         message = f"ticket {ticket.number} may have been written: {fault}; apply it again"
         return BurdocklugError(ErrorKind.TICKET_UNCERTAIN, message)
     message = f"ticket {ticket.number} was not written: {fault}"
-    return BurdocklugError(ErrorKind.PLATFORM_UNAVAILABLE, message, ran=Ran.NO)
+    return BurdocklugError(
+        ErrorKind.PLATFORM_UNAVAILABLE, message, ran=Ran.NO, retry_after_s=retry_after_s
+    )
 
 
 def _view(value, number, *, certain):
