Peers: silent members stay watched for votes; a restarted seed is found again

Both tests failed on the commit before. Cause of the first: watchers in other failure domains stopped to watch a silent member just when its only mate asked them for a vote. Cause of the second: a process that restarts without seeds dropped the heartbeats for its old incarnation without a word.

--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import eventlet
+import pynng
 
 from burdocklug.peers._codec import MAX_MESSAGE_BYTES
 from burdocklug.peers._sockets import NotWritable, PushDialer, is_refused
@@ -148,8 +149,8 @@
         batch = self._next_batch()
         if not batch:
             return
-        if self._dialer is None:
-            self._dial()
+        if self._dialer is None and not self._dial():
+            return
         items = [outgoing.item for outgoing in batch if outgoing.item is not None]
         frame = self.seal(self.sequence + 1, items)
         if self._dialer.try_send(frame):
@@ -208,10 +209,15 @@
                 outgoing.on_handed()
 
     def _dial(self):
+        try:
+            self._dialer = PushDialer(self.address)
+        except pynng.NNGException as exc:
+            self.drop_queue(f"can't dial: {exc}")
+            return False
         self.generation += 1
         self.first_sequence = self.sequence + 1
         self.traffic.dials += 1
-        self._dialer = PushDialer(self.address)
+        return True
 
     def _probe(self):
         if not is_refused(self.address, timeout_s=PROBE_TIMEOUT_S):
--- a/burdocklug/peers/_network.py
+++ b/burdocklug/peers/_network.py
@@ -4,10 +4,12 @@
 
 import eventlet
 
+from burdocklug.peers import _liveness as liveness
 from burdocklug.peers import _membership as membership
 from burdocklug.peers._dump import dump_network
 from burdocklug.peers._errors import PeerNotReached
 from burdocklug.peers._incarnation import mint_incarnation
+from burdocklug.peers._membership_handlers import MembershipHandlers
 from burdocklug.peers._membership_service import MembershipService
 from burdocklug.peers._receiver import Receiver
 from burdocklug.peers._transport import Identity, Transport
@@ -85,15 +87,15 @@
             now=timers.now,
             after=timers.after,
         )
-        self._receiver = Receiver(
-            self._transport, on_replaced=lambda old, new: self._membership.replaced(old, new)
-        )
-        self._membership = MembershipService(
+        self._membership = MembershipService(self._transport, settings=settings, address=address)
+        self._receiver = Receiver(self._transport, on_replaced=self._membership.replaced)
+        handlers = MembershipHandlers(
+            self._membership,
             self._transport,
-            register=lambda kind, handler: self.register(kind, handler, inline=True),
             settings=settings,
-            address=address,
+            register=lambda kind, handler: self.register(kind, handler, inline=True),
         )
+        self._receiver.on_stranger = handlers.greet_stranger
 
     def start(self):
         """Listen, and begin to send heartbeats."""
@@ -184,9 +186,9 @@
     def members(self):
         """Return a list of the known members, without this process."""
         table, now = self._membership.table, self._timers.now()
-        domains = membership.reached_domains(table, now, self.settings)
+        domains = liveness.reached_domains(table, now, self.settings)
         return [
-            membership.make_member(table, record, now, self.settings, domains=domains)
+            liveness.make_member(table, record, now, self.settings, domains=domains)
             for record in table.records.values()
         ]
 
@@ -196,7 +198,7 @@
         record = table.records.get(incarnation)
         if record is None:
             return None
-        return membership.make_member(table, record, self._timers.now(), self.settings)
+        return liveness.make_member(table, record, self._timers.now(), self.settings)
 
     def successor_of(self, incarnation):
         """Return the incarnation that took over from one that left, or None.
--- a/burdocklug/peers/_receiver.py
+++ b/burdocklug/peers/_receiver.py
@@ -45,6 +45,11 @@
         The sending half.
     on_replaced : callable
         Takes an incarnation that another one has replaced at its address, and the other one.
+
+    Attributes
+    ----------
+    on_stranger : callable or None
+        Takes the sender of a frame that was meant for another incarnation.
     """
 
     def __init__(self, transport, *, on_replaced):
@@ -52,6 +57,7 @@
         own = transport.identity.incarnation
         self._own_targets = frozenset({"", own, short_form(own)})
         self._counters = transport.counters
+        self.on_stranger = None
         self._on_replaced = on_replaced
         self._handlers = {}
         self._listener = None
@@ -107,6 +113,8 @@
                 log.exception("peer_item_failed", sender=envelope.sender)
 
     def _refuse_misdirected(self, channel, envelope):
+        if self.on_stranger is not None:
+            self.on_stranger(channel.incarnation)
         for item in envelope.items:
             self._counters["items_misdirected"] += 1
             if type(item) is codec.Request:
--- a/burdocklug/peers/_sockets.py
+++ b/burdocklug/peers/_sockets.py
@@ -155,14 +155,12 @@
         Seconds after which the address counts as not refusing.
     """
     host, _, port = address.partition(":")
-    sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_STREAM)
-    sock.settimeout(timeout_s)
     try:
-        sock.connect((host, int(port)))
+        with green_socket.socket(green_socket.AF_INET, green_socket.SOCK_STREAM) as sock:
+            sock.settimeout(timeout_s)
+            sock.connect((host, int(port)))
     except ConnectionRefusedError:
         return True
     except OSError:
         return False
-    finally:
-        sock.close()
     return False
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -54,6 +54,13 @@
         self.wait_for(lambda: all(states(n)["p3"] == "dead" for n in nets.values()))
         self.assertThat([n.deaths for n in nets.values()], Equals([[]] * 4))
 
+    def test_only_mate_declares_a_killed_peer_dead_with_witnesses_from_outside(self):
+        nets = self.fleet({"perg": ["p1"], "rohrbach": ["r1", "r2", "r3"]})
+        victim = self.process("p2", seeds=[nets["p1"].address])
+        self.wait_for(lambda: all("p2" in living(n) for n in nets.values()))
+        victim.kill()
+        self.wait_for(lambda: all(states(n)["p2"] == "dead" for n in nets.values()))
+
 
 class FrozenPeerTest(NetworkCase):
     def test_frozen_peer_is_dead_stays_dead_and_learns_it(self):
@@ -104,6 +111,15 @@
             one.call(old, Echo(3), timeout_s=5)
         self.assertThat(new.handled, Equals([]))
 
+    def test_restarted_seed_without_seeds_of_its_own_is_found_again(self):
+        one = self.network("p1")
+        two = self.network("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"} and living(two) == {"p1"})
+        one.stop()
+        new = self.network("p1", address=one.address)
+        self.wait_for(lambda: living(new) == {"p2"} and living(two) == {"p1"})
+        self.assertThat(two.member(one.incarnation).state, Equals("dead"))
+
     def test_call_that_the_old_incarnation_took_is_silent(self):
         one = self.network("p1")
         two = self.process("p2", seeds=[one.address])
--- a/tests/peers/test_membership.py
+++ b/tests/peers/test_membership.py
@@ -4,6 +4,7 @@
 from testtools.matchers import Equals, Is
 
 from burdocklug.kernel import PeerSettings
+from burdocklug.peers import _liveness as liveness
 from burdocklug.peers import _membership as membership
 from burdocklug.peers._gossip import Entry, Heartbeat, make_digest, missing_in_digest
 from burdocklug.peers._membership import MemberTable, Status
@@ -24,13 +25,13 @@
     for mate in mates:
         beat(table, mate, 0.0, sequence=1)
     beat(table, FAR, 0.0, sequence=1, domain="rohrbach")
-    membership.watch_only(table, {*mates, FAR}, 0.0)
+    liveness.watch_only(table, {*mates, FAR}, 0.0)
     return table
 
 
 def state(table, incarnation, now_s):
     record = table.records[incarnation]
-    return str(membership.state_of(table, record, now_s, SETTINGS))
+    return str(liveness.state_of(table, record, now_s, SETTINGS))
 
 
 class StateTest(TestCase):
@@ -70,7 +71,7 @@
         self.assertThat(membership.forget(table, 601.0, SETTINGS), Equals(2))
         self.assertThat(sorted(table.old_addresses), Equals(["127.0.0.1:2", "127.0.0.1:4"]))
         beat(table, MATE, 602.0, sequence=9)
-        membership.watch_only(table, {MATE}, 602.0)
+        liveness.watch_only(table, {MATE}, 602.0)
         self.assertThat(state(table, MATE, 602.1), Equals("alive"))
 
     def test_newer_incarnation_at_the_address_ends_the_older(self):
@@ -83,7 +84,7 @@
 
     def test_own_pause_counts_as_no_silence(self):
         table = table_with(MATE)
-        membership.shift_times(table, 60.0)
+        liveness.shift_times(table, 60.0)
         self.assertThat(state(table, MATE, 61.0), Equals("alive"))
 
 
@@ -106,18 +107,18 @@
             record = table.records[MATE]
             record.asked_s = now_s - 0.5
             for voter in confirming:
-                membership.add_vote(table, MATE, voter, silent=True)
+                liveness.add_vote(table, MATE, voter, silent=True)
             for voter in denying:
-                membership.add_vote(table, MATE, voter, silent=False)
-            verdict = membership.vote_is_dead(table, record, now_s, SETTINGS)
+                liveness.add_vote(table, MATE, voter, silent=False)
+            verdict = liveness.vote_is_dead(table, record, now_s, SETTINGS)
             self.assertThat(verdict, Equals(expected), name)
 
     def test_nobody_outside_declares_a_member_dead(self):
         table = table_with(MATE)
         record = table.records[FAR]
         record.asked_s = 5.5
-        membership.add_vote(table, FAR, MATE, silent=True)
-        self.assertThat(membership.vote_is_dead(table, record, 6.0, SETTINGS), Is(False))
+        liveness.add_vote(table, FAR, MATE, silent=True)
+        self.assertThat(liveness.vote_is_dead(table, record, 6.0, SETTINGS), Is(False))
 
 
 ENTRIES = st.lists(
