--- /dev/null
+++ b/burdocklug/endpoints/__init__.py
@@ -0,0 +1,37 @@
+"""The endpoint protocol: starting, asking after and cancelling attempts."""
+
+from burdocklug.endpoints._cancel import CancelBatcher
+from burdocklug.endpoints._health import EndpointHealth, Outcome, OutcomeKind
+from burdocklug.endpoints._health_rules import Fault, Standing
+from burdocklug.endpoints._http import HttpEndpoints
+from burdocklug.endpoints._models import (
+    Attempt,
+    AttemptPhase,
+    AttemptResult,
+    AttemptState,
+    EndpointSilent,
+    EndpointStatus,
+    MaybeStarted,
+    NotStarted,
+)
+from burdocklug.endpoints._protocol import EndpointProtocol, endpoint_protocols
+
+__all__ = [
+    "Attempt",
+    "AttemptPhase",
+    "AttemptResult",
+    "AttemptState",
+    "CancelBatcher",
+    "EndpointHealth",
+    "EndpointProtocol",
+    "EndpointSilent",
+    "EndpointStatus",
+    "Fault",
+    "HttpEndpoints",
+    "MaybeStarted",
+    "NotStarted",
+    "Outcome",
+    "OutcomeKind",
+    "Standing",
+    "endpoint_protocols",
+]
--- /dev/null
+++ b/burdocklug/endpoints/_http.py
@@ -0,0 +1,183 @@
+"""Endpoints over HTTP with JSON bodies, by urllib3."""
+
+import time
+import urllib.parse
+from collections import Counter
+
+import eventlet
+import msgspec
+
+from burdocklug.endpoints._answers import (
+    read_ask_answer,
+    read_start_answer,
+    read_status_answer,
+)
+from burdocklug.endpoints._connections import AddressConnections, exchange, open_connection
+from burdocklug.endpoints._models import EndpointSilent, MaybeStarted, NotStarted
+from burdocklug.endpoints._protocol import EndpointProtocol, endpoint_protocols
+
+__all__ = ["HttpEndpoints"]
+
+DEFAULT_CONNECTIONS = 8
+CONNECT_TIMEOUT_S = 1.0
+IDLE_S = 15.0
+
+
+@endpoint_protocols.register("http")
+class HttpEndpoints(EndpointProtocol):
+    """The HTTP implementation of `EndpointProtocol`.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections that this process keeps open to one endpoint.
+    connect_timeout_s : float
+        Seconds until a connection attempt is given up.
+    idle_s : float
+        Seconds after which an unused connection is closed.
+    now : callable
+        Returns monotonic seconds.
+
+    Attributes
+    ----------
+    counts : collections.Counter
+        Connections opened and closed by cause, and messages sent by kind.
+    """
+
+    def __init__(
+        self,
+        *,
+        max_connections=DEFAULT_CONNECTIONS,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+        idle_s=IDLE_S,
+        now=time.monotonic,
+    ):
+        self.max_connections = max_connections
+        self.connect_timeout_s = connect_timeout_s
+        self.idle_s = idle_s
+        self.now = now
+        self.counts = Counter()
+        self._connections = {}
+
+    def start(self, address, attempt, *, timeout_s):
+        """Start an attempt; see `EndpointProtocol.start`."""
+        body = msgspec.json.encode(
+            {
+                "task_id": attempt.task_id,
+                "service": attempt.service,
+                "payload": attempt.payload,
+                "deadline_s": attempt.deadline_s,
+            }
+        )
+        path = f"/v1/attempts/{urllib.parse.quote(attempt.attempt_id, safe='')}"
+        self.counts["starts"] += 1
+        with _time_limit(address, timeout_s) as limit:
+            kept = self._kept(address)
+            conn, generation = kept.acquire(self.now())
+            limit.sent = True
+            reusable = False
+            try:
+                status, answer, reusable = exchange(address, conn, "POST", path, body)
+            finally:
+                kept.release(conn, generation, self.now(), reusable=reusable)
+        return read_start_answer(address, attempt, status, answer)
+
+    def _kept(self, address):
+        kept = self._connections.get(address)
+        if kept is None:
+            kept = self._connections[address] = AddressConnections(
+                address,
+                limit=self.max_connections,
+                connect_timeout_s=self.connect_timeout_s,
+                idle_s=self.idle_s,
+                counts=self.counts,
+            )
+        return kept
+
+    def _question(self, address, method, path, body, timeout_s):
+        try:
+            with _time_limit(address, timeout_s) as limit:
+                conn = open_connection(address, min(timeout_s, self.connect_timeout_s))
+                self.counts["opened"] += 1
+                limit.sent = True
+                try:
+                    return exchange(address, conn, method, path, body)
+                finally:
+                    conn.close()
+        except NotStarted as exc:
+            raise EndpointSilent(exc.reason, exc.message) from exc
+        except MaybeStarted as exc:
+            raise EndpointSilent(exc.cause, exc.message) from exc
+
+    def ask(self, address, attempt_id, *, timeout_s, wait_s=0.0):
+        """Ask on a new connection; see `EndpointProtocol.ask`."""
+        path = f"/v1/attempts/{urllib.parse.quote(attempt_id, safe='')}/fence"
+        body = msgspec.json.encode({"wait_s": wait_s})
+        self.counts["asks"] += 1
+        status, answer, _ = self._question(address, "POST", path, body, timeout_s)
+        return read_ask_answer(address, attempt_id, status, answer)
+
+    def cancel(self, address, attempt_ids, *, timeout_s):
+        """Cancel attempts with one message; see `EndpointProtocol.cancel`."""
+        body = msgspec.json.encode({"attempt_ids": list(attempt_ids)})
+        self.counts["cancels"] += 1
+        status, _, _ = self._question(address, "POST", "/v1/cancel", body, timeout_s)
+        if status != 200:
+            raise EndpointSilent("status", f"endpoint {address} answered {status} to a cancel")
+
+    def status(self, address, *, timeout_s):
+        """Return the load of an endpoint; see `EndpointProtocol.status`."""
+        self.counts["status"] += 1
+        status, answer, _ = self._question(address, "GET", "/v1/status", b"", timeout_s)
+        return read_status_answer(address, status, answer)
+
+    def close_idle(self, now_s):
+        """Close connections that have been idle for `idle_s` seconds.
+
+        Parameters
+        ----------
+        now_s : float
+            The time, by the same clock as `now`.
+        """
+        for address, kept in list(self._connections.items()):
+            kept.close_idle(now_s)
+            if kept.is_unused():
+                del self._connections[address]
+
+    def retire(self, address):
+        """Use no open connection to `address` again; answers under way are still read."""
+        kept = self._connections.get(address)
+        if kept is not None:
+            kept.retire()
+
+
+class _time_limit:  # noqa: N801
+    """Turns the end of the time into `NotStarted` before the request was sent, else `MaybeStarted`.
+
+    Parameters
+    ----------
+    address : str
+        The endpoint, for the message.
+    timeout_s : float
+        Seconds until the block is interrupted.
+    """
+
+    __slots__ = ("address", "sent", "timeout", "timeout_s")
+
+    def __init__(self, address, timeout_s):
+        self.address = address
+        self.timeout_s = timeout_s
+        self.sent = False
+
+    def __enter__(self):
+        self.timeout = eventlet.Timeout(self.timeout_s)
+        return self
+
+    def __exit__(self, _kind, exc, _trace):
+        self.timeout.cancel()
+        if exc is not self.timeout:
+            return
+        message = f"no answer from {self.address} in {self.timeout_s} s"
+        if self.sent:
+            raise MaybeStarted("timeout", message) from exc
+        raise NotStarted("refused", message) from exc
--- /dev/null
+++ b/burdocklug/routing/_models.py
@@ -0,0 +1,203 @@
+"""Plain data that the routing decisions work on."""
+
+import enum
+import hashlib
+import math
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+
+__all__ = [
+    "LeaseOutcome",
+    "Outgoing",
+    "RouteEndpoint",
+    "RouteMember",
+    "SlotLease",
+    "WEIGHTS",
+    "WeightPolicy",
+    "choose_allocators",
+]
+
+GROUP_ENDPOINTS = 32  # endpoints of a failure domain whose slots one process leases out
+
+
+@dataclass(frozen=True, slots=True)
+class RouteMember:
+    """A live process: its incarnation id and its failure domain."""
+
+    incarnation: str
+    failure_domain: str
+
+
+@dataclass(frozen=True, slots=True)
+class RouteEndpoint:
+    """An endpoint as routing sees it.
+
+    Parameters
+    ----------
+    name : str
+        Its name in the configuration.
+    failure_domain : str
+        Where it is.
+    slots : int
+        Most tasks it runs at once.
+    usable : bool
+        False while it is leaving or ejected: it gets no start.
+    """
+
+    name: str
+    failure_domain: str
+    slots: int
+    usable: bool = True
+
+
+@dataclass(slots=True)
+class SlotLease:
+    """A lease as its holder sees it."""
+
+    lease_id: int
+    endpoint: str
+    allocator: str
+    expires_s: float
+    idle_since_s: float
+    busy: bool = False
+
+
+class LeaseOutcome(enum.StrEnum):
+    """What became of a start on a lease."""
+
+    FINISHED = "finished"  # the task ended, or its attempt is known not to run
+    FULL = "full"  # the endpoint refused for want of a slot
+    LOST = "lost"  # the endpoint refused the connection, or the task's state is not known
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message and the incarnation it goes to."""
+
+    to: str
+    message: msgspec.Struct
+
+
+@dataclass(frozen=True, slots=True)
+class WeightPolicy:
+    """How a service's weight shapes the leases; times in seconds.
+
+    Parameters
+    ----------
+    hold_s : float
+        How long a lease stays idle before it goes back.
+    pressed_hold_s : float
+        The same while requests wait at the lease's allocator.
+    return_pause_s : float
+        Between two returns of idle leases, so that several go in one message.
+    return_delay_s : float
+        How long recalled leases are collected before they go back in one message.
+    spare : int
+        Idle leases that a holder keeps ahead of demand.
+    spare_batch : int
+        Fewest spare leases worth a request.
+    hedge : int
+        Allocators asked at once for the same task where none has a free slot.
+    patience_s : float
+        Wait that a holder accepts from its own leases before it asks for more.
+    ask_pause_s : float
+        Before a request that adds little to one that waits at the same allocator.
+    chunk : int
+        Slots that an allocator collects for a large request before it grants them.
+    chunk_pause_s : float
+        Longest time for which it does so.
+    """
+
+    hold_s: float
+    pressed_hold_s: float
+    return_pause_s: float
+    return_delay_s: float
+    spare: int
+    spare_batch: int
+    hedge: int
+    patience_s: float
+    ask_pause_s: float
+    chunk: int
+    chunk_pause_s: float
+
+
+WEIGHTS = {
+    "latency": WeightPolicy(
+        hold_s=1.0,
+        pressed_hold_s=0.2,
+        return_pause_s=0.4,
+        return_delay_s=0.03,
+        spare=4,
+        spare_batch=3,
+        hedge=1,
+        patience_s=0.002,
+        ask_pause_s=0.1,
+        chunk=8,
+        chunk_pause_s=0.1,
+    ),
+    "messages": WeightPolicy(
+        hold_s=2.0,
+        pressed_hold_s=0.4,
+        return_pause_s=0.5,
+        return_delay_s=0.1,
+        spare=2,
+        spare_batch=2,
+        hedge=1,
+        patience_s=0.02,
+        ask_pause_s=0.5,
+        chunk=8,
+        chunk_pause_s=0.1,
+    ),
+}
+
+
+def choose_allocators(endpoints, members):
+    """Return for each endpoint the incarnation that leases out its slots.
+
+    Parameters
+    ----------
+    endpoints : iterable of RouteEndpoint
+        All endpoints of a service.
+    members : iterable of RouteMember
+        Every live process; those of an endpoint's failure domain go first.
+
+    Returns
+    -------
+    dict of str to str
+        Endpoint name to incarnation; empty without members.
+
+    Notes
+    -----
+    Endpoints of a failure domain are put into groups of about `GROUP_ENDPOINTS` by hash, and a
+    group goes to one process by rendezvous hash: few allocators make large batches, and a
+    process that joins or dies moves only its own groups. Processes with different views may
+    choose differently; the endpoint's slot guard refuses the overflow.
+
+    Examples
+    --------
+    >>> members = [RouteMember("10.0.0.1:1~a", "north"), RouteMember("10.0.0.2:1~b", "south")]
+    >>> choose_allocators([RouteEndpoint("e1", "south", 8)], members)
+    {'e1': '10.0.0.2:1~b'}
+    """
+    endpoints, members = list(endpoints), list(members)
+    if not members:
+        return {}
+    sizes = Counter(endpoint.failure_domain for endpoint in endpoints)
+    chosen = {}
+    allocators = {}
+    for endpoint in endpoints:
+        domain = endpoint.failure_domain
+        groups = math.ceil(sizes[domain] / GROUP_ENDPOINTS)
+        group = f"{domain}/{_hash(endpoint.name) % groups}"
+        if group not in chosen:
+            local = [member for member in members if member.failure_domain == domain]
+            names = [member.incarnation for member in local or members]
+            chosen[group] = max(names, key=lambda name: _hash(f"{group}\0{name}"))
+        allocators[endpoint.name] = chosen[group]
+    return allocators
+
+
+def _hash(text):
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
