--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 import eventlet
+import pynng
 
 from burdocklug.peers._codec import MAX_MESSAGE_BYTES
 from burdocklug.peers._sockets import NotWritable, PushDialer, is_refused
@@ -92,6 +93,7 @@
     sequence: int = 0
     acknowledged: int = 0
     wanted: int = 0
+    first_sequence: int = 1
     unacknowledged_since_s: float | None = None
     unreached_since_s: float | None = None
     untaken_since_s: float | None = None
@@ -114,6 +116,11 @@
         """Whether the queue is empty and the peer has acknowledged all that was sent."""
         return not self._queue and self.acknowledged >= self.wanted
 
+    @property
+    def is_introduced(self):
+        """Whether the peer has acknowledged a frame of the present connection."""
+        return self.acknowledged >= self.first_sequence
+
     @property
     def queued(self):
         """Number of items in the queue."""
@@ -142,8 +149,8 @@
         batch = self._next_batch()
         if not batch:
             return
-        if self._dialer is None:
-            self._dial()
+        if self._dialer is None and not self._dial():
+            return
         items = [outgoing.item for outgoing in batch if outgoing.item is not None]
         frame = self.seal(self.sequence + 1, items)
         if self._dialer.try_send(frame):
@@ -202,9 +209,15 @@
                 outgoing.on_handed()
 
     def _dial(self):
+        try:
+            self._dialer = PushDialer(self.address)
+        except pynng.NNGException as exc:
+            self.drop_queue(f"can't dial: {exc}")
+            return False
         self.generation += 1
+        self.first_sequence = self.sequence + 1
         self.traffic.dials += 1
-        self._dialer = PushDialer(self.address)
+        return True
 
     def _probe(self):
         if not is_refused(self.address, timeout_s=PROBE_TIMEOUT_S):
--- a/burdocklug/peers/_receiver.py
+++ b/burdocklug/peers/_receiver.py
@@ -10,7 +10,7 @@
 from burdocklug.peers._codec import RefusalReason
 from burdocklug.peers._dedupe import Verdict
 from burdocklug.peers._errors import PeerNotReached, PeerSilent
-from burdocklug.peers._incarnation import address_of
+from burdocklug.peers._incarnation import address_of, short_form
 from burdocklug.peers._sockets import PullListener
 
 __all__ = ["Handler", "Receiver"]
@@ -45,12 +45,19 @@
         The sending half.
     on_replaced : callable
         Takes an incarnation that another one has replaced at its address, and the other one.
+
+    Attributes
+    ----------
+    on_stranger : callable or None
+        Takes the sender of a frame that was meant for another incarnation.
     """
 
     def __init__(self, transport, *, on_replaced):
         self._transport = transport
-        self._own = transport.identity.incarnation
+        own = transport.identity.incarnation
+        self._own_targets = frozenset({"", own, short_form(own)})
         self._counters = transport.counters
+        self.on_stranger = None
         self._on_replaced = on_replaced
         self._handlers = {}
         self._listener = None
@@ -91,11 +98,11 @@
         except codec.FrameError as exc:
             counters["frames_malformed" if exc.authentic else "frames_not_authentic"] += 1
             return
-        if envelope.sender == self._own or address_of(envelope.sender) is None:
+        channel = self._transport.sender_channel(envelope.sender)
+        if channel is None:
             counters["frames_from_nobody"] += 1
             return
-        channel = self._transport.channel(envelope.sender)
-        if envelope.target and envelope.target != self._own:
+        if envelope.target not in self._own_targets:
             self._refuse_misdirected(channel, envelope)
             return
         channel.note_frame(envelope, self._transport.now())
@@ -106,6 +113,8 @@
                 log.exception("peer_item_failed", sender=envelope.sender)
 
     def _refuse_misdirected(self, channel, envelope):
+        if self.on_stranger is not None:
+            self.on_stranger(channel.incarnation)
         for item in envelope.items:
             self._counters["items_misdirected"] += 1
             if type(item) is codec.Request:
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -20,7 +20,7 @@
     Reply,
     Request,
 )
-from burdocklug.peers._incarnation import mint_incarnation  # noqa: E402
+from burdocklug.peers._incarnation import mint_incarnation, short_form  # noqa: E402
 from tests.peers.support import (  # noqa: E402
     KEY,
     Echo,
@@ -54,6 +54,13 @@
         self.wait_for(lambda: all(states(n)["p3"] == "dead" for n in nets.values()))
         self.assertThat([n.deaths for n in nets.values()], Equals([[]] * 4))
 
+    def test_only_mate_declares_a_killed_peer_dead_with_witnesses_from_outside(self):
+        nets = self.fleet({"perg": ["p1"], "rohrbach": ["r1", "r2", "r3"]})
+        victim = self.process("p2", seeds=[nets["p1"].address])
+        self.wait_for(lambda: all("p2" in living(n) for n in nets.values()))
+        victim.kill()
+        self.wait_for(lambda: all(states(n)["p2"] == "dead" for n in nets.values()))
+
 
 class FrozenPeerTest(NetworkCase):
     def test_frozen_peer_is_dead_stays_dead_and_learns_it(self):
@@ -104,6 +111,15 @@
             one.call(old, Echo(3), timeout_s=5)
         self.assertThat(new.handled, Equals([]))
 
+    def test_restarted_seed_without_seeds_of_its_own_is_found_again(self):
+        one = self.network("p1")
+        two = self.network("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"} and living(two) == {"p1"})
+        one.stop()
+        new = self.network("p1", address=one.address)
+        self.wait_for(lambda: living(new) == {"p2"} and living(two) == {"p1"})
+        self.assertThat(two.member(one.incarnation).state, Equals("dead"))
+
     def test_call_that_the_old_incarnation_took_is_silent(self):
         one = self.network("p1")
         two = self.process("p2", seeds=[one.address])
@@ -227,9 +243,10 @@
         """Drop the frames that come to `network` from the given incarnations."""
         receiver = network._receiver
         opened = receiver._transport.codec.open
+        far = {*incarnations, *map(short_form, incarnations)}
 
         def receive(frame):
-            if opened(frame).sender not in incarnations:
+            if opened(frame).sender not in far:
                 type(receiver).receive(receiver, frame)
 
         receiver._listener._handle = receive
@@ -352,6 +369,13 @@
         self.wait_for(lambda: self.one.counts().get("requests_expired", 0) == 2)
         self.assertThat(self.one.handled, Equals([1]))
 
+    def test_frame_with_an_unknown_short_id_is_from_nobody(self):
+        self.push_items(self.request(), sender=short_form(self.sender))
+        self.assertThat(self.count("frames_from_nobody"), Equals(1))
+        self.push_items(self.request(1, number=1))
+        self.push_items(self.request(2, number=2), sender=short_form(self.sender))
+        self.wait_for(lambda: self.one.handled == [1, 2])
+
     def test_request_to_another_incarnation_is_refused(self):
         other = mint_incarnation(self.one.address)
         self.push_items(self.request(), target=other)
