--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -9,7 +9,6 @@
 
 __all__ = ["Fleet", "Process"]
 
-WARM_UP_S = 5.0
 MAX_QUEUE = 200_000
 
 
@@ -40,24 +39,19 @@
 
     def arrive(self, job):
         """Queue a job's tasks."""
-        if not self.alive:
-            self.fleet.fail(job, "process_dead")
-            return
-        if not self.admit(job):
-            return
         for task in job.tasks:
-            self.queue.push(
-                task,
-                team=job.team,
-                job=job.key,
-                cost_s=task.declared_s,
-                now_s=self.fleet.loop.now_s,
-            )
+            self.push(task)
         self.dispatch()
 
-    def admit(self, job):
-        """Return whether the job may be queued."""
-        return True
+    def push(self, task):
+        """Queue a task."""
+        now_s, job = self.fleet.loop.now_s, task.job
+        cost_s = self.expected_s(task)
+        self.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now_s)
+
+    def expected_s(self, task):
+        """Return the run time to expect of a task, in seconds."""
+        return task.declared_s
 
     def dispatch(self):
         """Start what can start."""
@@ -112,9 +106,15 @@
         """Feed the jobs, run, and go on for `drain_s` so that the last ones end."""
         for job in jobs:
             self.jobs.append(job)
-            self.loop.after(job.arrival_s, self.processes[job.process].arrive, job)
+            self.loop.after(job.arrival_s, self._submit, job)
         self.loop.run(until_s=seconds + drain_s)
 
+    def _submit(self, job):
+        """Hand a job to its process, or to the next live one as the balancer does."""
+        while not self.processes[job.process].alive:
+            job.process = (job.process + 1) % len(self.processes)
+        self.processes[job.process].arrive(job)
+
     def linked(self, one, other):
         """Return whether two failure domains reach each other."""
         return one == other or self.cut is None or not self.cut(one, other)
--- a/bench/_measure.py
+++ b/bench/_measure.py
@@ -2,7 +2,7 @@
 
 import math
 
-__all__ = ["figures", "quantile"]
+__all__ = ["WARM_UP_S", "figures", "quantile", "single_ratios"]
 
 WARM_UP_S = 5.0
 PROTOCOL = ("request", "grant", "return", "recall", "delegate", "handback")
@@ -21,7 +21,17 @@
     return ordered[max(0, math.ceil(share * len(ordered)) - 1)] if ordered else math.nan
 
 
-def figures(fleet, *, seconds):
+def single_ratios(fleet, *, from_s, until_s=math.inf):
+    """Return response over ideal of the answered single requests that arrived in between."""
+    client_s = 2 * fleet.deployment.client_trip_s
+    return [
+        (job.done_s - job.arrival_s + client_s) / fleet.ideal_s(job)
+        for job in fleet.jobs
+        if len(job.tasks) == 1 and job.done_s is not None and from_s <= job.arrival_s < until_s
+    ]
+
+
+def figures(fleet):
     """Return a dict of the run's figures, rounded.
 
     Notes
@@ -30,17 +40,8 @@
     the control plane (renewals, loads) don't depend on the number of tasks and are counted
     a second, apart from those a task.
     """
-    client_s = 2 * fleet.deployment.client_trip_s
-    ratios = {"single": [], "jobs": [], "jobs_capacity": []}
-    for job in fleet.jobs:
-        if job.done_s is None or job.arrival_s < WARM_UP_S:
-            continue
-        response_s = job.done_s - job.arrival_s + client_s
-        if len(job.tasks) == 1:
-            ratios["single"].append(response_s / fleet.ideal_s(job))
-        else:
-            ratios["jobs"].append(response_s / fleet.ideal_s(job))
-            ratios["jobs_capacity"].append(response_s / fleet.capacity_s(job))
+    ratios = {"single": single_ratios(fleet, from_s=WARM_UP_S)}
+    ratios |= _job_ratios(fleet)
     tasks = max(1, fleet.messages["result"])
     paid = sum(fleet.messages[cause] for cause in ("start", "refused", "result", *PROTOCOL))
     out = {"tasks": tasks, "jobs": len(fleet.jobs)}
@@ -57,3 +58,15 @@
     out["control_per_s"] = round(control / max(fleet.loop.now_s, 1e-9), 1)
     out["unanswered"] = sum(job.done_s is None for job in fleet.jobs)
     return out
+
+
+def _job_ratios(fleet):
+    """Return response of whole jobs over their longest task, and over what all slots could do."""
+    client_s = 2 * fleet.deployment.client_trip_s
+    ratios = {"jobs": [], "jobs_over_capacity": []}
+    for job in fleet.jobs:
+        if len(job.tasks) > 1 and job.done_s is not None and job.arrival_s >= WARM_UP_S:
+            response_s = job.done_s - job.arrival_s + client_s
+            ratios["jobs"].append(response_s / fleet.ideal_s(job))
+            ratios["jobs_over_capacity"].append(response_s / fleet.capacity_s(job))
+    return ratios
--- a/bench/_ways.py
+++ b/bench/_ways.py
@@ -63,7 +63,7 @@
 
     def refused(self, task, endpoint, lease):
         """Queue the task again; only a dead endpoint refuses."""
-        self.queue.push(task, team=task.job.team, job=task.job.key, cost_s=task.declared_s)
+        self.push(task)
         self.fleet.loop.after(BACKOFF_S, self.free.append, lease)
 
 
--- a/bench/_workload.py
+++ b/bench/_workload.py
@@ -1,5 +1,6 @@
 """The two deployments of the brief, and jobs that arrive at their processes."""
 
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -78,6 +79,10 @@
         Start and length in seconds, and the factor on the rate meanwhile.
     deadline_s : float
         Time from arrival until the caller gives up.
+    teams : int
+        Number of teams, with equal arrivals.
+    prefix : str
+        Start of the teams' names.
     """
 
     sizes: tuple = ((1, 0.80), (20, 0.155), (200, 0.04), (1700, 0.005))
@@ -85,6 +90,7 @@
     burst: tuple | None = None
     deadline_s: float = 1e9
     teams: int = TEAMS
+    prefix: str = "team"
 
     def mean_tasks(self):
         """Return the mean number of tasks of a job."""
@@ -93,8 +99,6 @@
 
 def mean_run_s():
     """Return the mean run time of a task, in seconds."""
-    import math
-
     low, high = SHORT_RUN_S
     short = (high - low) / math.log(high / low)
     return (1 - LONG_SHARE) * short + LONG_SHARE * sum(LONG_RUN_S) / 2
@@ -143,7 +147,8 @@
             return
         size = rng.choices([s for s, _ in mix.sizes], [w for _, w in mix.sizes])[0]
         process = rng.choices(range(processes), weights)[0]
-        job = Job(f"j{number}", f"team-{rng.randrange(mix.teams)}", process, now_s, mix.deadline_s)
+        team = f"{mix.prefix}-{rng.randrange(mix.teams)}"
+        job = Job(f"{mix.prefix}-j{number}", team, process, now_s, mix.deadline_s)
         for _ in range(size):
             run_s = _run_s(rng)
             job.tasks.append(Task(job, run_s, _declared_s(rng, run_s)))
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -1,6 +1,6 @@
 """A bounded queue of waiting tasks of one service, fair between teams and between their jobs."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
@@ -59,7 +59,7 @@
     virtual_s: float = 0.0
     cost_s: float = 0.0
     tasks: int = 0
-    ring: deque = field(default_factory=deque)  # job lines; cancelled ones are skipped at pop
+    ring: OrderedDict = field(default_factory=OrderedDict)  # jobs in order of their turns
 
 
 class FairQueue:
@@ -136,7 +136,7 @@
         job_line = self._jobs.get(job)
         if job_line is None:
             job_line = self._jobs[job] = _JobLine(team)
-            line.ring.append((job, job_line))
+            line.ring[job] = job_line
         cost_s = max(cost_s, MIN_COST_S)
         queued = QueuedTask(task_ref, team, job, cost_s, now_s)
         if again:
@@ -173,13 +173,11 @@
 
     def _pop_from(self, team):
         line = self._active[team]
-        while line.ring[0][1].tasks is None:
-            line.ring.popleft()
-        job, job_line = line.ring.popleft()
+        job, job_line = line.ring.popitem(last=False)
         task = job_line.tasks.popleft()
         job_line.cost_s -= task.cost_s
         if job_line.tasks:
-            line.ring.append((job, job_line))
+            line.ring[job] = job_line
         else:
             del self._jobs[job]
         self._virtual_s = max(self._virtual_s, line.virtual_s)
@@ -193,7 +191,6 @@
         self._tasks -= tasks
         if not line.tasks:
             line.cost_s = 0.0
-            line.ring.clear()
             del self._active[team]
 
     def cancel_job(self, job):
@@ -207,10 +204,10 @@
         job_line = self._jobs.pop(job, None)
         if job_line is None:
             return 0
-        dropped = len(job_line.tasks)
-        job_line.tasks = None
-        self._forget(job_line.team, self._teams[job_line.team], dropped, job_line.cost_s)
-        return dropped
+        line = self._teams[job_line.team]
+        del line.ring[job]
+        self._forget(job_line.team, line, len(job_line.tasks), job_line.cost_s)
+        return len(job_line.tasks)
 
     def eligible_tasks(self, eligible):
         """Return how many tasks wait in teams for which `eligible(team)` is true."""
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -363,6 +363,14 @@
         """Return when `pump` has to be called at the latest for leases on their way back."""
         return self._giving_s
 
+    def allocators(self):
+        """Return the allocator's incarnation by endpoint name."""
+        return dict(self._allocator_of)
+
+    def capacity(self):
+        """Return the number of slots of all usable endpoints."""
+        return sum(endpoint.slots for endpoint in self._endpoints.values() if endpoint.usable)
+
     def counts(self):
         """Return the numbers of held and of idle leases."""
         return len(self._leases), len(self._idle)
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -66,6 +66,7 @@
         self.allocator = SlotAllocator(service=service, incarnation=incarnation, weight=weight)
         self.holder = SlotHolder(service=service, failure_domain=failure_domain, weight=weight)
         self._tick_s = 0.0
+        self._members = 1
 
     def update(self, now_s, endpoints, members):
         """Set the service's endpoints and the live members.
@@ -85,6 +86,7 @@
             Messages to send.
         """
         endpoints, members = list(endpoints), list(members)
+        self._members = len(members)
         allocator_of = choose_allocators(endpoints, members)
         mine = [
             endpoint
@@ -177,6 +179,11 @@
         """
         self.holder.release(now_s, lease, outcome, run_s=run_s)
 
+    def slots(self):
+        """Return how many slots serve this process's queue: those it holds or its even share."""
+        held, _ = self.holder.counts()
+        return max(held, self.holder.capacity() / max(1, self._members))
+
     def load(self, now_s):
         """Return the `SlotLoad` for the heartbeat, or None."""
         return self.allocator.load(now_s)
