Leases: demand that is gone is taken back; run times of new teams follow the service

Cause: requests whose tasks had started on own leases stayed queued for 5 s, drew grants and made idle leases go back early elsewhere.

--- a/bench/_cases_connections.py
+++ b/bench/_cases_connections.py
@@ -38,7 +38,7 @@
 
 @cases.register("connections")
 def connections():
-    """A start takes a lease, so an endpoint has at most as many connections as slots in use."""
+    """Count leases: a start takes one, so they bound the connections in use."""
     for processes, endpoints, domains in SIZES:
         held = _saturate(processes, endpoints, domains)
         most = max(len(leases) for leases in held.values())
--- a/burdocklug/limits/_times.py
+++ b/burdocklug/limits/_times.py
@@ -5,6 +5,7 @@
 
 __all__ = ["RunTimes"]
 
+MIN_TASKS = 20  # of a team before its own figures count
 GAIN = 0.02  # of the moving averages
 FIRST_RUN_S = 0.3  # run time until a task of the team has ended
 MAX_LOG_RATIO = math.log(30.0)  # one observation counts for no larger error
@@ -20,6 +21,18 @@
     mean_error: float = 1.0  # the same of the mean run time
     tasks: int = 0
 
+    def learn(self, declared_s, run_s):
+        """Take in one task that ended."""
+        self.tasks += 1
+        gain = max(GAIN, 1.0 / (self.tasks + 1))
+        run_s = min(max(run_s, MIN_RUN_S), MAX_RUN_S)
+        ratio = math.log(run_s / min(max(declared_s, MIN_RUN_S), MAX_RUN_S))
+        ratio = min(max(ratio, -MAX_LOG_RATIO), MAX_LOG_RATIO)
+        self.declared_error += gain * (abs(ratio - self.log_ratio) - self.declared_error)
+        self.mean_error += gain * (abs(math.log(run_s / self.mean_s)) - self.mean_error)
+        self.log_ratio += gain * (ratio - self.log_ratio)
+        self.mean_s += gain * (run_s - self.mean_s)
+
 
 class RunTimes:
     """Run times to expect of the tasks of one service, team by team.
@@ -38,25 +51,18 @@
 
     def __init__(self):
         self._teams = {}
+        self._all = _Seen()  # for teams of which little is known
 
     def observe(self, team, *, declared_s, run_s):
         """Learn from a task that ended; times in seconds."""
-        seen = self._teams.setdefault(team, _Seen())
-        seen.tasks += 1
-        gain = max(GAIN, 1.0 / (seen.tasks + 1))
-        run_s = min(max(run_s, MIN_RUN_S), MAX_RUN_S)
-        ratio = math.log(run_s / min(max(declared_s, MIN_RUN_S), MAX_RUN_S))
-        ratio = min(max(ratio, -MAX_LOG_RATIO), MAX_LOG_RATIO)
-        seen.declared_error += gain * (abs(ratio - seen.log_ratio) - seen.declared_error)
-        seen.mean_error += gain * (abs(math.log(run_s / seen.mean_s)) - seen.mean_error)
-        seen.log_ratio += gain * (ratio - seen.log_ratio)
-        seen.mean_s += gain * (run_s - seen.mean_s)
+        self._all.learn(declared_s, run_s)
+        self._teams.setdefault(team, _Seen()).learn(declared_s, run_s)
 
     def expect(self, team, *, declared_s):
         """Return the run time to expect, in seconds; `declared_s` None means not declared."""
         seen = self._teams.get(team)
-        if seen is None:
-            seen = _Seen()
+        if seen is None or seen.tasks < MIN_TASKS:
+            seen = self._all
         if declared_s is None or seen.mean_error + MIN_GAIN < seen.declared_error:
             return seen.mean_s
         expected_s = declared_s * math.exp(seen.log_ratio)
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -19,6 +19,7 @@
 ASK_MORE_S = 0.02  # between two requests to an allocator that has not met the first
 FIRST_RUN_S = 0.3  # mean run time until a task has ended
 RUN_GAIN = 0.05  # of the moving average of run times
+OVER_ASKED = 4  # outstanding demand over waiting tasks from which the rest is taken back
 RETURNED_TERM_S = 15.0  # longer than a lease's term: later grants of the same id are repeats
 REMOTE_TRIP_S = 0.003  # extra round trip to another failure domain
 
@@ -231,10 +232,12 @@
 
     def _ask(self, now_s, short, oldest_age_s):
         wants = {}
+        asked = sum(self._live_ask(now_s, entry) for entry in self._allocators.values())
+        if asked > OVER_ASKED * short + self.policy.chunk or (asked and self._idle):
+            return self._ask_less(now_s, short, asked)
         if short > 0:
             busy = len(self._leases) - len(self._idle)
-            short -= int(busy / self._run_s * self.policy.patience_s)
-            short -= sum(self._live_ask(now_s, entry) for entry in self._allocators.values())
+            short -= int(busy / self._run_s * self.policy.patience_s) + asked
             if short > 0:
                 wants = self._share_out(now_s, short)
         elif len(self._idle) + self.policy.spare_batch <= self._spare():
@@ -246,6 +249,15 @@
             entry.asked = 0
         return entry.asked
 
+    def _ask_less(self, now_s, short, asked):
+        """Take back demand that is no longer there, so that others get the slots."""
+        out = []
+        for name, entry in self._allocators.items():
+            if entry.asked and now_s - entry.asked_s >= self.policy.ask_pause_s:
+                entry.asked = max(0, short) * entry.asked // asked
+                out.append(self._request(now_s, name, 0, 0, 0.0))
+        return out
+
     def _share_out(self, now_s, short):
         """Return how many leases to ask of each allocator, free slots and near ones first."""
         ready = [
@@ -367,6 +379,10 @@
         """Return the allocator's incarnation by endpoint name."""
         return dict(self._allocator_of)
 
+    def free(self):
+        """Return the number of slots that the allocators are known to have free."""
+        return sum(entry.free for entry in self._allocators.values())
+
     def capacity(self):
         """Return the number of slots of all usable endpoints."""
         return sum(endpoint.slots for endpoint in self._endpoints.values() if endpoint.usable)
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -180,9 +180,15 @@
         self.holder.release(now_s, lease, outcome, run_s=run_s)
 
     def slots(self):
-        """Return how many slots serve this process's queue: those it holds or its even share."""
+        """Return how many slots may serve this process's queue.
+
+        Notes
+        -----
+        Those that it holds and those known to be free, and at least its even share.
+        """
         held, _ = self.holder.counts()
-        return max(held, self.holder.capacity() / max(1, self._members))
+        share = self.holder.capacity() / max(1, self._members)
+        return max(held + self.holder.free(), share)
 
     def load(self, now_s):
         """Return the `SlotLoad` for the heartbeat, or None."""
