Wire quotas, admission, endpoint health, retry budget, batched cancellation and call budget

Cause: the daemon ran on stand-ins for these decisions: a quota was divided by the fleet, so that a team of 24 had 3 slots in each of 7 processes and waited beside idle slots; health was not looked at.

--- a/burdocklug/endpoints/_part.py
+++ b/burdocklug/endpoints/_part.py
@@ -3,18 +3,21 @@
 import random
 from collections import Counter
 
-import eventlet
+import msgspec
 
+from burdocklug.endpoints._cancel import CancelBatcher
+from burdocklug.endpoints._health import Outcome, OutcomeKind
 from burdocklug.endpoints._protocol import endpoint_protocols
+from burdocklug.endpoints._view import EndpointView
 from burdocklug.kernel import part
-from burdocklug.retries import backoff_s, run_attempt
+from burdocklug.retries import FailedPhase, Finished, RetryBudget, Unknown, backoff_s, run_attempt
 
 __all__ = ["EndpointsPart"]
 
 PROTOCOL = "http"
-CANCEL_TIMEOUT_S = 2.0
 MIN_SILENCE_S = 1.0  # an attempt is not asked after before this
 SILENCE_FACTOR = 3.0  # declared run times are often far off
+CLOSE_IDLE_S = 5.0
 
 
 class EndpointsPart:
@@ -28,49 +31,113 @@
 
     def __init__(self, process):
         self._now = process.timers.now
+        self._timers = process.timers
         self._hosts = process["hosts"]
+        self._peers = process["peers"]
         self._rng = random.Random()
         self._counts = Counter()
         self.protocol = endpoint_protocols.get(PROTOCOL)(now=process.timers.now)
-
-    def run_attempt(self, address, attempt, *, expected_s):
-        """Run an attempt to a known end, or to its deadline."""
-        now = self._now()
-        return run_attempt(
+        self.view = EndpointView(self._rng)
+        self.budget = RetryBudget()
+        self._cancellations = CancelBatcher(self.protocol, process.timers)
+        self._peers.add_heartbeat_part("ejected", self._tell_ejected, self._on_ejected)
+
+    def start(self):
+        """Subscribe to the timer service."""
+        self._timers.every(CLOSE_IDLE_S, self._tidy)
+
+    def _tidy(self):
+        self.protocol.close_idle(self._now())
+        self.view.forget_peers({member.incarnation for member in self._peers.members()})
+
+    def _tell_ejected(self):
+        return self.view.ejected(self._now())
+
+    def _on_ejected(self, member, value):
+        ejected = msgspec.convert(value, dict[str, int])
+        self.view.receive_ejected(member.incarnation, ejected, self._now())
+
+    def run_attempt(self, service, address, attempt, *, expected_s):
+        """Run an attempt to a known end, or to its deadline, and learn from its outcome.
+
+        Parameters
+        ----------
+        service, address : str
+            Where to run it.
+        attempt : Attempt
+            What to run.
+        expected_s : float
+            Run time to expect, in seconds.
+
+        Returns
+        -------
+        Finished or NotRun or Unknown
+            The attempt's outcome.
+        """
+        began_s = self._now()
+        outcome = run_attempt(
             self.protocol,
             address,
             attempt,
-            now + attempt.deadline_s,
+            began_s + attempt.deadline_s,
             max(MIN_SILENCE_S, SILENCE_FACTOR * expected_s),
             counts=self._counts,
             now=self._now,
             rng=self._rng,
         )
+        self._learn(service, address, outcome, expected_s)
+        return outcome
 
-    def cancel_attempt(self, address, attempt_id):
-        """Tell an endpoint to stop an attempt; best effort."""
-        eventlet.spawn_n(self._cancel, address, attempt_id)
+    def _learn(self, service, address, outcome, expected_s):
+        now = self._now()
+        if isinstance(outcome, Finished):
+            result = outcome.result
+            kind = OutcomeKind.SUCCEEDED if result.ok else OutcomeKind.FAILED
+            if result.leaving:
+                self.view.note_leaving(address, now)
+            if result.ok or not _was_cancelled(result):
+                self.view.note(service, address, Outcome(kind, result.run_s, expected_s), now)
+        elif isinstance(outcome, Unknown):
+            self.view.note(service, address, Outcome(OutcomeKind.SILENT), now)
+        elif outcome.reason == FailedPhase.REFUSED:
+            self.view.note(service, address, Outcome(OutcomeKind.REFUSED), now)
+        elif outcome.reason == FailedPhase.LEAVING:
+            self.view.note_leaving(address, now)
 
-    def _cancel(self, address, attempt_id):
-        try:
-            self.protocol.cancel(address, [attempt_id], timeout_s=CANCEL_TIMEOUT_S)
-        except Exception:
-            return
+    def cancel_attempt(self, address, attempt_id):
+        """Tell an endpoint to stop an attempt, together with others; best effort."""
+        self._cancellations.add(address, attempt_id)
 
-    def usable(self, endpoint, now_s):
+    def usable(self, service, endpoint, now_s):
         """Return whether an endpoint takes new work."""
-        return not self._hosts.is_leaving(endpoint.host)
+        if self._hosts.is_leaving(endpoint.host):
+            return False
+        return self.view.usable(service, endpoint.address, now_s)
 
-    def retry_delay_s(self, retries, reason):
+    def retry_delay_s(self, retries):
         """Return the pause before a task that did not start is queued again."""
-        return backoff_s(retries, self._rng)
+        return backoff_s(retries - 1, self._rng)
+
+    def dump(self):
+        """Return the state as plain data."""
+        return {**self.view.dump(self._now()), "counts": self.counts()}
 
     def counts(self):
         """Return counters by name."""
-        return dict(self._counts)
+        protocol = getattr(self.protocol, "counts", {})
+        return {
+            **self._counts,
+            **protocol,
+            **{f"cancel_{name}": n for name, n in self._cancellations.counts.items()},
+            "retries_refused": self.budget.refused,
+        }
+
+
+def _was_cancelled(result):
+    return result.value == "cancelled"
 
 
-@part("endpoints", needs=("hosts",))
+@part("endpoints", needs=("hosts", "peers"))
 def build_endpoints(process):
     """Return the endpoints part of a process."""
     return EndpointsPart(process)
--- a/burdocklug/hosts/_watch.py
+++ b/burdocklug/hosts/_watch.py
@@ -10,7 +10,7 @@
 from burdocklug.hosts._messages import GetHosts, Hosts
 from burdocklug.kernel import BurdocklugError
 from burdocklug.peers import MemberState
-from burdocklug.platform import HostList
+from burdocklug.platform import HostList, merge_host_lists
 
 __all__ = ["HostWatch", "should_poll"]
 
@@ -87,11 +87,12 @@
 
     def adopt(self, hosts):
         """Take a list where it is newer than the one in force."""
-        if hosts.version <= self.hosts.version:
+        merged = merge_host_lists(self.hosts, hosts)
+        if merged == self.hosts:
             return
-        self.hosts = hosts
+        self.hosts = merged
         self._counts["changes"] += 1
-        log.info("hosts_changed", version=hosts.version, leaving=sorted(hosts.leaving))
+        log.info("hosts_changed", version=merged.version, leaving=sorted(merged.leaving))
         for callback in self._subscribers:
             callback()
 
--- a/burdocklug/jobs/_admission.py
+++ b/burdocklug/jobs/_admission.py
@@ -1,13 +1,12 @@
 """Admission of jobs: every refusal here is made before anything of the job runs."""
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.limits import AdmissionLimits, EndpointSize, JobDemand, admit
 
 __all__ = ["admit_job"]
 
-MIN_RETRY_S = 0.1
 
-
-def admit_job(ctx, lane, submission, deadline_s, now):
+def admit_job(ctx, lane, submission, deadline_s):
     """Raise where a job can't or should not be run.
 
     Parameters
@@ -20,61 +19,46 @@
         What to run.
     deadline_s : float
         Seconds that the job has.
-    now : float
-        Monotonic seconds.
 
     Raises
     ------
     BurdocklugError
         Of the kind that says why, with the time after which to try again.
     """
-    if ctx.configuration.is_empty():
+    configuration = ctx.configuration
+    if configuration.is_empty():
         raise BurdocklugError(ErrorKind.NO_CONFIGURATION, "no configuration reached this process")
-    if lane is None or ctx.configuration.service(submission.service) is None:
+    if lane is None or configuration.service(submission.service) is None:
         raise BurdocklugError(ErrorKind.SERVICE_UNKNOWN, f"no service {submission.service!r}")
-    if ctx.configuration.team(submission.team) is None:
+    team = configuration.team(submission.team)
+    if team is None:
         raise BurdocklugError(ErrorKind.TEAM_UNKNOWN, f"no team {submission.team!r}")
-    _check_possible(ctx, lane, submission)
-    _check_queue(lane, submission, deadline_s)
+    if not lane.slots():
+        raise BurdocklugError(ErrorKind.NO_ENDPOINT, f"no endpoint of {lane.service!r} is usable")
+    admit(
+        _demand(lane, submission, deadline_s),
+        queue=lane.queue,
+        limits=_limits(ctx, lane, team.max_running),
+    )
 
 
-def _check_possible(ctx, lane, submission):
-    most = lane.state.max_tasks
-    if len(submission.tasks) > most:
-        raise BurdocklugError(
-            ErrorKind.TASK_IMPOSSIBLE,
-            f"{len(submission.tasks)} tasks; service {lane.service!r} takes max_tasks {most}",
-            path="$.tasks",
-        )
-    endpoints = ctx.configuration.endpoints(lane.service)
-    accelerators = max((endpoint.accelerators for endpoint in endpoints), default=0)
-    for index, task in enumerate(submission.tasks):
-        if task.accelerators > accelerators:
-            raise BurdocklugError(
-                ErrorKind.TASK_IMPOSSIBLE,
-                f"{task.accelerators} accelerators; the largest endpoint has {accelerators}",
-                path=f"$.tasks[{index}].accelerators",
-            )
+def _demand(lane, submission, deadline_s):
+    return JobDemand(
+        team=submission.team,
+        costs_s=tuple(
+            lane.expected_run_s(submission.team, task.declared_s) for task in submission.tasks
+        ),
+        deadline_s=deadline_s,
+        accelerators=max(task.accelerators for task in submission.tasks),
+    )
 
 
-def _check_queue(lane, submission, deadline_s):
-    slots = lane.slots()
-    if not slots:
-        raise BurdocklugError(ErrorKind.NO_ENDPOINT, f"no endpoint of {lane.service!r} is live")
-    costs = [lane.expected_run_s(task.declared_s) for task in submission.tasks]
-    wait_s = lane.queue.expected_wait_s(
-        team=submission.team, slots=slots, job_cost_s=sum(costs) - max(costs)
+def _limits(ctx, lane, quota):
+    endpoints = ctx.configuration.endpoints(lane.service)
+    return AdmissionLimits(
+        max_tasks=lane.state.max_tasks,
+        endpoints=tuple(EndpointSize(item.slots, item.accelerators) for item in endpoints),
+        slots=lane.slots_here(),
+        team_slots=quota,
+        team_quota=quota,
     )
-    room = lane.free_room()
-    if len(submission.tasks) > room:
-        raise BurdocklugError(
-            ErrorKind.QUEUE_FULL,
-            f"{len(submission.tasks)} tasks; the queue of {lane.service!r} has room for {room}",
-            retry_after_s=max(MIN_RETRY_S, wait_s),
-        )
-    if wait_s > deadline_s:
-        raise BurdocklugError(
-            ErrorKind.WOULD_MISS_DEADLINE,
-            f"expected to wait {wait_s:.2f} s of a deadline of {deadline_s:.2f} s",
-            retry_after_s=max(MIN_RETRY_S, wait_s - deadline_s),
-        )
--- a/burdocklug/jobs/_context.py
+++ b/burdocklug/jobs/_context.py
@@ -24,17 +24,21 @@
     incarnation, failure_domain : str
         This process.
     run_attempt : callable
-        ``(address, attempt, *, expected_s)`` to Finished, NotRun or Unknown.
+        ``(service, address, attempt, *, expected_s)`` to Finished, NotRun or Unknown.
     cancel_attempt : callable
         ``(address, attempt_id)``; best effort.
+    endpoint_view : EndpointView
+        Health of the endpoints.
     endpoint_usable : callable
-        ``(endpoint, now_s)`` to bool.
+        ``(service, endpoint, now_s)`` to bool.
     live_members : callable
         Returns the live members that take work.
     team_may_start, note_team_started, note_team_ended : callable
         The team quotas.
+    retry_budget : RetryBudget
+        Bounds retries by first sends.
     retry_delay_s : callable
-        ``(retries, reason)`` to seconds until the task is queued again.
+        ``(retries)`` to seconds until the task is queued again.
     """
 
     settings: object
@@ -46,9 +50,11 @@
     failure_domain: str
     run_attempt: object
     cancel_attempt: object
+    endpoint_view: object
     endpoint_usable: object
     live_members: object
     team_may_start: object
     note_team_started: object
     note_team_ended: object
+    retry_budget: object
     retry_delay_s: object
--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -73,11 +73,11 @@
         """
         now = self.ctx.timers.now()
         deadline_s = submission.deadline_s or self.ctx.settings.default_deadline_s
-        admit_job(self.ctx, self._lane(submission.service), submission, deadline_s, now)
+        admit_job(self.ctx, self._lane(submission.service), submission, deadline_s)
         lane = self.lanes[submission.service]
         job = self._new_job(record, submission, now, deadline_s)
         for task in job.tasks:
-            cost_s = lane.expected_run_s(task.declared_s)
+            cost_s = lane.expected_run_s(job.team, task.declared_s)
             lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now)
         self._schedule_pump(lane)
 
@@ -148,6 +148,17 @@
         self._send(outgoing)
         for lease in leases:
             self._start_on(lane, lease, now)
+        if waiting > len(leases):
+            self._start_trials(lane, now)
+
+    def _start_trials(self, lane, now):
+        """Start one waiting task on each ejected endpoint that is due for a trial."""
+        for address in self.ctx.endpoint_view.due_trials(lane.service, now):
+            queued = lane.queue.pop(lane.eligible)
+            if queued is None:
+                return
+            lane.note_started(queued.team)
+            eventlet.spawn_n(self._run_task, lane, None, queued.task_ref, address)
 
     def _start_on(self, lane, lease, now):
         queued = lane.queue.pop(lane.eligible)
@@ -155,7 +166,8 @@
             lane.router.release(now, lease, LeaseOutcome.FINISHED)
             return
         lane.note_started(queued.team)
-        eventlet.spawn_n(self._run_task, lane, lease, queued.task_ref)
+        address = lane.address_of(lease.endpoint)
+        eventlet.spawn_n(self._run_task, lane, lease, queued.task_ref, address)
 
     def _send(self, outgoing):
         for item in outgoing:
@@ -183,38 +195,61 @@
                 now = self.ctx.timers.now()
                 self._send(lane.router.receive(now, member.incarnation, load))
 
-    def _run_task(self, lane, lease, task):
+    def waiting_by_team(self):
+        """Return the number of waiting tasks by team over all services."""
+        waiting = {}
+        for lane in self.lanes.values():
+            for team, count in lane.waiting_by_team().items():
+                waiting[team] = waiting.get(team, 0) + count
+        return waiting
+
+    def _run_task(self, lane, lease, task, address):
+        """Run one attempt of a task on a leased slot, or without a lease as a trial."""
         job = task.job
-        begun_s = self.ctx.timers.now()
+        began_s = self.ctx.timers.now()
         task.state = TaskState.STARTED
-        task.address = lane.address_of(lease.endpoint)
+        task.address = address
         task.attempt_id = f"{self.ctx.incarnation}~{next(self._attempt_numbers):x}"
         job.in_flight += 1
         self.counts["attempts"] += 1
-        outcome = self._run_attempt(lane, task, begun_s)
+        if not task.retries:
+            self.ctx.retry_budget.note_first_sends(began_s)
+        outcome = self._run_attempt(lane, task, began_s)
         job.in_flight -= 1
         ended_s = self.ctx.timers.now()
-        lane.note_ended(job.team)
-        lane.router.release(ended_s, lease, _lease_outcome(outcome), run_s=ended_s - begun_s)
-        self._settle(lane, task, outcome, ended_s - begun_s)
+        if lease is not None:
+            lane.router.release(ended_s, lease, _lease_outcome(outcome), run_s=ended_s - began_s)
+        self._release_quota(lane, job.team, outcome, began_s, ended_s)
+        self._settle(lane, task, outcome, ended_s - began_s)
         self._schedule_pump(lane)
 
+    def _release_quota(self, lane, team, outcome, began_s, ended_s):
+        """Give a task's place in its team's quota back once it certainly does not run."""
+        if isinstance(outcome, Finished | NotRun):
+            lane.note_ended(team)
+            return
+        left_s = began_s + self._longest_s(lane) - ended_s
+        self.ctx.timers.after(max(0.0, left_s), lambda: lane.note_ended(team))
+
+    def _longest_s(self, lane):
+        return min(lane.state.task_timeout_s, self.ctx.settings.longest_task_s)
+
     def _run_attempt(self, lane, task, now):
         if task.address is None:
             return NotRun("refused")
-        deadline_s = min(task.job.deadline_s, now + lane.state.task_timeout_s)
+        deadline_s = min(task.job.deadline_s, now + self._longest_s(lane))
         attempt = Attempt(
             task.attempt_id, task.task_id, lane.service, task.payload, deadline_s - now
         )
-        expected_s = lane.expected_run_s(task.declared_s)
-        return self.ctx.run_attempt(task.address, attempt, expected_s=expected_s)
+        expected_s = lane.expected_run_s(task.job.team, task.declared_s)
+        return self.ctx.run_attempt(lane.service, task.address, attempt, expected_s=expected_s)
 
     def _settle(self, lane, task, outcome, run_s):
         """Apply the outcome of an attempt to its task and job."""
         job = task.job
         if isinstance(outcome, Finished):
             self.counts["tasks_finished"] += 1
-            lane.note_run(task.declared_s, run_s)
+            lane.note_run(job.team, task.declared_s, run_s)
             job.ran = Ran.YES
             if not outcome.result.ok:
                 self._fail_task(task, ErrorKind.TASK_FAILED, str(outcome.result.value))
@@ -239,20 +274,27 @@
             self._answer(job, encode_complete(job))
 
     def _requeue(self, lane, task, outcome):
-        job = task.job
-        if job.closed:
+        if task.job.closed:
             return
         task.state = TaskState.QUEUED
         task.retries += 1
-        delay_s = self.ctx.retry_delay_s(task.retries, outcome.reason)
+        log.debug("task_not_started", task=task.task_id, reason=outcome.reason)
+        self._push_later(lane, task)
+
+    def _push_later(self, lane, task):
+        delay_s = self.ctx.retry_delay_s(task.retries)
         self.ctx.timers.after(delay_s, lambda: self._push_again(lane, task))
 
     def _push_again(self, lane, task):
+        """Queue a task that did not start once the retry budget allows it."""
         job = task.job
+        now = self.ctx.timers.now()
         if job.closed:
             return
-        cost_s = lane.expected_run_s(task.declared_s)
-        now = self.ctx.timers.now()
+        if not self.ctx.retry_budget.try_retry(now):
+            self._push_later(lane, task)
+            return
+        cost_s = lane.expected_run_s(job.team, task.declared_s)
         lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now, again=True)
         self._schedule_pump(lane)
 
--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -1,14 +1,10 @@
 """One service's lane through this process: its queue, its router and what its tasks cost."""
 
-from burdocklug.limits import FairQueue
+from burdocklug.limits import FairQueue, RunTimes
 from burdocklug.routing import RouteEndpoint, RouteMember, ServiceRouter
 
 __all__ = ["Lane"]
 
-RATIO_GAIN = 0.05  # weight of the newest task in the ratio of seen to declared run time
-MIN_RATIO = 0.1
-MAX_RATIO = 10.0
-
 
 class Lane:
     """Waiting and running tasks of one service in this process.
@@ -36,7 +32,8 @@
         )
         self.pump_scheduled = False
         self.running = {}
-        self._ratio = 1.0
+        self._times = RunTimes()
+        self._members_count = 1
         self._addresses = {}
         self._view = None
 
@@ -47,19 +44,20 @@
             self.state = state
             self.queue.max_tasks = state.max_queue
         endpoints = self.ctx.configuration.endpoints(self.service) if state else ()
-        for team in self.running:
-            if (limits := self.ctx.configuration.team(team)) is not None:
-                self.queue.set_weight(team, limits.weight)
+        self.ctx.endpoint_view.set_endpoints(self.service, endpoints)
+        for team in self.ctx.configuration.teams():
+            self.queue.set_weight(team, self.ctx.configuration.team(team).weight)
         self._addresses = {endpoint.name: endpoint.address for endpoint in endpoints}
         routes = [self._route(endpoint, now) for endpoint in endpoints]
         members = self._members()
+        self._members_count = len(members)
         if (routes, members) == self._view:
             return []
         self._view = (routes, members)
         return self.router.update(now, routes, members)
 
     def _route(self, endpoint, now):
-        usable = self.ctx.endpoint_usable(endpoint, now)
+        usable = self.ctx.endpoint_usable(self.service, endpoint, now)
         return RouteEndpoint(endpoint.name, endpoint.failure_domain, endpoint.slots, usable)
 
     def _members(self):
@@ -93,18 +91,22 @@
         self.running[team] -= 1
         self.ctx.note_team_ended(team)
 
-    def note_run(self, declared_s, run_s):
-        """Correct the declared run times by what was seen."""
-        ratio = min(MAX_RATIO, max(MIN_RATIO, run_s / declared_s))
-        self._ratio += RATIO_GAIN * (ratio - self._ratio)
+    def note_run(self, team, declared_s, run_s):
+        """Learn from a task that ended."""
+        self._times.observe(team, declared_s=declared_s, run_s=run_s)
 
-    def expected_run_s(self, declared_s):
+    def expected_run_s(self, team, declared_s):
         """Return the run time to expect of a task, in seconds."""
-        return declared_s * self._ratio
+        return self._times.expect(team, declared_s=declared_s)
+
+    def slots_here(self):
+        """Return the slots that serve this process's queue: its fair part, or what it holds."""
+        held, _ = self.router.holder.counts()
+        return max(held, self.slots() / self._members_count)
 
-    def free_room(self):
-        """Return how many more tasks the queue takes."""
-        return self.queue.room()
+    def waiting_by_team(self):
+        """Return the number of waiting tasks by team."""
+        return self.queue.waiting_by_team()
 
     def slots(self):
         """Return the number of slots of all usable endpoints."""
@@ -120,5 +122,4 @@
             "leases": held,
             "idle_leases": idle,
             "usable_slots": self.slots(),
-            "run_time_ratio": self._ratio,
         }
--- a/burdocklug/jobs/_part.py
+++ b/burdocklug/jobs/_part.py
@@ -41,6 +41,7 @@
         )
         self.dispatcher = Dispatcher(self._context())
         self.service = self._service()
+        process["limits"].waiting = self.dispatcher.waiting_by_team
         register_handover(self._peers, self.ledger, now=process.timers.now)
         for message_type in SlotMessage.__args__:
             self._peers.register(message_type, self.dispatcher.receive, inline=True)
@@ -61,11 +62,13 @@
             failure_domain=process.settings.process.failure_domain,
             run_attempt=endpoints.run_attempt,
             cancel_attempt=endpoints.cancel_attempt,
+            endpoint_view=endpoints.view,
             endpoint_usable=endpoints.usable,
             live_members=self._live_members,
             team_may_start=process["limits"].may_start,
             note_team_started=process["limits"].note_started,
             note_team_ended=process["limits"].note_ended,
+            retry_budget=endpoints.budget,
             retry_delay_s=endpoints.retry_delay_s,
         )
 
--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -83,6 +83,7 @@
     max_deadline_s: Seconds = 3600.0
     claim_window_s: Seconds = 3600.0
     shutdown_s: Seconds = 30.0
+    longest_task_s: Seconds = 30.0
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/burdocklug/limits/_messages.py
+++ b/burdocklug/limits/_messages.py
@@ -5,7 +5,7 @@
 __all__ = ["QuotaGrant", "QuotaMessage", "QuotaRequest", "QuotaReturn"]
 
 
-class QuotaRequest(msgspec.Struct, frozen=True, tag="quota_request"):
+class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag="quota_request"):
     """Asks a peer to lend up to `amount` of its share of a team's quota."""
 
     team: str
@@ -14,7 +14,7 @@
     sent_s: float  # the borrower's clock, echoed by the grant
 
 
-class QuotaGrant(msgspec.Struct, frozen=True, tag="quota_grant"):
+class QuotaGrant(msgspec.Struct, frozen=True, array_like=True, tag="quota_grant"):
     """Answer to a request; an amount of zero means that the peer has none to lend."""
 
     team: str
@@ -24,7 +24,7 @@
     term_s: float  # counted from `sent_s`
 
 
-class QuotaReturn(msgspec.Struct, frozen=True, tag="quota_return"):
+class QuotaReturn(msgspec.Struct, frozen=True, array_like=True, tag="quota_return"):
     """Ends a loan early: nothing of it is in use any more."""
 
     team: str
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -213,6 +213,10 @@
         """Return how many tasks wait in teams for which `eligible(team)` is true."""
         return sum(line.tasks for team, line in self._active.items() if eligible(team))
 
+    def waiting_by_team(self):
+        """Return the number of waiting tasks by team."""
+        return {team: line.tasks for team, line in self._active.items()}
+
     def team_cost_s(self, team):
         """Return the summed expected run time of a team's waiting tasks, in seconds."""
         line = self._active.get(team)
