Peers: a process that was declared dead drains and stops, and sees its peers until then

Peers answer its heartbeats, so that it finds a living successor for its state. Small fleets use all their links, since heartbeat parts only come over links.

--- a/burdocklug/peers/_membership.py
+++ b/burdocklug/peers/_membership.py
@@ -16,6 +16,7 @@
     "forget",
     "join_entry",
     "mark_dead",
+    "note_answer",
     "note_heartbeat",
     "replace_older",
     "successor_of",
@@ -210,6 +211,13 @@
     return record, is_new
 
 
+def note_answer(table, incarnation, now_s):
+    """Note that a member answered a heartbeat by something else than its own heartbeat."""
+    record = table.records.get(incarnation)
+    if record is not None and record.status is Status.ALIVE:
+        record.heard_s = record.evidence_s = now_s
+
+
 def forget(table, now_s, settings):
     """Drop records of members that ended or were silent for long; return how many."""
     limit_s = settings.forget_after_s
--- a/burdocklug/peers/_membership_handlers.py
+++ b/burdocklug/peers/_membership_handlers.py
@@ -86,7 +86,7 @@
 
     def _on_hello(self, sender, hello):
         record = self._on_heartbeat(sender, hello.heartbeat)
-        if record is None or self._service.has_left or self._service.declared_dead_by is not None:
+        if record is None or self._service.has_left:
             return
         now = self._transport.now()
         self._transport.send(sender, self._service.heartbeat(chosen=False, parts={}))
@@ -128,6 +128,8 @@
 
     def _on_declared_dead(self, sender, message):
         if message.incarnation == self._table.own:
+            # Peers send no heartbeats to the dead; this answer to one shows that they are there.
+            membership.note_answer(self._table, sender, self._transport.now())
             self._service.learn_own_death(sender)
 
     def greet_stranger(self, sender):
--- a/burdocklug/peers/_membership_service.py
+++ b/burdocklug/peers/_membership_service.py
@@ -74,11 +74,12 @@
         self._transport.maintain(silence_s=silence_s, paused_s=paused_s)
         if paused_s > self._settings.forget_after_s:
             self.learn_own_death("own pause")
-        if self.has_left or self.declared_dead_by is not None:
+        if self.has_left:
             return
         self._ticks += 1
         self._note_unreached()
-        self._judge(now)
+        if self.declared_dead_by is None:
+            self._judge(now)
         if membership.forget(self.table, now, self._settings):
             self.watch.is_stale = True
         watched = choose_watched(self.watch, self.table, now, self._settings)
--- a/burdocklug/peers/_network.py
+++ b/burdocklug/peers/_network.py
@@ -221,8 +221,13 @@
         """
         self._membership.parts[name] = (produce, consume)
 
-    def set_draining(self, draining=True):
-        """Tell peers on the heartbeat whether this process takes no new work."""
+    @property
+    def draining(self):
+        """Whether peers are told on the heartbeat that this process takes no new work."""
+        return self._membership.draining
+
+    @draining.setter
+    def draining(self, draining):
         self._membership.draining = draining
 
     @property
@@ -233,8 +238,8 @@
     def on_declared_dead(self, callback):
         """Set the function to call, with the peer's incarnation, once this process is dead.
 
-        It may not wait. From then on no heartbeats go out; calls are still answered, so that
-        the owner of submissions can answer for them until it stops.
+        It may not wait. The incarnation stays dead to its peers; the process is to drain, hand
+        its state over and start again. Calls from and to it work until it stops.
         """
         self._membership.on_declared_dead = callback
 
--- a/burdocklug/peers/_part.py
+++ b/burdocklug/peers/_part.py
@@ -8,12 +8,14 @@
 
 @part("peers")
 def build_peers(process):
-    """Return the peer network of a process."""
+    """Return the peer network of a process, which stops once its peers declare it dead."""
     settings = process.settings
-    return PeerNetwork(
+    network = PeerNetwork(
         settings.process.name,
         settings.process.failure_domain,
         settings.listen.peers,
         settings.peers,
         process.timers,
     )
+    network.on_declared_dead(lambda _by: process.request_stop())
+    return network
--- a/burdocklug/peers/_topology.py
+++ b/burdocklug/peers/_topology.py
@@ -37,8 +37,8 @@
     Returns
     -------
     set of str
-        One incarnation of each other failure domain, of at most `count` of them. Half of
-        `count` are chosen where there are fewer failure domains.
+        At most `count` incarnations. In a fleet with more than twice as many outside they are
+        one of each other failure domain, or half of `count` if that is more.
 
     Notes
     -----
@@ -64,7 +64,9 @@
     mates = [incarnation for incarnation, domain in members.items() if domain == own_domain]
     rank = sum(mate < own for mate in mates)
     domains = sorted(by_domain)
-    wanted = max(min(count, len(domains)), (count + 1) // 2)
+    wanted = count
+    if sum(map(len, by_domain.values())) > 2 * count:
+        wanted = max(min(count, len(domains)), (count + 1) // 2)
     start = rank * wanted % len(domains)
     domains = domains[start:] + domains[:start]
     for ranked in by_domain.values():
--- a/tests/peers/support.py
+++ b/tests/peers/support.py
@@ -34,6 +34,11 @@
 class Handled(msgspec.Struct, tag="handled", array_like=True):
     numbers: list[int] = []
     declared_dead: bool = False
+    living: list[str] = []
+
+
+class Leave(msgspec.Struct, tag="leave", array_like=True):
+    successor: str
 
 
 def free_address():
@@ -58,10 +63,17 @@
         eventlet.sleep(message.delay_s)
         return message
 
+    def leave(_sender, message):
+        network.leave(message.successor)
+
     network.register(Echo, echo)
     network.register(Slow, slow)
     network.register(Blob, lambda _sender, message: message)
-    network.register(Handled, lambda *_: Handled(network.handled, bool(network.deaths)))
+    network.register(
+        Handled,
+        lambda *_: Handled(network.handled, bool(network.deaths), sorted(living(network))),
+    )
+    network.register(Leave, leave)
     network.on_declared_dead(network.deaths.append)
     network.start()
     network.server = eventlet.spawn(timers.serve, lambda: False)
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -25,6 +25,7 @@
     KEY,
     Echo,
     Handled,
+    Leave,
     NetworkCase,
     Slow,
     free_address,
@@ -83,6 +84,13 @@
         self.assertThat(states(one)["p3"], Equals("dead"))
         self.assertThat(one.call(three.incarnation, Echo(3), timeout_s=5), Equals(Echo(3)))
         self.assertThat([n.deaths for n in nets.values()], Equals([[]] * 3))
+        eventlet.sleep(1.5)
+        self.assertThat(ask().living, Equals(["p1", "p2", "r1"]))
+        one.call(three.incarnation, Leave(nets["p2"].incarnation), timeout_s=5)
+        successor = nets["p2"].incarnation
+        self.wait_for(
+            lambda: all(n.successor_of(three.incarnation) == successor for n in nets.values())
+        )
 
     def test_peer_that_was_frozen_alone_blames_nobody(self):
         one = self.network("p1", options={"dead_after_s": 600})
@@ -257,6 +265,30 @@
         return heal
 
 
+class HeartbeatPartTest(NetworkCase):
+    def test_parts_and_drain_state_come_with_heartbeats(self):
+        nets = self.fleet({"perg": ["p1", "p2"]})
+        one, two = nets["p1"], nets["p2"]
+        heard = []
+        one.add_heartbeat_part("load", lambda: [1, 2], lambda *_: None)
+        one.add_heartbeat_part("broken", lambda: 1 / 0, lambda *_: None)
+        one.add_heartbeat_part("unknown", lambda: 3, lambda *_: None)
+        two.add_heartbeat_part("broken", lambda: 5, lambda *_: None)
+        two.add_heartbeat_part("load", lambda: None, lambda *part: heard.append(part))
+        one.draining = True
+        self.wait_for(lambda: heard and two.member(one.incarnation).draining)
+        self.assertThat((heard[-1][0].name, heard[-1][1]), Equals(("p1", [1, 2])))
+
+
+class DumpTest(NetworkCase):
+    def test_dump_is_plain_data_with_members_links_and_counters(self):
+        nets = self.fleet({"perg": ["p1", "p2"]})
+        dump = msgspec.json.decode(msgspec.json.encode(nets["p1"].dump()))
+        self.assertThat(dump["members"][0]["name"], Equals("p2"))
+        self.assertThat(dump["links"][0]["is_open"], Is(True))
+        self.assertTrue(dump["counters"]["frames_sent"] > 0)
+
+
 class LeaveTest(NetworkCase):
     def test_leaver_is_left_and_the_chain_of_successors_is_followed(self):
         nets = self.fleet({"perg": ["p1", "p2"], "rohrbach": ["r1", "r2"]})
--- a/tests/peers/test_topology.py
+++ b/tests/peers/test_topology.py
@@ -62,6 +62,10 @@
             kept = before[own] & after[own]
             self.assertTrue(len(kept) >= len(before[own]) - 1)
 
+    def test_small_fleet_uses_all_its_links(self):
+        links = links_of(fleet_of([3, 2, 2]), 4)
+        self.assertThat({len(chosen) for chosen in links.values()}, Equals({4}))
+
     def test_links_of_both_ends_together_are_bounded(self):
         links = links_of(fleet_of([12, 13, 12, 13]), 4)
         both = [links[own] | {m for m in links if own in links[m]} for own in links]
