--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -20,6 +20,7 @@
 DEMAND_TERM_S = 5.0
 LOST_GRANT_S = 1.0  # a report without a lease older than this means that its grant was lost
 FULL_PAUSE_S = 0.25
+SLOW_TERM_S = 2.0
 RECALL_PAUSE_S = 0.05
 RECALL_TERM_S = 2.0
 ID_BITS = 24  # room for the leases of one incarnation; the higher bits name the incarnation
@@ -87,6 +88,7 @@
         self._sequences = {}
         self._held = {}  # holder to number of leases
         self._recalls = {}
+        self._slow = {}  # endpoint name to the time until which peers' word counts, and weight
         self._granted_s = -math.inf
         digest = hashlib.blake2b(incarnation.encode(), digest_size=4).digest()
         self._next_id = int.from_bytes(digest, "big") << ID_BITS
@@ -200,6 +202,21 @@
         granted.expires_s = now_s + LEASE_TERM_S
         return True
 
+    def note_slow(self, now_s, weights):
+        """Take a process's weights of endpoints that it finds slow, by name."""
+        for name, weight in weights.items():
+            if name in self._endpoints:
+                self._slow[name] = (now_s + SLOW_TERM_S, weight)
+
+    def _slots(self, now_s, endpoint):
+        """Return how many slots to lease out; of a slow endpoint few, at least one."""
+        until_s, weight = self._slow.get(endpoint.name, (0.0, 1.0))
+        if endpoint.is_slow():
+            weight = endpoint.weight
+        elif until_s <= now_s:
+            return endpoint.slots
+        return max(1, round(endpoint.slots * weight))
+
     def tick(self, now_s):
         """Let overdue leases and demands lapse and serve what waits; call each 50 ms or so."""
         for name, leases in self._leases.items():
@@ -211,9 +228,7 @@
         return self._serve(now_s)
 
     def load(self, now_s):
-        """Return the `SlotLoad` to put on the heartbeat, or None with no endpoint in charge."""
-        if not self._endpoints:
-            return None
+        """Return the `SlotLoad` to put on the heartbeat."""
         capacity = sum(endpoint.slots for endpoint in self._endpoints.values() if endpoint.usable)
         free = sum(free for _, free in self._free(now_s))
         queued = sum(demand.waiting for demand in self._demands.values())
@@ -228,7 +243,7 @@
             pauses = [end_s for end_s in self._paused.get(name, ()) if end_s > now_s]
             if name in self._paused:
                 self._paused[name] = pauses
-            free = endpoint.slots - len(self._leases[name]) - len(pauses)
+            free = self._slots(now_s, endpoint) - len(self._leases[name]) - len(pauses)
             if free > 0:
                 pairs.append((name, free))
         return pairs
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -129,6 +129,9 @@
             lease = SlotLease(granted.lease_id, granted.endpoint, allocator, expires_s, now_s)
             self._leases[lease.lease_id] = lease
             self._put_idle(lease)
+            endpoint = self._endpoints.get(lease.endpoint)
+            if endpoint is None or not endpoint.usable:
+                self._give_back(now_s, lease, full=True)
         return []
 
     def recall(self, now_s, allocator, message):
@@ -187,7 +190,7 @@
             self._give_back(now_s, lease, full=True)
         elif lease.expires_s <= now_s:
             del self._leases[lease.lease_id]
-        elif endpoint is None or not endpoint.usable:
+        elif endpoint is None or not endpoint.usable or endpoint.is_slow():
             self._give_back(now_s, lease)
         elif entry is not None and entry.owed > 0:
             entry.owed -= 1
@@ -379,6 +382,11 @@
         """Return the allocator's incarnation by endpoint name."""
         return dict(self._allocator_of)
 
+    def slow_endpoints(self):
+        """Return the weights of the endpoints that this process finds slow, by name."""
+        endpoints = self._endpoints.values()
+        return {e.name: round(e.weight, 2) for e in endpoints if e.usable and e.is_slow()}
+
     def free(self):
         """Return the number of slots that the allocators are known to have free."""
         return sum(entry.free for entry in self._allocators.values())
--- a/burdocklug/routing/_messages.py
+++ b/burdocklug/routing/_messages.py
@@ -86,12 +86,13 @@
 
 
 class SlotLoad(msgspec.Struct, frozen=True, array_like=True, tag="slot_load"):
-    """What an allocator tells on each heartbeat, for the choice of whom to ask."""
+    """What a process tells on each heartbeat: its free slots, and endpoints it finds slow."""
 
     service: str
-    capacity: int
+    capacity: int  # of the endpoints in its charge; 0 with none
     free: int
     queued: int
+    slow: dict[str, float] = {}  # weights by endpoint name
 
 
 SlotMessage = (
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -19,6 +19,7 @@
     "choose_allocators",
 ]
 
+SLOW_WEIGHT = 0.25  # smaller differences are noise while declared times are far off
 GROUP_ENDPOINTS = 32  # endpoints of a failure domain whose slots one process leases out
 
 
@@ -44,12 +45,19 @@
         Most tasks it runs at once.
     usable : bool
         False while it is leaving or ejected: it gets no start.
+    weight : float
+        Share of its slots to use, from 0 to 1, less than 1 where it is slower than its peers.
     """
 
     name: str
     failure_domain: str
     slots: int
     usable: bool = True
+    weight: float = 1.0
+
+    def is_slow(self):
+        """Return whether it is so slow that its slots are used less."""
+        return self.weight < SLOW_WEIGHT
 
 
 @dataclass(slots=True)
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -1,5 +1,7 @@
 """One service's routing in one process: an allocator and a holder behind a small interface."""
 
+import msgspec
+
 from burdocklug.routing import _messages as messages
 from burdocklug.routing._allocator import SlotAllocator
 from burdocklug.routing._holder import SlotHolder
@@ -116,6 +118,7 @@
             case messages.SlotRenewal():
                 return self.holder.renewal(now_s, sender, message)
             case messages.SlotLoad():
+                self.allocator.note_slow(now_s, message.slow)
                 self.holder.load(now_s, sender, message)
         return []
 
@@ -191,5 +194,9 @@
         return max(held + self.holder.free(), share)
 
     def load(self, now_s):
-        """Return the `SlotLoad` for the heartbeat, or None."""
-        return self.allocator.load(now_s)
+        """Return the `SlotLoad` for the heartbeat, or None with nothing to tell."""
+        load = self.allocator.load(now_s)
+        slow = self.holder.slow_endpoints()
+        if not load.capacity and not slow:
+            return None
+        return msgspec.structs.replace(load, slow=slow)
