--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -21,7 +21,6 @@
 LOST_GRANT_S = 1.0  # a report without a lease older than this means that its grant was lost
 FULL_PAUSE_S = 0.25
 SLOW_TERM_S = 2.0
-RECALL_PAUSE_S = 0.05
 RECALL_TERM_S = 2.0
 ID_BITS = 24  # room for the leases of one incarnation; the higher bits name the incarnation
 
@@ -322,7 +321,7 @@
         for holder, held in sorted(self._held.items(), key=lambda item: (-item[1], item[0])):
             recall = self._recalls.setdefault(holder, _Recall())
             count = min(unmet, held - recall.owed - fair)
-            if count > 0 and now_s - recall.sent_s >= RECALL_PAUSE_S:
+            if count > 0 and now_s - recall.sent_s >= self.policy.recall_pause_s:
                 recall.sent_s = now_s
                 recall.owed += count
                 unmet -= count
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -262,13 +262,18 @@
         return out
 
     def _share_out(self, now_s, short):
-        """Return how many leases to ask of each allocator, free slots and near ones first."""
+        """Return how many leases to ask of each allocator.
+
+        One that has enough for all goes first, a near one before others, so that few are asked.
+        """
         ready = [
             (name, entry)
             for name, entry in self._allocators.items()
             if entry.capacity and self._may_ask(now_s, entry, short)
         ]
-        ready.sort(key=lambda item: (item[1].free <= 0, not item[1].local, -item[1].free, item[0]))
+        ready.sort(
+            key=lambda item: (item[1].free < short, not item[1].local, -item[1].free, item[0])
+        )
         wants = {}
         for name, entry in ready:
             want = min(short, entry.free)
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -116,6 +116,8 @@
         Slots that an allocator collects for a large request before it grants them.
     chunk_pause_s : float
         Longest time for which it does so.
+    recall_pause_s : float
+        Between two recalls to a holder.
     """
 
     hold_s: float
@@ -129,6 +131,7 @@
     ask_pause_s: float
     chunk: int
     chunk_pause_s: float
+    recall_pause_s: float
 
 
 WEIGHTS = {
@@ -144,6 +147,7 @@
         ask_pause_s=0.1,
         chunk=8,
         chunk_pause_s=0.1,
+        recall_pause_s=0.1,
     ),
     "messages": WeightPolicy(
         hold_s=2.0,
@@ -157,6 +161,7 @@
         ask_pause_s=0.5,
         chunk=8,
         chunk_pause_s=0.1,
+        recall_pause_s=0.2,
     ),
 }
 
