--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -129,6 +129,9 @@
             lease = SlotLease(granted.lease_id, granted.endpoint, allocator, expires_s, now_s)
             self._leases[lease.lease_id] = lease
             self._put_idle(lease)
+            endpoint = self._endpoints.get(lease.endpoint)
+            if endpoint is None or not endpoint.usable:
+                self._give_back(now_s, lease, full=True)
         return []
 
     def recall(self, now_s, allocator, message):
@@ -187,7 +190,7 @@
             self._give_back(now_s, lease, full=True)
         elif lease.expires_s <= now_s:
             del self._leases[lease.lease_id]
-        elif endpoint is None or not endpoint.usable:
+        elif endpoint is None or not endpoint.usable or endpoint.is_slow():
             self._give_back(now_s, lease)
         elif entry is not None and entry.owed > 0:
             entry.owed -= 1
@@ -259,13 +262,18 @@
         return out
 
     def _share_out(self, now_s, short):
-        """Return how many leases to ask of each allocator, free slots and near ones first."""
+        """Return how many leases to ask of each allocator.
+
+        One that has enough for all goes first, a near one before others, so that few are asked.
+        """
         ready = [
             (name, entry)
             for name, entry in self._allocators.items()
             if entry.capacity and self._may_ask(now_s, entry, short)
         ]
-        ready.sort(key=lambda item: (item[1].free <= 0, not item[1].local, -item[1].free, item[0]))
+        ready.sort(
+            key=lambda item: (item[1].free < short, not item[1].local, -item[1].free, item[0])
+        )
         wants = {}
         for name, entry in ready:
             want = min(short, entry.free)
@@ -379,6 +387,11 @@
         """Return the allocator's incarnation by endpoint name."""
         return dict(self._allocator_of)
 
+    def slow_endpoints(self):
+        """Return the weights of the endpoints that this process finds slow, by name."""
+        endpoints = self._endpoints.values()
+        return {e.name: round(e.weight, 2) for e in endpoints if e.usable and e.is_slow()}
+
     def free(self):
         """Return the number of slots that the allocators are known to have free."""
         return sum(entry.free for entry in self._allocators.values())
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -19,6 +19,7 @@
     "choose_allocators",
 ]
 
+SLOW_WEIGHT = 0.25  # smaller differences are noise while declared times are far off
 GROUP_ENDPOINTS = 32  # endpoints of a failure domain whose slots one process leases out
 
 
@@ -44,12 +45,19 @@
         Most tasks it runs at once.
     usable : bool
         False while it is leaving or ejected: it gets no start.
+    weight : float
+        Share of its slots to use, from 0 to 1, less than 1 where it is slower than its peers.
     """
 
     name: str
     failure_domain: str
     slots: int
     usable: bool = True
+    weight: float = 1.0
+
+    def is_slow(self):
+        """Return whether it is so slow that its slots are used less."""
+        return self.weight < SLOW_WEIGHT
 
 
 @dataclass(slots=True)
@@ -108,6 +116,8 @@
         Slots that an allocator collects for a large request before it grants them.
     chunk_pause_s : float
         Longest time for which it does so.
+    recall_pause_s : float
+        Between two recalls to a holder.
     """
 
     hold_s: float
@@ -121,6 +131,7 @@
     ask_pause_s: float
     chunk: int
     chunk_pause_s: float
+    recall_pause_s: float
 
 
 WEIGHTS = {
@@ -136,6 +147,7 @@
         ask_pause_s=0.1,
         chunk=8,
         chunk_pause_s=0.1,
+        recall_pause_s=0.1,
     ),
     "messages": WeightPolicy(
         hold_s=2.0,
@@ -149,6 +161,7 @@
         ask_pause_s=0.5,
         chunk=8,
         chunk_pause_s=0.1,
+        recall_pause_s=0.2,
     ),
 }
 
