--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -1,10 +1,13 @@
 """One service's lane through this process: its queue, its router and what its tasks cost."""
 
 from burdocklug.limits import FairQueue, RunTimes
-from burdocklug.routing import RouteEndpoint, RouteMember, ServiceRouter
+from burdocklug.peers import MemberState
+from burdocklug.routing import RouteEndpoint, RouteMember, ServiceRouter, SlotLoad
 
 __all__ = ["Lane"]
 
+UNREACHABLE_QUEUED = 100_000  # makes an allocator that does not answer the last to be asked
+
 
 class Lane:
     """Waiting and running tasks of one service in this process.
@@ -51,10 +54,22 @@
         routes = [self._route(endpoint, now) for endpoint in endpoints]
         members = self._members()
         self._members_count = len(members)
-        if (routes, members) == self._view:
+        suspects = self._suspects()
+        if (routes, members, suspects) == self._view:
             return []
-        self._view = (routes, members)
-        return self.router.update(now, routes, members)
+        self._view = (routes, members, suspects)
+        out = self.router.update(now, routes, members)
+        for incarnation in suspects:
+            unreachable = SlotLoad(self.service, 0, 0, UNREACHABLE_QUEUED)
+            out += self.router.receive(now, incarnation, unreachable)
+        return out
+
+    def _suspects(self):
+        return [
+            member.incarnation
+            for member in self.ctx.live_members()
+            if member.state is MemberState.SUSPECT
+        ]
 
     def _route(self, endpoint, now):
         usable = self.ctx.endpoint_usable(self.service, endpoint, now)
--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -39,11 +39,15 @@
 
 
 class ListenSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """Addresses this process listens on, each an IP number and a TCP port."""
+    """Addresses this process listens on, each an IP number and a TCP port.
+
+    ``advertised_peers`` is where peers reach the peers' listener, if that differs.
+    """
 
     callers: Address
     operators: Address
     peers: Address
+    advertised_peers: Address | None = None
     max_connections: Count = 1000
     header_timeout_s: Seconds = 10.0
     body_timeout_s: Seconds = 10.0
--- a/burdocklug/peers/_part.py
+++ b/burdocklug/peers/_part.py
@@ -13,9 +13,10 @@
     network = PeerNetwork(
         settings.process.name,
         settings.process.failure_domain,
-        settings.listen.peers,
+        settings.listen.advertised_peers or settings.listen.peers,
         settings.peers,
         process.timers,
+        listen_address=settings.listen.peers,
     )
     network.on_declared_dead(lambda _by: process.request_stop())
     return network
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -44,6 +44,11 @@
         Slots of each endpoint.
     teams : dict of str to int
         Most running tasks of each team.
+    jobs, peers : dict
+        Settings of each process that differ from the defaults.
+    links : bool
+        Whether a link with faults stands before each process's peer address, and between each
+        process and the platform.
     """
 
     name: str
@@ -55,6 +60,7 @@
     teams: dict = field(default_factory=lambda: {"floor": 100})
     jobs: dict = field(default_factory=dict)
     peers: dict = field(default_factory=dict)
+    links: bool = False
     max_queue: int = 5000
     task_timeout_s: float = 20.0
 
@@ -101,11 +107,11 @@
         self.settings = {}
         domains = deployment.processes
         names = [f"{d}-{n}" for d in domains for n in range(1, domains[d] + 1)]
-        total = 1 + len(domains) * deployment.endpoints + 3 * len(names)
+        total = 1 + len(domains) * deployment.endpoints + 6 * len(names)
         ports = iter(free_ports(total))
         self.store = f"{HOST}:{next(ports)}"
         self.endpoints = {d: [next(ports) for _ in range(deployment.endpoints)] for d in domains}
-        self.ports = {name: [next(ports) for _ in range(3)] for name in names}
+        self.ports = {name: [next(ports) for _ in range(6)] for name in names}
         self.names = names
 
     def __enter__(self):
@@ -125,6 +131,8 @@
         for domain in self.endpoints:
             self.start_endpoints(domain)
         for name in self.names:
+            if self.deployment.links:
+                self.start_links(name)
             self.start_process(name)
 
     def start_store(self):
@@ -145,6 +153,41 @@
             health=f"{self.endpoint_host(domain)}:{ports[-1]}",
         )
 
+    def start_links(self, name):
+        """Start the two links of a process: towards its peer address, and to the platform."""
+        _, _, peers, peer_link, store_link, control = self.ports[name]
+        self.children[f"links-{name}"] = launch(
+            "standins.link",
+            *("--listen", f"{HOST}:{peer_link}", "--to", f"{HOST}:{peers}"),
+            *("--listen", f"{HOST}:{store_link}", "--to", self.store),
+            *("--control", f"{HOST}:{control}"),
+            health=f"http://{HOST}:{control}/health",
+        )
+
+    def set_peer_link(self, name, mode, **more):
+        """Set the mode of the link before a process's peer address."""
+        self._set_link(name, 3, mode, more)
+
+    def set_store_link(self, name, mode, **more):
+        """Set the mode of the link between a process and the platform."""
+        self._set_link(name, 4, mode, more)
+
+    def _set_link(self, name, index, mode, more):
+        ports = self.ports[name]
+        body = {"mode": mode, "listen": f"{HOST}:{ports[index]}", **more}
+        call_json("POST", f"http://{HOST}:{ports[5]}/mode", body)
+
+    def set_hosts(self, live, leaving, **more):
+        """Set the platform's list of hosts."""
+        body = {"live": list(live), "leaving": list(leaving), **more}
+        return call_json("POST", f"http://{self.store}/hosts", body)
+
+    def set_store_faults(self, **faults):
+        """Set faults of the platform stand-in; none clears them all."""
+        if faults:
+            return call_json("POST", f"http://{self.store}/faults", faults)
+        return call_json("DELETE", f"http://{self.store}/faults")
+
     def endpoint_host(self, domain):
         """Return the IP number of the host that a failure domain's endpoints run on."""
         return f"127.0.1.{1 + list(self.endpoints).index(domain)}"
@@ -159,21 +202,26 @@
 
     def process_settings(self, name):
         """Return the settings of a process as plain data."""
-        callers, operators, peers = self.ports[name]
-        seeds = [f"{HOST}:{ports[2]}" for other, ports in self.ports.items() if other != name]
+        callers, operators, peers, peer_link, store_link, _ = self.ports[name]
+        linked = self.deployment.links
+        seed = 3 if linked else 2
+        seeds = [f"{HOST}:{ports[seed]}" for other, ports in self.ports.items() if other != name]
+        listen = {
+            "callers": f"{HOST}:{callers}",
+            "operators": f"{HOST}:{operators}",
+            "peers": f"{HOST}:{peers}",
+        }
+        if linked:
+            listen["advertised_peers"] = f"{HOST}:{peer_link}"
         return {
             "process": {
                 "name": name,
                 "failure_domain": name.rpartition("-")[0],
                 "fleet": self.names,
             },
-            "listen": {
-                "callers": f"{HOST}:{callers}",
-                "operators": f"{HOST}:{operators}",
-                "peers": f"{HOST}:{peers}",
-            },
+            "listen": listen,
             "peers": {"shared_key": SHARED_KEY, "seeds": seeds, **self.deployment.peers},
-            "platform": {"addresses": [self.store]},
+            "platform": {"addresses": [f"{HOST}:{store_link}" if linked else self.store]},
             "operator_token": OPERATOR_TOKEN,
             "jobs": self.deployment.jobs,
         }
--- a/tests/daemon/fleets.py
+++ b/tests/daemon/fleets.py
@@ -68,6 +68,10 @@
 
     def setUp(self):
         super().setUp()
+        for name in self.fleet.names:
+            if self.fleet.children[name].returncode is not None:
+                self.fleet.start_process(name)
+        self.wait_ready()
         self.pool = urllib3.PoolManager(retries=False, maxsize=32)
 
     @classmethod
@@ -87,6 +91,12 @@
         data = msgspec.json.encode(job)
         return self.http("POST", name, path, data, **{"Idempotency-Key": key}).json()
 
+    def refusal(self, name, key, **more):
+        """Submit and return kind and ran of the error, or None where the job is complete."""
+        answer = self.submit(name, key, **more)
+        error = answer.get("error")
+        return None if error is None else (error["kind"], error["ran"])
+
     def starts_of(self, key):
         """Return starts by task id of one job, as the endpoints recorded them."""
         return Counter(s[0] for s in self.fleet.starts() if s[0].startswith(f"{key}/"))
