--- a/burdocklug/platform/_budgeted.py
+++ b/burdocklug/platform/_budgeted.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from burdocklug.platform._breaker import Breaker, BreakerState, allows_call, begin_call, end_call
-from burdocklug.platform._budget import Bucket, Priority, drain_tokens, take_token
+from burdocklug.platform._budget import Bucket, Priority, drain_tokens, refill_tokens, take_token
 from burdocklug.platform._flights import Abandoned, Flights
 from burdocklug.platform._store import Store, StoreError, StoreUnavailable, StoreUncertain
 
@@ -94,6 +94,15 @@
             calls.setdefault(purpose, {})[outcome] = count
         return {"calls": calls, "breaker": str(self._breaker.state)}
 
+    def dump(self):
+        """Return the counters and what is left of the budget, as plain data."""
+        now_s = self._now()
+        return {
+            **self.counts(),
+            "calls_left": refill_tokens(self._calls, now_s).tokens,
+            "writes_left": refill_tokens(self._writes, now_s).tokens,
+        }
+
     def get(self, key, *, purpose):
         """Return the Entry of a key, or None; see `Store.get`."""
         return self._read(
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -1,13 +1,15 @@
 """The platform's store as a part of a process."""
 
 from burdocklug.kernel import part
-from burdocklug.platform import HttpStore
+from burdocklug.platform._budgeted import BudgetedStore
+from burdocklug.platform._http import HttpStore
 
 __all__ = ["build_platform"]
 
 
 @part("platform")
 def build_platform(process):
-    """Return the store's client of a process."""
+    """Return the store's client of a process, within the process's call budget."""
     settings = process.settings.platform
-    return HttpStore(settings.addresses, timeout_s=settings.timeout_s)
+    store = HttpStore(settings.addresses, timeout_s=settings.timeout_s)
+    return BudgetedStore(store, calls_per_s=settings.calls_per_s, now=process.timers.now)
