Tickets: what is known of a refusal after a lost answer, and of an unreadable value

Cause: an unreadable value in the store was answered as 'unknown' although nothing was written (red first: test_an_unreadable_value_is_neither_adopted_nor_overwritten). One clause now decides for every refusal: unknown after a lost answer, otherwise what the table says.

--- a/burdocklug/tickets/_codec.py
+++ b/burdocklug/tickets/_codec.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
 from burdocklug.platform import MAX_VALUE_BYTES
 from burdocklug.tickets._merge import ConfigValue, ObjectVersion
 from burdocklug.tickets._models import state_model
@@ -41,7 +41,7 @@
     """Raised for bytes that are no configuration value."""
 
     def __init__(self, message):
-        super().__init__(ErrorKind.INTERNAL, message)
+        super().__init__(ErrorKind.INTERNAL, message, ran=Ran.NO)
 
 
 _encoder = msgspec.msgpack.Encoder(order="deterministic")
--- a/burdocklug/tickets/_service.py
+++ b/burdocklug/tickets/_service.py
@@ -1,7 +1,7 @@
 """Applies change tickets to the store, and answers what became of them."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -132,7 +132,8 @@
             if attempt:
                 self._loop.sleep(self._retry_delay_s(attempt))
             try:
-                return self._attempt(ticket, uncertain=uncertain)
+                answer = self._attempt(ticket)
+                return _as_own_write(answer) if uncertain else answer
             except VersionMismatch:
                 log.info("ticket_write_raced", number=ticket.number, attempt=attempt)
             except StoreUncertain as exc:
@@ -143,15 +144,17 @@
                     raise _not_written(
                         ticket, exc.message, uncertain=False, retry_after_s=exc.retry_after_s
                     ) from exc
+            except BurdocklugError as exc:
+                exc.ran = Ran.UNKNOWN if uncertain else exc.ran
+                raise
         raise _not_written(ticket, f"{MAX_ATTEMPTS} attempts failed", uncertain=uncertain)
 
-    def _attempt(self, ticket, *, uncertain):
+    def _attempt(self, ticket):
         entry = self._store.get(CONFIGURATION_KEY, purpose="ticket_apply")
         stored = ConfigValue() if entry is None else self._decode(entry)
         changed, outcome = apply_ticket(join(stored, self._cfg.value), ticket)
         refused = refusal(ticket, outcome)
         if refused is not None:
-            refused.ran = Ran.UNKNOWN if uncertain else refused.ran
             raise refused
         if changed != stored:
             version = 0 if entry is None else entry.version
@@ -161,7 +164,8 @@
             )
         self._spread.publish(changed)
         log.info("ticket_accepted", number=ticket.number, outcome=outcome.kind)
-        return _answer(ticket, outcome, own_write=uncertain)
+        digest = ticket_digest(ticket).hex()
+        return TicketAnswer(ticket.number, outcome.kind, outcome.superseded, digest)
 
     def _decode(self, entry):
         return decode_value(entry.value, known=self._cfg.value)
@@ -223,11 +227,12 @@
         return True
 
 
-def _answer(ticket, outcome, *, own_write):
-    kind = outcome.kind
-    if own_write and kind is OutcomeKind.ALREADY_APPLIED:
-        kind = OutcomeKind.PARTLY_SUPERSEDED if outcome.superseded else OutcomeKind.ACCEPTED
-    return TicketAnswer(ticket.number, kind, outcome.superseded, ticket_digest(ticket).hex())
+def _as_own_write(answer):
+    """Return the answer to a ticket whose earlier write landed although its answer was lost."""
+    if answer.outcome is not OutcomeKind.ALREADY_APPLIED:
+        return answer
+    outcome = OutcomeKind.PARTLY_SUPERSEDED if answer.superseded else OutcomeKind.ACCEPTED
+    return replace(answer, outcome=outcome)
 
 
 def _not_written(ticket, fault, *, uncertain, retry_after_s=None):
--- a/tests/tickets/test_service.py
+++ b/tests/tickets/test_service.py
@@ -1,7 +1,7 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from burdocklug.kernel import ErrorKind
+from burdocklug.kernel import ErrorKind, Ran
 from burdocklug.platform import Entry
 from burdocklug.tickets import CONFIGURATION_KEY, OutcomeKind
 from tests.tickets.builders import endpoint_set, make_ticket, team
@@ -71,10 +71,19 @@
         broken = Entry(CONFIGURATION_KEY, b"\x07newer format", 2)
         self.fleet.store.entry = broken
         self.fleet.sim.run(60)
-        self.assertThat(self.apply(make_ticket(2)).kind, Equals(ErrorKind.INTERNAL))
+        exc = self.apply(make_ticket(2))
+        self.assertThat((exc.kind, exc.ran), Equals((ErrorKind.INTERNAL, Ran.NO)))
         self.assertThat(self.fleet.store.entry, Equals(broken))
         self.assertThat(self.first.cfg.team("vat").max_running, Equals(1))
 
+    def test_a_refusal_after_a_lost_answer_does_not_say_that_nothing_was_written(self):
+        self.fleet.store.lose_answers = 1
+        result = self.first.apply(make_ticket(1))
+        self.fleet.sim.run(1)
+        self.fleet.store.entry = Entry(CONFIGURATION_KEY, b"\x07newer format", 2)
+        self.fleet.sim.run(5)
+        self.assertThat((result[0].kind, result[0].ran), Equals((ErrorKind.INTERNAL, Ran.UNKNOWN)))
+
     def test_a_malformed_heartbeat_part_is_ignored(self):
         _produce, consume = self.first.network.parts["tickets"]
         member = self.first.network.members()[0]
