--- a/tests/peers/support.py
+++ b/tests/peers/support.py
@@ -103,6 +103,14 @@
         self.addCleanup(forwarder.close)
         return forwarder
 
+    def behind_forwarder(self, name, **options):
+        listen_address = free_address()
+        forwarder = self.forwarder(listen_address)
+        network = self.network(
+            name, address=forwarder.address, listen_address=listen_address, **options
+        )
+        return network, forwarder
+
     def process(self, name, **options):
         process = PeerProcess(name, **options)
         self.addCleanup(process.close)
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -2,6 +2,7 @@
 
 eventlet.monkey_patch()
 
+import random  # noqa: E402
 import socket  # noqa: E402
 
 import msgspec  # noqa: E402
@@ -142,14 +143,6 @@
 
 
 class SilentLinkTest(NetworkCase):
-    def behind_forwarder(self, name, **options):
-        listen_address = free_address()
-        forwarder = self.forwarder(listen_address)
-        network = self.network(
-            name, address=forwarder.address, listen_address=listen_address, **options
-        )
-        return network, forwarder
-
     def check_call_survives(self, direction):
         one, to_one = self.behind_forwarder("p1")
         two, to_two = self.behind_forwarder("p2", seeds=[one.address])
@@ -190,6 +183,44 @@
         self.assertThat(one.deaths + two.deaths + three.deaths, Equals([]))
 
 
+class FlakyLinkTest(NetworkCase):
+    SEED = 7
+    CALLS = 600
+
+    def test_outcomes_agree_with_what_was_handled(self):
+        one, to_one = self.behind_forwarder("p1")
+        two, to_two = self.behind_forwarder("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"} and living(two) == {"p1"})
+        rng = random.Random(self.SEED)
+        outcomes = {}
+
+        def call(number, timeout_s):
+            try:
+                one.call(two.incarnation, Slow(number, 0.02), timeout_s=timeout_s)
+                outcomes[number] = "replied"
+            except (PeerNotReached, PeerSilent) as exc:
+                outcomes[number] = type(exc).__name__
+
+        for number in range(self.CALLS):
+            eventlet.spawn(call, number, rng.choice([0.05, 0.3, 3.0]))
+            if number % 40 == 0:
+                link = rng.choice([to_one, to_two])
+                rng.choice([link.cut, link.heal, link.silence_open_connections, link.heal])()
+            eventlet.sleep(0.005)
+        to_one.heal()
+        to_two.heal()
+        self.wait_for(lambda: len(outcomes) == self.CALLS)
+        eventlet.sleep(2)
+        handled = two.handled
+        self.assertThat(sorted(set(handled)), Equals(sorted(handled)))
+        not_reached = {n for n, outcome in outcomes.items() if outcome == "PeerNotReached"}
+        replied = {n for n, outcome in outcomes.items() if outcome == "replied"}
+        self.assertThat(not_reached.intersection(handled), Equals(set()))
+        self.assertThat(replied.difference(handled), Equals(set()))
+        for outcome in ("replied", "PeerNotReached", "PeerSilent"):
+            self.assertIn(outcome, outcomes.values())
+
+
 class MuteListenerTest(NetworkCase):
     def test_connection_whose_handshake_hangs_is_dialled_anew_and_no_backlog_grows(self):
         one = self.network("p1")
