Idle processes wake less: periodic timers share multiples, ticks wait for work

Cause: an idle process woke 40 times a second; quota tick and pump ran 20 times a second each at different phases with nothing to do (profile of 20 s idle). Ruled out: heartbeats, 13 frames a second at 7 processes, and the poll of the host list. Now periodic subscriptions are due at multiples of their period, the quota tick pauses while no task waits, and only lanes with tasks or leases are pumped.

--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -132,8 +132,10 @@
         self._schedule_pump(lane)
 
     def _pump_all(self):
+        """Pump the lanes with work; one without any is pumped by each routing refresh."""
         for lane in self.lanes.values():
-            self._pump(lane)
+            if lane.is_active():
+                self._pump(lane)
 
     def _schedule_pump(self, lane):
         if not lane.pump_scheduled:
--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -84,6 +84,11 @@
         ]
         return [own, *sorted(others, key=lambda member: member.incarnation)]
 
+    def is_active(self):
+        """Return whether tasks wait or leases are held."""
+        held, _ = self.router.holder.counts()
+        return bool(len(self.queue) or held)
+
     def address_of(self, endpoint):
         """Return the address of an endpoint by name, or None once it is removed."""
         return self._addresses.get(endpoint)
--- a/burdocklug/kernel/_timers.py
+++ b/burdocklug/kernel/_timers.py
@@ -80,13 +80,14 @@
         return self._push(self.now() + delay_s, callback, None)
 
     def every(self, period_s, callback):
-        """Call `callback` each `period_s` seconds, first after one period.
+        """Call `callback` each `period_s` seconds, first after at most one period.
 
         Notes
         -----
-        A late call does not cause a burst: the next one is due a period after the call.
+        Calls are due at multiples of the period, so that subscriptions of like periods share
+        their wake-ups. A late call does not cause a burst: missed multiples are left out.
         """
-        return self._push(self.now() + period_s, callback, period_s)
+        return self._push(_next_multiple(self.now(), period_s), callback, period_s)
 
     def _push(self, due_s, callback, period_s):
         sub = Subscription(due_s, next(self._order), callback, period_s, self)
@@ -109,7 +110,7 @@
             sub = heapq.heappop(self._heap)
             callback = sub.callback
             if sub.period_s is not None:
-                sub.due_s = now + sub.period_s
+                sub.due_s = _next_multiple(now, sub.period_s)
                 heapq.heappush(self._heap, sub)
             self._call(callback)
             calls += 1
@@ -142,3 +143,9 @@
             with eventlet.Timeout(max(wait_s, 0.001), False):
                 wake.wait()
             self._wake = None
+
+
+def _next_multiple(now_s, period_s):
+    """Return the first multiple of a period after a time, at least half a period away."""
+    due_s = (now_s // period_s + 1) * period_s
+    return due_s if due_s - now_s >= period_s / 2 else due_s + period_s
--- a/burdocklug/limits/_part.py
+++ b/burdocklug/limits/_part.py
@@ -20,6 +20,7 @@
 log = structlog.get_logger(__name__)
 
 TICK_S = 0.05
+IDLE_TICK_S = 0.5  # between ticks while no task waits
 REGISTER_PAUSE_S = 1.0
 PURPOSE = "process_name"
 
@@ -74,6 +75,7 @@
         self._longest_task_s = settings.jobs.longest_task_s
         self._version = 0
         self._running = {}
+        self._ticked_s = 0.0
         self.waiting = dict
         self.shares = self._new_shares(None)
         for message_type in QuotaMessage.__args__:
@@ -149,12 +151,17 @@
             self.shares.set_quota(now, team, self._configuration.team(team).max_running)
 
     def _tick(self):
+        now = self._timers.now()
+        waiting = self.waiting()
+        if not waiting and now - self._ticked_s < IDLE_TICK_S:
+            return
+        self._ticked_s = now
         peers = {
             member.name: member.incarnation
             for member in self._peers.members()
             if member.state is MemberState.ALIVE and not member.draining
         }
-        self._send(self.shares.tick(self._timers.now(), self.waiting(), peers))
+        self._send(self.shares.tick(now, waiting, peers))
 
     def _receive(self, sender, message):
         self._send(self.shares.receive(self._timers.now(), sender, message))
