Platform: connections to the store are retired by age

Cause: a write over a connection that had gone silent during a pause was reported uncertain after the whole timeout, though new connections worked. Connections older than 15 s are now replaced before a call; a watch under way goes on. A stale read after a lost answer is in the contract: the second write is refused.

--- a/burdocklug/platform/_budgeted.py
+++ b/burdocklug/platform/_budgeted.py
@@ -12,6 +12,7 @@
 __all__ = ["DEFAULT_PRIORITIES", "BudgetedStore"]
 
 BURST_S = 1.0  # a full bucket holds the calls of this time
+TRIAL_WAIT_S = 0.1  # callers are told to wait so long, at least, while the store is tried
 WRITE_BURST_S = 0.5
 WRITE_SHARE = 0.3  # of the calls; the platform carries far fewer writes than reads
 
@@ -207,7 +208,7 @@
         now_s = self._now()
         if not allows_call(self._breaker, now_s):
             self._counts[purpose, "breaker_open"] += 1
-            wait_s = max(0.0, self._breaker.retry_at_s - now_s)
+            wait_s = max(TRIAL_WAIT_S, self._breaker.retry_at_s - now_s)
             raise StoreUnavailable(
                 f"{purpose}: the store fails, no call is made", retry_after_s=wait_s
             )
--- a/burdocklug/platform/_http.py
+++ b/burdocklug/platform/_http.py
@@ -1,8 +1,11 @@
 """Client of the key-value service over HTTP with JSON bodies."""
 
+import time
+
 import msgspec
 import urllib3
 
+from burdocklug.platform._connections import Connections
 from burdocklug.platform._store import (
     Entry,
     HostList,
@@ -17,7 +20,6 @@
 
 __all__ = ["HttpStore"]
 
-MAX_IDLE_CONNECTIONS = 8  # kept open to each address
 MAX_CONNECT_S = 1.0
 
 encode_json = msgspec.json.Encoder().encode
@@ -99,24 +101,23 @@
         one address only; after a failure the next call starts at the next address.
     timeout_s : float
         Longest wait for an answer, seconds; a watch waits this much longer than its own time.
+    now : callable, optional
+        Returns monotonic seconds.
 
     Notes
     -----
     A timeout retires all open connections to the address, since those of the same age may have
-    gone silent too.
+    gone silent too; so does age, before something between the two ends loses track of them.
     """
 
-    def __init__(self, addresses, *, timeout_s=2.0):
+    def __init__(self, addresses, *, timeout_s=2.0, now=time.monotonic):
         if not addresses:
             raise ValueError("no address of the platform's store")
         self._addresses = list(addresses)
         self._timeout_s = timeout_s
         self._first = 0
-        self._pools = [self._new_pool(address) for address in self._addresses]
-
-    def _new_pool(self, address):
-        host, _, port = address.rpartition(":")
-        return urllib3.HTTPConnectionPool(host, int(port), maxsize=MAX_IDLE_CONNECTIONS)
+        self._now = now
+        self._connections = [Connections(address) for address in self._addresses]
 
     def get(self, key, *, purpose):
         """Return the Entry of a key, or None; see `Store.get`."""
@@ -167,8 +168,8 @@
 
     def close(self):
         """Close idle connections; the store stays usable."""
-        for index in range(len(self._pools)):
-            self._retire(index)
+        for connections in self._connections:
+            connections.close()
 
     def _read(self, kind, body, model, *, wait_s=0.0):
         faults = []
@@ -212,10 +213,6 @@
         if self._first == failed:
             self._first = (failed + 1) % len(self._addresses)
 
-    def _retire(self, index):
-        old, self._pools[index] = self._pools[index], self._new_pool(self._addresses[index])
-        old.close()
-
     def _call(self, index, kind, body, model, *, wait_s=0.0):
         status, raw = self._exchange(index, kind, encode_json(body), wait_s)
         if status in (400, 404, 409, 410, 413, 503):
@@ -231,7 +228,8 @@
         timeout = urllib3.Timeout(
             connect=min(self._timeout_s, MAX_CONNECT_S), read=self._timeout_s + wait_s
         )
-        pool = self._pools[index]
+        connections = self._connections[index]
+        pool = connections.pool(self._now())
         try:
             answer = pool.request(
                 "POST", f"/v1/{kind}", body=raw, retries=False, redirect=False, timeout=timeout
@@ -242,7 +240,6 @@
         ) as exc:
             raise NoAnswer(f"not reached: {type(exc).__name__}", sent=False) from exc
         except urllib3.exceptions.HTTPError as exc:
-            if self._pools[index] is pool:
-                self._retire(index)
+            connections.retire(pool)
             raise NoAnswer(f"no answer: {type(exc).__name__}", sent=True) from exc
         return answer.status, answer.data
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -11,5 +11,6 @@
 def build_platform(process):
     """Return the store's client of a process, within the process's call budget."""
     settings = process.settings.platform
-    store = HttpStore(settings.addresses, timeout_s=settings.timeout_s)
-    return BudgetedStore(store, calls_per_s=settings.calls_per_s, now=process.timers.now)
+    now = process.timers.now
+    store = HttpStore(settings.addresses, timeout_s=settings.timeout_s, now=now)
+    return BudgetedStore(store, calls_per_s=settings.calls_per_s, now=now)
--- a/tests/platform/store_contract.py
+++ b/tests/platform/store_contract.py
@@ -197,3 +197,14 @@
         self.assertThat(exc.current, Equals(new))
         self.set_faults(stale=False)
         self.assertThat(self.store.get("k", **P), Equals(new))
+
+    def test_stale_read_after_a_lost_answer_does_not_write_twice(self):
+        old = self.write(put=b"1", expected_version=0)
+        self.set_faults(stale=True, lose_answers=1)
+        self.assertRaises(StoreUncertain, self.write, put=b"2", expected_version=old.version)
+        again = self.store.get("k", **P)
+        self.assertThat(again, Equals(old))
+        exc = self.assertRaises(
+            VersionMismatch, self.write, put=b"2", expected_version=again.version
+        )
+        self.assertThat(exc.current.value, Equals(b"2"))
--- a/tests/platform/test_budgeted.py
+++ b/tests/platform/test_budgeted.py
@@ -135,6 +135,8 @@
         self.now_s += 6.0
         trial = eventlet.spawn(self.store.get, "k", purpose="g")
         eventlet.sleep(0)
+        exc = self.assertRaises(StoreUnavailable, self.store.hosts, purpose="h")
+        self.assertThat(exc.retry_after_s, GreaterThan(0.0))
         trial.kill()
         self.now_s += 6.0
         self.assertThat(self.store.get("k", purpose="g"), Is(None))
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -144,7 +144,8 @@
         args = ("--listen", self.listen, "--to", self.address, "--control", self.link_control)
         link = launch("standins.link", *args, health=f"http://{self.link_control}/health")
         self.addCleanup(link.stop)
-        self.store = HttpStore([self.listen], timeout_s=TIMEOUT_S)
+        self.now_s = 0.0
+        self.store = HttpStore([self.listen], timeout_s=TIMEOUT_S, now=lambda: self.now_s)
 
     def write(self, *, put, expected_version):
         return self.store.put("k", put, expected_version=expected_version, **P)
@@ -184,3 +185,16 @@
         self.set_link(mode="silent", scope="existing", direction="to_client")
         self.assertRaises(StoreUncertain, self.write, put=b"1", expected_version=0)
         self.assertThat(self.store.get("k", **P).value, Equals(b"1"))
+
+    def test_write_after_a_pause_uses_no_old_connection(self):
+        self.open_connections(5)
+        self.set_link(mode="silent", scope="existing")
+        self.now_s += 60.0
+        self.write(put=b"1", expected_version=0)
+
+    def test_watch_under_way_survives_the_retirement_of_its_siblings(self):
+        waiting = eventlet.spawn(self.store.watch, "k", after_version=0, timeout_s=5, **P)
+        eventlet.sleep(0.1)
+        self.now_s += 60.0
+        written = self.write(put=b"1", expected_version=0)
+        self.assertThat(waiting.wait(), Equals(written))
