--- a/bench/_leases.py
+++ b/bench/_leases.py
@@ -151,7 +151,7 @@
     def dispatch(self):
         """Start tasks on the leases that the router gives."""
         now_s = self.fleet.loop.now_s
-        leases, outgoing = self.router.pump(now_s, len(self.queue))
+        leases, outgoing = self.router.pump(now_s, len(self.queue), small=self.queue.small_tasks())
         for lease in leases:
             entry = self._pop()
             if entry is None:
@@ -197,5 +197,5 @@
             self.health.note(endpoint.name, Outcome(OutcomeKind.REFUSED), now_s)
         if lease is not None:
             self.router.release(now_s, lease, outcome)
-        self.push(task)
+        self.push(task, again=True)
         self.dispatch()
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -9,6 +9,8 @@
 
 MIN_COST_S = 0.001  # a zero cost would let a team pop without bound
 
+SMALL_TASKS = 4  # most waiting tasks of a job that counts as small
+
 
 class QueueFull(BurdocklugError):
     """Raised when a push would exceed the queue's bound.
@@ -62,6 +64,10 @@
     ring: OrderedDict = field(default_factory=OrderedDict)  # jobs in order of their turns
 
 
+def _small(tasks):
+    return tasks if tasks <= SMALL_TASKS else 0
+
+
 class FairQueue:
     """Waiting tasks of one service in one process.
 
@@ -93,6 +99,7 @@
         self._active = {}  # team name to line, in order of activation
         self._jobs = {}
         self._tasks = 0
+        self._small = 0  # waiting tasks of jobs with few waiting tasks
         self._virtual_s = 0.0
 
     def __len__(self):
@@ -102,6 +109,10 @@
         """Return how many more tasks fit."""
         return max(0, self.max_tasks - self._tasks)
 
+    def small_tasks(self):
+        """Return how many tasks wait that are among the last few of their job."""
+        return self._small
+
     def set_weight(self, team, weight):
         """Set a team's weight; a team with twice the weight gets twice the slot time."""
         self._team(team).weight = max(float(weight), 0.001)
@@ -143,6 +154,7 @@
             job_line.tasks.appendleft(queued)
         else:
             job_line.tasks.append(queued)
+        self._small += _small(len(job_line.tasks)) - _small(len(job_line.tasks) - 1)
         job_line.cost_s += cost_s
         if not line.tasks:
             line.virtual_s = max(line.virtual_s, self._virtual_s)
@@ -175,6 +187,7 @@
         line = self._active[team]
         job, job_line = line.ring.popitem(last=False)
         task = job_line.tasks.popleft()
+        self._small += _small(len(job_line.tasks)) - _small(len(job_line.tasks) + 1)
         job_line.cost_s -= task.cost_s
         if job_line.tasks:
             line.ring[job] = job_line
@@ -206,6 +219,7 @@
             return 0
         line = self._teams[job_line.team]
         del line.ring[job]
+        self._small -= _small(len(job_line.tasks))
         self._forget(job_line.team, line, len(job_line.tasks), job_line.cost_s)
         return len(job_line.tasks)
 
--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -105,16 +105,16 @@
             Live incarnations; the leases of all others lapse.
         """
         wanted = {endpoint.name: endpoint for endpoint in endpoints}
-        for name in self._endpoints.keys() - wanted.keys():
+        for name in sorted(self._endpoints.keys() - wanted.keys()):
             for lease_id in list(self._leases[name]):
                 self._drop(name, lease_id)
             del self._leases[name]
             self._paused.pop(name, None)
-        for name in wanted.keys() - self._endpoints.keys():
+        for name in sorted(wanted.keys() - self._endpoints.keys()):
             self._leases[name] = {}
             self._grants_from_s[name] = now_s + TAKE_OVER_S
         self._endpoints = wanted
-        for holder in (self._held.keys() | self._demands.keys()) - live:
+        for holder in sorted((self._held.keys() | self._demands.keys()) - live):
             self._forget_holder(holder)
         return self._serve(now_s)
 
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -200,7 +200,7 @@
         else:
             self._put_idle(lease)
 
-    def pump(self, now_s, waiting, *, oldest_age_s=0.0):
+    def pump(self, now_s, waiting, *, small=None, oldest_age_s=0.0):
         """Return leases to start tasks on now, and messages to send.
 
         Parameters
@@ -209,6 +209,8 @@
             The time, in seconds.
         waiting : int
             Tasks that wait and may start (their teams are under quota).
+        small : int, optional
+            Those of them that belong to small jobs; the last idle leases are kept for such.
         oldest_age_s : float, optional
             How long the oldest of them has waited.
 
@@ -220,23 +222,25 @@
             Messages to send.
         """
         starts = []
-        while self._idle and len(starts) < waiting:
+        reserve = self.policy.reserve if small is not None else 0
+        reserve = max(0, reserve - (small or 0))
+        while len(self._idle) > reserve and len(starts) < waiting:
             lease = self._leases[self._idle.pop()]
             if lease.expires_s <= now_s:
                 del self._leases[lease.lease_id]
                 continue
             lease.busy = True
             starts.append(lease)
-        messages = self._ask(now_s, waiting - len(starts), oldest_age_s)
+        messages = self._ask(now_s, waiting - len(starts), oldest_age_s, reserve)
         self._give_back_unused(now_s)
         messages += self._flush(now_s, force=False)
         due = {name for name, entry in self._allocators.items() if now_s >= entry.report_s}
         return starts, messages + self._report(now_s, due)
 
-    def _ask(self, now_s, short, oldest_age_s):
+    def _ask(self, now_s, short, oldest_age_s, reserve):
         wants = {}
         asked = sum(self._live_ask(now_s, entry) for entry in self._allocators.values())
-        if asked > OVER_ASKED * short + self.policy.chunk or (asked and self._idle):
+        if asked > OVER_ASKED * short + self.policy.chunk or (asked and len(self._idle) > reserve):
             return self._ask_less(now_s, short, asked)
         if short > 0:
             busy = len(self._leases) - len(self._idle)
@@ -372,7 +376,7 @@
         for lease in self._leases.values():
             held.setdefault(lease.allocator, []).append(HeldLease(lease.lease_id, lease.endpoint))
         out = []
-        for name in allocators:
+        for name in sorted(allocators):
             if name in self._allocators:
                 self._allocators[name].report_s = now_s + REPORT_S
             if name in held:
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -104,6 +104,8 @@
         How long recalled leases are collected before they go back in one message.
     spare : int
         Idle leases that a holder keeps ahead of demand.
+    reserve : int
+        Idle leases that large jobs leave to small ones.
     spare_batch : int
         Fewest spare leases worth a request.
     hedge : int
@@ -125,6 +127,7 @@
     return_pause_s: float
     return_delay_s: float
     spare: int
+    reserve: int
     spare_batch: int
     hedge: int
     patience_s: float
@@ -141,6 +144,7 @@
         return_pause_s=0.4,
         return_delay_s=0.03,
         spare=4,
+        reserve=1,
         spare_batch=3,
         hedge=1,
         patience_s=0.002,
@@ -155,6 +159,7 @@
         return_pause_s=0.5,
         return_delay_s=0.1,
         spare=2,
+        reserve=0,
         spare_batch=2,
         hedge=1,
         patience_s=0.02,
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -52,7 +52,7 @@
     >>> for index in range(3):
     ...     queue.push(f"t{index}", team="a", job="j", cost_s=0.1, now_s=1.0)
     >>> def dispatch(now_s):
-    ...     leases, outgoing = router.pump(now_s, len(queue))
+    ...     leases, outgoing = router.pump(now_s, len(queue), small=queue.small_tasks())
     ...     return [(lease, queue.pop()) for lease in leases]
     >>> running = dispatch(1.0)
     >>> [(lease.endpoint, task.task_ref) for lease, task in running]
@@ -134,7 +134,7 @@
                 rest.append(item)
         return rest
 
-    def pump(self, now_s, waiting, *, oldest_age_s=0.0):
+    def pump(self, now_s, waiting, *, small=None, oldest_age_s=0.0):
         """Return leases to start tasks on now, and messages to send.
 
         Parameters
@@ -143,6 +143,8 @@
             The time, in seconds.
         waiting : int
             Waiting tasks whose teams may start one.
+        small : int, optional
+            `FairQueue.small_tasks`; without it no lease is reserved for small jobs.
         oldest_age_s : float, optional
             How long the oldest of them has waited, in seconds.
 
@@ -157,11 +159,12 @@
         if now_s >= self._tick_s:
             self._tick_s = now_s + TICK_S
             out = self._settle(now_s, self.allocator.tick(now_s))
-        starts, asked = self.holder.pump(now_s, waiting, oldest_age_s=oldest_age_s)
+        starts, asked = self.holder.pump(now_s, waiting, small=small, oldest_age_s=oldest_age_s)
         idle_before = self.holder.counts()[1]
         out += self._settle(now_s, asked)
         if self.holder.counts()[1] > idle_before and len(starts) < waiting:
-            more, asked = self.holder.pump(now_s, waiting - len(starts), oldest_age_s=oldest_age_s)
+            waiting -= len(starts)
+            more, asked = self.holder.pump(now_s, waiting, small=small, oldest_age_s=oldest_age_s)
             starts += more
             out += self._settle(now_s, asked)
         return starts, out
--- a/tests/limits/test_queue.py
+++ b/tests/limits/test_queue.py
@@ -79,3 +79,15 @@
         wait_s = queue.expected_wait_s(team="b", slots=10, job_cost_s=1.0)
         self.assertAlmostEqual(0.2, wait_s)
         self.assertAlmostEqual(50.0, queue.expected_wait_s(team="flood", slots=10))
+
+    def test_small_tasks_are_the_last_few_of_each_job(self):
+        queue = FairQueue(max_tasks=1000)
+        fill(queue, "a", "big", 6)
+        fill(queue, "b", "single", 1)
+        fill(queue, "b", "gone", 3)
+        self.assertEqual(4, queue.small_tasks())
+        queue.cancel_job("gone")
+        counts = []
+        while queue.pop() is not None:
+            counts.append(queue.small_tasks())
+        self.assertEqual([1, 0, 4, 3, 2, 1, 0], counts)
