--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -5,6 +5,7 @@
 its deadline or its cancellation, whichever comes first.
 """
 
+import collections
 import itertools
 
 import eventlet
@@ -49,6 +50,7 @@
             "tasks_finished": 0,
         }
         self._attempt_numbers = itertools.count(1)
+        self._retries = collections.deque()  # lanes and tasks that wait for the retry budget
 
     def start_timers(self):
         """Subscribe to the timer service."""
@@ -133,6 +135,7 @@
 
     def _pump_all(self):
         """Pump the lanes with work; one without any is pumped by each routing refresh."""
+        self._drain_retries()
         for lane in self.lanes.values():
             if lane.is_active():
                 self._pump(lane)
@@ -281,21 +284,26 @@
         task.state = TaskState.QUEUED
         task.retries += 1
         log.debug("task_not_started", task=task.task_id, reason=outcome.reason)
-        self._push_later(lane, task)
-
-    def _push_later(self, lane, task):
         delay_s = self.ctx.retry_delay_s(task.retries)
-        self.ctx.timers.after(delay_s, lambda: self._push_again(lane, task))
+        self.ctx.timers.after(delay_s, lambda: self._retry(lane, task))
 
-    def _push_again(self, lane, task):
-        """Queue a task that did not start once the retry budget allows it."""
-        job = task.job
+    def _retry(self, lane, task):
+        self._retries.append((lane, task))
+        self._drain_retries()
+
+    def _drain_retries(self):
+        """Queue tasks that did not start, in order, as far as the retry budget allows."""
         now = self.ctx.timers.now()
-        if job.closed:
-            return
-        if not self.ctx.retry_budget.try_retry(now):
-            self._push_later(lane, task)
-            return
+        while self._retries:
+            lane, task = self._retries[0]
+            if not task.job.closed:
+                if not self.ctx.retry_budget.try_retry(now):
+                    return
+                self._push_again(lane, task, now)
+            self._retries.popleft()
+
+    def _push_again(self, lane, task, now):
+        job = task.job
         cost_s = lane.expected_run_s(job.team, task.declared_s)
         lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now, again=True)
         self._schedule_pump(lane)
