--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -1,13 +1,12 @@
 """One service's lane through this process: its queue, its router and what its tasks cost."""
 
-from burdocklug.limits import FairQueue
-from burdocklug.routing import RouteEndpoint, RouteMember, ServiceRouter
+from burdocklug.limits import FairQueue, RunTimes
+from burdocklug.peers import MemberState
+from burdocklug.routing import RouteEndpoint, RouteMember, ServiceRouter, SlotLoad
 
 __all__ = ["Lane"]
 
-RATIO_GAIN = 0.05  # weight of the newest task in the ratio of seen to declared run time
-MIN_RATIO = 0.1
-MAX_RATIO = 10.0
+UNREACHABLE_QUEUED = 100_000  # makes an allocator that does not answer the last to be asked
 
 
 class Lane:
@@ -36,7 +35,8 @@
         )
         self.pump_scheduled = False
         self.running = {}
-        self._ratio = 1.0
+        self._times = RunTimes()
+        self._members_count = 1
         self._addresses = {}
         self._view = None
 
@@ -47,19 +47,32 @@
             self.state = state
             self.queue.max_tasks = state.max_queue
         endpoints = self.ctx.configuration.endpoints(self.service) if state else ()
-        for team in self.running:
-            if (limits := self.ctx.configuration.team(team)) is not None:
-                self.queue.set_weight(team, limits.weight)
+        self.ctx.endpoint_view.set_endpoints(self.service, endpoints)
+        for team in self.ctx.configuration.teams():
+            self.queue.set_weight(team, self.ctx.configuration.team(team).weight)
         self._addresses = {endpoint.name: endpoint.address for endpoint in endpoints}
         routes = [self._route(endpoint, now) for endpoint in endpoints]
         members = self._members()
-        if (routes, members) == self._view:
+        self._members_count = len(members)
+        suspects = self._suspects()
+        if (routes, members, suspects) == self._view:
             return []
-        self._view = (routes, members)
-        return self.router.update(now, routes, members)
+        self._view = (routes, members, suspects)
+        out = self.router.update(now, routes, members)
+        for incarnation in suspects:
+            unreachable = SlotLoad(self.service, 0, 0, UNREACHABLE_QUEUED)
+            out += self.router.receive(now, incarnation, unreachable)
+        return out
+
+    def _suspects(self):
+        return [
+            member.incarnation
+            for member in self.ctx.live_members()
+            if member.state is MemberState.SUSPECT
+        ]
 
     def _route(self, endpoint, now):
-        usable = self.ctx.endpoint_usable(endpoint, now)
+        usable = self.ctx.endpoint_usable(self.service, endpoint, now)
         return RouteEndpoint(endpoint.name, endpoint.failure_domain, endpoint.slots, usable)
 
     def _members(self):
@@ -71,6 +84,11 @@
         ]
         return [own, *sorted(others, key=lambda member: member.incarnation)]
 
+    def is_active(self):
+        """Return whether tasks wait or leases are held."""
+        held, _ = self.router.holder.counts()
+        return bool(len(self.queue) or held)
+
     def address_of(self, endpoint):
         """Return the address of an endpoint by name, or None once it is removed."""
         return self._addresses.get(endpoint)
@@ -93,18 +111,22 @@
         self.running[team] -= 1
         self.ctx.note_team_ended(team)
 
-    def note_run(self, declared_s, run_s):
-        """Correct the declared run times by what was seen."""
-        ratio = min(MAX_RATIO, max(MIN_RATIO, run_s / declared_s))
-        self._ratio += RATIO_GAIN * (ratio - self._ratio)
+    def note_run(self, team, declared_s, run_s):
+        """Learn from a task that ended."""
+        self._times.observe(team, declared_s=declared_s, run_s=run_s)
 
-    def expected_run_s(self, declared_s):
+    def expected_run_s(self, team, declared_s):
         """Return the run time to expect of a task, in seconds."""
-        return declared_s * self._ratio
+        return self._times.expect(team, declared_s=declared_s)
+
+    def slots_here(self):
+        """Return the slots that serve this process's queue: its fair part, or what it holds."""
+        held, _ = self.router.holder.counts()
+        return max(held, self.slots() / self._members_count)
 
-    def free_room(self):
-        """Return how many more tasks the queue takes."""
-        return self.queue.room()
+    def waiting_by_team(self):
+        """Return the number of waiting tasks by team."""
+        return self.queue.waiting_by_team()
 
     def slots(self):
         """Return the number of slots of all usable endpoints."""
@@ -120,5 +142,4 @@
             "leases": held,
             "idle_leases": idle,
             "usable_slots": self.slots(),
-            "run_time_ratio": self._ratio,
         }
--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -20,7 +20,7 @@
 DEMAND_TERM_S = 5.0
 LOST_GRANT_S = 1.0  # a report without a lease older than this means that its grant was lost
 FULL_PAUSE_S = 0.25
-RECALL_PAUSE_S = 0.05
+SLOW_TERM_S = 2.0
 RECALL_TERM_S = 2.0
 ID_BITS = 24  # room for the leases of one incarnation; the higher bits name the incarnation
 
@@ -87,6 +87,7 @@
         self._sequences = {}
         self._held = {}  # holder to number of leases
         self._recalls = {}
+        self._slow = {}  # endpoint name to the time until which peers' word counts, and weight
         self._granted_s = -math.inf
         digest = hashlib.blake2b(incarnation.encode(), digest_size=4).digest()
         self._next_id = int.from_bytes(digest, "big") << ID_BITS
@@ -104,16 +105,16 @@
             Live incarnations; the leases of all others lapse.
         """
         wanted = {endpoint.name: endpoint for endpoint in endpoints}
-        for name in self._endpoints.keys() - wanted.keys():
+        for name in sorted(self._endpoints.keys() - wanted.keys()):
             for lease_id in list(self._leases[name]):
                 self._drop(name, lease_id)
             del self._leases[name]
             self._paused.pop(name, None)
-        for name in wanted.keys() - self._endpoints.keys():
+        for name in sorted(wanted.keys() - self._endpoints.keys()):
             self._leases[name] = {}
             self._grants_from_s[name] = now_s + TAKE_OVER_S
         self._endpoints = wanted
-        for holder in (self._held.keys() | self._demands.keys()) - live:
+        for holder in sorted((self._held.keys() | self._demands.keys()) - live):
             self._forget_holder(holder)
         return self._serve(now_s)
 
@@ -200,6 +201,21 @@
         granted.expires_s = now_s + LEASE_TERM_S
         return True
 
+    def note_slow(self, now_s, weights):
+        """Take a process's weights of endpoints that it finds slow, by name."""
+        for name, weight in weights.items():
+            if name in self._endpoints:
+                self._slow[name] = (now_s + SLOW_TERM_S, weight)
+
+    def _slots(self, now_s, endpoint):
+        """Return how many slots to lease out; of a slow endpoint few, at least one."""
+        until_s, weight = self._slow.get(endpoint.name, (0.0, 1.0))
+        if endpoint.is_slow():
+            weight = endpoint.weight
+        elif until_s <= now_s:
+            return endpoint.slots
+        return max(1, round(endpoint.slots * weight))
+
     def tick(self, now_s):
         """Let overdue leases and demands lapse and serve what waits; call each 50 ms or so."""
         for name, leases in self._leases.items():
@@ -211,9 +227,7 @@
         return self._serve(now_s)
 
     def load(self, now_s):
-        """Return the `SlotLoad` to put on the heartbeat, or None with no endpoint in charge."""
-        if not self._endpoints:
-            return None
+        """Return the `SlotLoad` to put on the heartbeat."""
         capacity = sum(endpoint.slots for endpoint in self._endpoints.values() if endpoint.usable)
         free = sum(free for _, free in self._free(now_s))
         queued = sum(demand.waiting for demand in self._demands.values())
@@ -228,7 +242,7 @@
             pauses = [end_s for end_s in self._paused.get(name, ()) if end_s > now_s]
             if name in self._paused:
                 self._paused[name] = pauses
-            free = endpoint.slots - len(self._leases[name]) - len(pauses)
+            free = self._slots(now_s, endpoint) - len(self._leases[name]) - len(pauses)
             if free > 0:
                 pairs.append((name, free))
         return pairs
@@ -307,7 +321,7 @@
         for holder, held in sorted(self._held.items(), key=lambda item: (-item[1], item[0])):
             recall = self._recalls.setdefault(holder, _Recall())
             count = min(unmet, held - recall.owed - fair)
-            if count > 0 and now_s - recall.sent_s >= RECALL_PAUSE_S:
+            if count > 0 and now_s - recall.sent_s >= self.policy.recall_pause_s:
                 recall.sent_s = now_s
                 recall.owed += count
                 unmet -= count
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -1,5 +1,7 @@
 """One service's routing in one process: an allocator and a holder behind a small interface."""
 
+import msgspec
+
 from burdocklug.routing import _messages as messages
 from burdocklug.routing._allocator import SlotAllocator
 from burdocklug.routing._holder import SlotHolder
@@ -50,7 +52,7 @@
     >>> for index in range(3):
     ...     queue.push(f"t{index}", team="a", job="j", cost_s=0.1, now_s=1.0)
     >>> def dispatch(now_s):
-    ...     leases, outgoing = router.pump(now_s, len(queue))
+    ...     leases, outgoing = router.pump(now_s, len(queue), small=queue.small_tasks())
     ...     return [(lease, queue.pop()) for lease in leases]
     >>> running = dispatch(1.0)
     >>> [(lease.endpoint, task.task_ref) for lease, task in running]
@@ -66,6 +68,7 @@
         self.allocator = SlotAllocator(service=service, incarnation=incarnation, weight=weight)
         self.holder = SlotHolder(service=service, failure_domain=failure_domain, weight=weight)
         self._tick_s = 0.0
+        self._members = 1
 
     def update(self, now_s, endpoints, members):
         """Set the service's endpoints and the live members.
@@ -85,6 +88,7 @@
             Messages to send.
         """
         endpoints, members = list(endpoints), list(members)
+        self._members = len(members)
         allocator_of = choose_allocators(endpoints, members)
         mine = [
             endpoint
@@ -114,6 +118,7 @@
             case messages.SlotRenewal():
                 return self.holder.renewal(now_s, sender, message)
             case messages.SlotLoad():
+                self.allocator.note_slow(now_s, message.slow)
                 self.holder.load(now_s, sender, message)
         return []
 
@@ -129,7 +134,7 @@
                 rest.append(item)
         return rest
 
-    def pump(self, now_s, waiting, *, oldest_age_s=0.0):
+    def pump(self, now_s, waiting, *, small=None, oldest_age_s=0.0):
         """Return leases to start tasks on now, and messages to send.
 
         Parameters
@@ -138,6 +143,8 @@
             The time, in seconds.
         waiting : int
             Waiting tasks whose teams may start one.
+        small : int, optional
+            `FairQueue.small_tasks`; without it no lease is reserved for small jobs.
         oldest_age_s : float, optional
             How long the oldest of them has waited, in seconds.
 
@@ -152,11 +159,12 @@
         if now_s >= self._tick_s:
             self._tick_s = now_s + TICK_S
             out = self._settle(now_s, self.allocator.tick(now_s))
-        starts, asked = self.holder.pump(now_s, waiting, oldest_age_s=oldest_age_s)
+        starts, asked = self.holder.pump(now_s, waiting, small=small, oldest_age_s=oldest_age_s)
         idle_before = self.holder.counts()[1]
         out += self._settle(now_s, asked)
         if self.holder.counts()[1] > idle_before and len(starts) < waiting:
-            more, asked = self.holder.pump(now_s, waiting - len(starts), oldest_age_s=oldest_age_s)
+            waiting -= len(starts)
+            more, asked = self.holder.pump(now_s, waiting, small=small, oldest_age_s=oldest_age_s)
             starts += more
             out += self._settle(now_s, asked)
         return starts, out
@@ -177,6 +185,21 @@
         """
         self.holder.release(now_s, lease, outcome, run_s=run_s)
 
+    def slots(self):
+        """Return how many slots may serve this process's queue.
+
+        Notes
+        -----
+        Those that it holds and those known to be free, and at least its even share.
+        """
+        held, _ = self.holder.counts()
+        share = self.holder.capacity() / max(1, self._members)
+        return max(held + self.holder.free(), share)
+
     def load(self, now_s):
-        """Return the `SlotLoad` for the heartbeat, or None."""
-        return self.allocator.load(now_s)
+        """Return the `SlotLoad` for the heartbeat, or None with nothing to tell."""
+        load = self.allocator.load(now_s)
+        slow = self.holder.slow_endpoints()
+        if not load.capacity and not slow:
+            return None
+        return msgspec.structs.replace(load, slow=slow)
