--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -226,6 +226,10 @@
                 del self._demands[holder]
         return self._serve(now_s)
 
+    def in_charge(self):
+        """Return whether any endpoint is in this process's charge."""
+        return bool(self._endpoints)
+
     def load(self, now_s):
         """Return the `SlotLoad` to put on the heartbeat."""
         capacity = sum(endpoint.slots for endpoint in self._endpoints.values() if endpoint.usable)
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -19,6 +19,8 @@
 ASK_MORE_S = 0.02  # between two requests to an allocator that has not met the first
 FIRST_RUN_S = 0.3  # mean run time until a task has ended
 RUN_GAIN = 0.05  # of the moving average of run times
+SMALL_ASK = 4  # most missing leases for which another allocator is asked after SLOW_ANSWER_S
+SLOW_ANSWER_S = 0.25
 OVER_ASKED = 4  # outstanding demand over waiting tasks from which the rest is taken back
 RETURNED_TERM_S = 15.0  # longer than a lease's term: later grants of the same id are repeats
 REMOTE_TRIP_S = 0.003  # extra round trip to another failure domain
@@ -34,6 +36,7 @@
     queued: int = 0
     asked: int = 0  # leases for waiting tasks, asked for and not granted yet
     asked_s: float = -math.inf
+    offered: float = math.inf  # capacity as the allocator itself tells it
     spare_s: float = -math.inf
     report_s: float = -math.inf
     owed: int = 0  # leases to give back as their tasks end
@@ -163,6 +166,7 @@
         if entry is not None:
             entry.free = message.free
             entry.queued = message.queued
+            entry.offered = message.capacity
 
     def release(self, now_s, lease, outcome, *, run_s=None):
         """Take back a lease that `pump` returned, once its attempt is over.
@@ -244,7 +248,8 @@
             return self._ask_less(now_s, short, asked)
         if short > 0:
             busy = len(self._leases) - len(self._idle)
-            short -= int(busy / self._run_s * self.policy.patience_s) + asked
+            short -= int(busy / self._run_s * self.policy.patience_s)
+            short -= self._covered(now_s, short, asked)
             if short > 0:
                 wants = self._share_out(now_s, short)
         elif len(self._idle) + self.policy.spare_batch <= self._spare():
@@ -253,9 +258,23 @@
 
     def _live_ask(self, now_s, entry):
         if now_s - entry.asked_s > ASK_AGAIN_S:
+            if entry.asked:
+                entry.free = 0
             entry.asked = 0
         return entry.asked
 
+    def _covered(self, now_s, short, asked):
+        """Return how many of the missing leases are on their way, as far as can be hoped."""
+        if short > SMALL_ASK:
+            return asked
+        covered = 0
+        for entry in self._allocators.values():
+            if now_s - entry.asked_s < SLOW_ANSWER_S:
+                covered += entry.asked
+            elif entry.asked:
+                entry.free = 0  # what was known of it is out of date
+        return covered
+
     def _ask_less(self, now_s, short, asked):
         """Take back demand that is no longer there, so that others get the slots."""
         out = []
@@ -273,7 +292,7 @@
         ready = [
             (name, entry)
             for name, entry in self._allocators.items()
-            if entry.capacity and self._may_ask(now_s, entry, short)
+            if entry.capacity and entry.offered and self._may_ask(now_s, entry, short)
         ]
         ready.sort(
             key=lambda item: (item[1].free < short, not item[1].local, -item[1].free, item[0])
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -200,6 +200,6 @@
         """Return the `SlotLoad` for the heartbeat, or None with nothing to tell."""
         load = self.allocator.load(now_s)
         slow = self.holder.slow_endpoints()
-        if not load.capacity and not slow:
+        if not self.allocator.in_charge() and not slow:
             return None
         return msgspec.structs.replace(load, slow=slow)
--- a/tests/routing/test_leases.py
+++ b/tests/routing/test_leases.py
@@ -182,3 +182,9 @@
         self.assertEqual(0, self.allocator.load(10.9).free)
         self.allocator.tick(11.0)
         self.assertEqual(2, self.allocator.load(11.0).free)
+
+    def test_load_is_told_while_no_endpoint_in_charge_is_usable(self):
+        router = ServiceRouter(service="press", incarnation="p1", failure_domain="north")
+        endpoints = [RouteEndpoint("e1", "north", 2, usable=False)]
+        router.update(0.0, endpoints, [RouteMember("p1", "north")])
+        self.assertEqual(0, router.load(1.0).capacity)
