--- a/burdocklug/jobs/_models.py
+++ b/burdocklug/jobs/_models.py
@@ -12,7 +12,7 @@
 DIGEST_BYTES = 16
 MAX_DECLARED_S = 3600.0
 
-Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")]
 
 
 class TaskSubmission(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -22,8 +22,8 @@
 
 MIN_SECRET_CHARS = 16  # shorter secrets can be guessed online
 
-Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,62})$")]
+Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,62})\Z")]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=MIN_SECRET_CHARS)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
@@ -72,7 +72,6 @@
     addresses: list[Address]
     timeout_s: Seconds = 2.0
     calls_per_s: Seconds = 20.0
-    watch_s: Seconds = 20.0
 
 
 class JobSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/tests/jobs/test_models.py
+++ b/tests/jobs/test_models.py
@@ -32,6 +32,7 @@
         ("missing field", {"data": b'{"service": "a", "team": "b"}', "path": "$"}),
         ("wrong type", {"data": body(service=3), "path": "$.service"}),
         ("bad name", {"data": body(team="Vat Crew"), "path": "$.team"}),
+        ("newline after a name", {"data": body(team="vat\n"), "path": "$.team"}),
         ("no task", {"data": body(tasks=[]), "path": "$.tasks"}),
         ("1,701 tasks", {"data": body(tasks=[{}] * 1701), "path": "$.tasks"}),
         (
--- a/tests/kernel/test_settings.py
+++ b/tests/kernel/test_settings.py
@@ -22,6 +22,8 @@
 
     def test_every_fault_is_listed_with_its_path(self):
         bad = dict(GOOD, process={"name": "X"}, platform={"addresses": ["localhost"]}, more=1)
+        bad["operator_token"] = "short"
+        bad["listen"] = dict(GOOD["listen"], callers="127.0.0.1:8001\n")
         faults = list(check_settings(bad))
         paths = [fault.partition(":")[0] for fault in faults]
         self.assertThat(
@@ -30,7 +32,9 @@
                 [
                     "$.process.name",
                     "$.process.failure_domain",
+                    "$.listen.callers",
                     "$.platform.addresses[0]",
+                    "$.operator_token",
                     "$.more",
                 ]
             ),
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository itself."""
