--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -22,8 +22,8 @@
 
 MIN_SECRET_CHARS = 16  # shorter secrets can be guessed online
 
-Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,62})$")]
+Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,62})\Z")]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=MIN_SECRET_CHARS)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
@@ -39,11 +39,15 @@
 
 
 class ListenSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """Addresses this process listens on, each an IP number and a TCP port."""
+    """Addresses this process listens on, each an IP number and a TCP port.
+
+    ``advertised_peers`` is where peers reach the peers' listener, if that differs.
+    """
 
     callers: Address
     operators: Address
     peers: Address
+    advertised_peers: Address | None = None
     max_connections: Count = 1000
     header_timeout_s: Seconds = 10.0
     body_timeout_s: Seconds = 10.0
@@ -68,7 +72,6 @@
     addresses: list[Address]
     timeout_s: Seconds = 2.0
     calls_per_s: Seconds = 20.0
-    watch_s: Seconds = 20.0
 
 
 class JobSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -83,6 +86,7 @@
     max_deadline_s: Seconds = 3600.0
     claim_window_s: Seconds = 3600.0
     shutdown_s: Seconds = 30.0
+    longest_task_s: Seconds = 30.0
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -1,6 +1,6 @@
 """A bounded queue of waiting tasks of one service, fair between teams and between their jobs."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
@@ -9,6 +9,8 @@
 
 MIN_COST_S = 0.001  # a zero cost would let a team pop without bound
 
+SMALL_TASKS = 4  # most waiting tasks of a job that counts as small
+
 
 class QueueFull(BurdocklugError):
     """Raised when a push would exceed the queue's bound.
@@ -59,7 +61,11 @@
     virtual_s: float = 0.0
     cost_s: float = 0.0
     tasks: int = 0
-    ring: deque = field(default_factory=deque)  # job lines; cancelled ones are skipped at pop
+    ring: OrderedDict = field(default_factory=OrderedDict)  # jobs in order of their turns
+
+
+def _small(tasks):
+    return tasks if tasks <= SMALL_TASKS else 0
 
 
 class FairQueue:
@@ -93,6 +99,7 @@
         self._active = {}  # team name to line, in order of activation
         self._jobs = {}
         self._tasks = 0
+        self._small = 0  # waiting tasks of jobs with few waiting tasks
         self._virtual_s = 0.0
 
     def __len__(self):
@@ -102,6 +109,10 @@
         """Return how many more tasks fit."""
         return max(0, self.max_tasks - self._tasks)
 
+    def small_tasks(self):
+        """Return how many tasks wait that are among the last few of their job."""
+        return self._small
+
     def set_weight(self, team, weight):
         """Set a team's weight; a team with twice the weight gets twice the slot time."""
         self._team(team).weight = max(float(weight), 0.001)
@@ -136,13 +147,14 @@
         job_line = self._jobs.get(job)
         if job_line is None:
             job_line = self._jobs[job] = _JobLine(team)
-            line.ring.append((job, job_line))
+            line.ring[job] = job_line
         cost_s = max(cost_s, MIN_COST_S)
         queued = QueuedTask(task_ref, team, job, cost_s, now_s)
         if again:
             job_line.tasks.appendleft(queued)
         else:
             job_line.tasks.append(queued)
+        self._small += _small(len(job_line.tasks)) - _small(len(job_line.tasks) - 1)
         job_line.cost_s += cost_s
         if not line.tasks:
             line.virtual_s = max(line.virtual_s, self._virtual_s)
@@ -173,13 +185,12 @@
 
     def _pop_from(self, team):
         line = self._active[team]
-        while line.ring[0][1].tasks is None:
-            line.ring.popleft()
-        job, job_line = line.ring.popleft()
+        job, job_line = line.ring.popitem(last=False)
         task = job_line.tasks.popleft()
+        self._small += _small(len(job_line.tasks)) - _small(len(job_line.tasks) + 1)
         job_line.cost_s -= task.cost_s
         if job_line.tasks:
-            line.ring.append((job, job_line))
+            line.ring[job] = job_line
         else:
             del self._jobs[job]
         self._virtual_s = max(self._virtual_s, line.virtual_s)
@@ -193,7 +204,6 @@
         self._tasks -= tasks
         if not line.tasks:
             line.cost_s = 0.0
-            line.ring.clear()
             del self._active[team]
 
     def cancel_job(self, job):
@@ -207,15 +217,20 @@
         job_line = self._jobs.pop(job, None)
         if job_line is None:
             return 0
-        dropped = len(job_line.tasks)
-        job_line.tasks = None
-        self._forget(job_line.team, self._teams[job_line.team], dropped, job_line.cost_s)
-        return dropped
+        line = self._teams[job_line.team]
+        del line.ring[job]
+        self._small -= _small(len(job_line.tasks))
+        self._forget(job_line.team, line, len(job_line.tasks), job_line.cost_s)
+        return len(job_line.tasks)
 
     def eligible_tasks(self, eligible):
         """Return how many tasks wait in teams for which `eligible(team)` is true."""
         return sum(line.tasks for team, line in self._active.items() if eligible(team))
 
+    def waiting_by_team(self):
+        """Return the number of waiting tasks by team."""
+        return {team: line.tasks for team, line in self._active.items()}
+
     def team_cost_s(self, team):
         """Return the summed expected run time of a team's waiting tasks, in seconds."""
         line = self._active.get(team)
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -19,6 +19,9 @@
 ASK_MORE_S = 0.02  # between two requests to an allocator that has not met the first
 FIRST_RUN_S = 0.3  # mean run time until a task has ended
 RUN_GAIN = 0.05  # of the moving average of run times
+SMALL_ASK = 4  # most missing leases for which another allocator is asked after SLOW_ANSWER_S
+SLOW_ANSWER_S = 0.25
+OVER_ASKED = 4  # outstanding demand over waiting tasks from which the rest is taken back
 RETURNED_TERM_S = 15.0  # longer than a lease's term: later grants of the same id are repeats
 REMOTE_TRIP_S = 0.003  # extra round trip to another failure domain
 
@@ -33,6 +36,7 @@
     queued: int = 0
     asked: int = 0  # leases for waiting tasks, asked for and not granted yet
     asked_s: float = -math.inf
+    offered: float = math.inf  # capacity as the allocator itself tells it
     spare_s: float = -math.inf
     report_s: float = -math.inf
     owed: int = 0  # leases to give back as their tasks end
@@ -128,6 +132,9 @@
             lease = SlotLease(granted.lease_id, granted.endpoint, allocator, expires_s, now_s)
             self._leases[lease.lease_id] = lease
             self._put_idle(lease)
+            endpoint = self._endpoints.get(lease.endpoint)
+            if endpoint is None or not endpoint.usable:
+                self._give_back(now_s, lease, full=True)
         return []
 
     def recall(self, now_s, allocator, message):
@@ -159,6 +166,7 @@
         if entry is not None:
             entry.free = message.free
             entry.queued = message.queued
+            entry.offered = message.capacity
 
     def release(self, now_s, lease, outcome, *, run_s=None):
         """Take back a lease that `pump` returned, once its attempt is over.
@@ -186,7 +194,7 @@
             self._give_back(now_s, lease, full=True)
         elif lease.expires_s <= now_s:
             del self._leases[lease.lease_id]
-        elif endpoint is None or not endpoint.usable:
+        elif endpoint is None or not endpoint.usable or endpoint.is_slow():
             self._give_back(now_s, lease)
         elif entry is not None and entry.owed > 0:
             entry.owed -= 1
@@ -196,7 +204,7 @@
         else:
             self._put_idle(lease)
 
-    def pump(self, now_s, waiting, *, oldest_age_s=0.0):
+    def pump(self, now_s, waiting, *, small=None, oldest_age_s=0.0):
         """Return leases to start tasks on now, and messages to send.
 
         Parameters
@@ -205,6 +213,8 @@
             The time, in seconds.
         waiting : int
             Tasks that wait and may start (their teams are under quota).
+        small : int, optional
+            Those of them that belong to small jobs; the last idle leases are kept for such.
         oldest_age_s : float, optional
             How long the oldest of them has waited.
 
@@ -216,25 +226,30 @@
             Messages to send.
         """
         starts = []
-        while self._idle and len(starts) < waiting:
+        reserve = self.policy.reserve if small is not None else 0
+        reserve = max(0, reserve - (small or 0))
+        while len(self._idle) > reserve and len(starts) < waiting:
             lease = self._leases[self._idle.pop()]
             if lease.expires_s <= now_s:
                 del self._leases[lease.lease_id]
                 continue
             lease.busy = True
             starts.append(lease)
-        messages = self._ask(now_s, waiting - len(starts), oldest_age_s)
+        messages = self._ask(now_s, waiting - len(starts), oldest_age_s, reserve)
         self._give_back_unused(now_s)
         messages += self._flush(now_s, force=False)
         due = {name for name, entry in self._allocators.items() if now_s >= entry.report_s}
         return starts, messages + self._report(now_s, due)
 
-    def _ask(self, now_s, short, oldest_age_s):
+    def _ask(self, now_s, short, oldest_age_s, reserve):
         wants = {}
+        asked = sum(self._live_ask(now_s, entry) for entry in self._allocators.values())
+        if asked > OVER_ASKED * short + self.policy.chunk or (asked and len(self._idle) > reserve):
+            return self._ask_less(now_s, short, asked)
         if short > 0:
             busy = len(self._leases) - len(self._idle)
             short -= int(busy / self._run_s * self.policy.patience_s)
-            short -= sum(self._live_ask(now_s, entry) for entry in self._allocators.values())
+            short -= self._covered(now_s, short, asked)
             if short > 0:
                 wants = self._share_out(now_s, short)
         elif len(self._idle) + self.policy.spare_batch <= self._spare():
@@ -243,17 +258,45 @@
 
     def _live_ask(self, now_s, entry):
         if now_s - entry.asked_s > ASK_AGAIN_S:
+            if entry.asked:
+                entry.free = 0
             entry.asked = 0
         return entry.asked
 
+    def _covered(self, now_s, short, asked):
+        """Return how many of the missing leases are on their way, as far as can be hoped."""
+        if short > SMALL_ASK:
+            return asked
+        covered = 0
+        for entry in self._allocators.values():
+            if now_s - entry.asked_s < SLOW_ANSWER_S:
+                covered += entry.asked
+            elif entry.asked:
+                entry.free = 0  # what was known of it is out of date
+        return covered
+
+    def _ask_less(self, now_s, short, asked):
+        """Take back demand that is no longer there, so that others get the slots."""
+        out = []
+        for name, entry in self._allocators.items():
+            if entry.asked and now_s - entry.asked_s >= self.policy.ask_pause_s:
+                entry.asked = max(0, short) * entry.asked // asked
+                out.append(self._request(now_s, name, 0, 0, 0.0))
+        return out
+
     def _share_out(self, now_s, short):
-        """Return how many leases to ask of each allocator, free slots and near ones first."""
+        """Return how many leases to ask of each allocator.
+
+        One that has enough for all goes first, a near one before others, so that few are asked.
+        """
         ready = [
             (name, entry)
             for name, entry in self._allocators.items()
-            if entry.capacity and self._may_ask(now_s, entry, short)
+            if entry.capacity and entry.offered and self._may_ask(now_s, entry, short)
         ]
-        ready.sort(key=lambda item: (item[1].free <= 0, not item[1].local, -item[1].free, item[0]))
+        ready.sort(
+            key=lambda item: (item[1].free < short, not item[1].local, -item[1].free, item[0])
+        )
         wants = {}
         for name, entry in ready:
             want = min(short, entry.free)
@@ -352,7 +395,7 @@
         for lease in self._leases.values():
             held.setdefault(lease.allocator, []).append(HeldLease(lease.lease_id, lease.endpoint))
         out = []
-        for name in allocators:
+        for name in sorted(allocators):
             if name in self._allocators:
                 self._allocators[name].report_s = now_s + REPORT_S
             if name in held:
@@ -363,6 +406,23 @@
         """Return when `pump` has to be called at the latest for leases on their way back."""
         return self._giving_s
 
+    def allocators(self):
+        """Return the allocator's incarnation by endpoint name."""
+        return dict(self._allocator_of)
+
+    def slow_endpoints(self):
+        """Return the weights of the endpoints that this process finds slow, by name."""
+        endpoints = self._endpoints.values()
+        return {e.name: round(e.weight, 2) for e in endpoints if e.usable and e.is_slow()}
+
+    def free(self):
+        """Return the number of slots that the allocators are known to have free."""
+        return sum(entry.free for entry in self._allocators.values())
+
+    def capacity(self):
+        """Return the number of slots of all usable endpoints."""
+        return sum(endpoint.slots for endpoint in self._endpoints.values() if endpoint.usable)
+
     def counts(self):
         """Return the numbers of held and of idle leases."""
         return len(self._leases), len(self._idle)
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -19,6 +19,7 @@
     "choose_allocators",
 ]
 
+SLOW_WEIGHT = 0.25  # smaller differences are noise while declared times are far off
 GROUP_ENDPOINTS = 32  # endpoints of a failure domain whose slots one process leases out
 
 
@@ -44,12 +45,19 @@
         Most tasks it runs at once.
     usable : bool
         False while it is leaving or ejected: it gets no start.
+    weight : float
+        Share of its slots to use, from 0 to 1, less than 1 where it is slower than its peers.
     """
 
     name: str
     failure_domain: str
     slots: int
     usable: bool = True
+    weight: float = 1.0
+
+    def is_slow(self):
+        """Return whether it is so slow that its slots are used less."""
+        return self.weight < SLOW_WEIGHT
 
 
 @dataclass(slots=True)
@@ -96,6 +104,8 @@
         How long recalled leases are collected before they go back in one message.
     spare : int
         Idle leases that a holder keeps ahead of demand.
+    reserve : int
+        Idle leases that large jobs leave to small ones.
     spare_batch : int
         Fewest spare leases worth a request.
     hedge : int
@@ -108,6 +118,8 @@
         Slots that an allocator collects for a large request before it grants them.
     chunk_pause_s : float
         Longest time for which it does so.
+    recall_pause_s : float
+        Between two recalls to a holder.
     """
 
     hold_s: float
@@ -115,12 +127,14 @@
     return_pause_s: float
     return_delay_s: float
     spare: int
+    reserve: int
     spare_batch: int
     hedge: int
     patience_s: float
     ask_pause_s: float
     chunk: int
     chunk_pause_s: float
+    recall_pause_s: float
 
 
 WEIGHTS = {
@@ -130,12 +144,14 @@
         return_pause_s=0.4,
         return_delay_s=0.03,
         spare=4,
+        reserve=1,
         spare_batch=3,
         hedge=1,
         patience_s=0.002,
         ask_pause_s=0.1,
         chunk=8,
         chunk_pause_s=0.1,
+        recall_pause_s=0.1,
     ),
     "messages": WeightPolicy(
         hold_s=2.0,
@@ -143,12 +159,14 @@
         return_pause_s=0.5,
         return_delay_s=0.1,
         spare=2,
+        reserve=0,
         spare_batch=2,
         hedge=1,
         patience_s=0.02,
         ask_pause_s=0.5,
         chunk=8,
         chunk_pause_s=0.1,
+        recall_pause_s=0.2,
     ),
 }
 
--- a/tests/tickets/simulation.py
+++ b/tests/tickets/simulation.py
@@ -13,7 +13,13 @@
 
 from burdocklug.kernel import TimerService
 from burdocklug.peers import Member, MemberState, PeerNotReached, PeerSilent
-from burdocklug.platform import Entry, StoreUnavailable, StoreUncertain, VersionMismatch
+from burdocklug.platform import (
+    BudgetedStore,
+    Entry,
+    StoreUnavailable,
+    StoreUncertain,
+    VersionMismatch,
+)
 from burdocklug.tickets import Configuration, TicketService, TicketSpread
 from burdocklug.tickets._loop import Loop
 
@@ -25,6 +31,7 @@
 SUSPECT_S = 2.0
 DEAD_S = 5.0
 REMOTE_LINKS = 4
+CALLS_PER_S = 20.0
 
 
 class Simulation:
@@ -110,9 +117,9 @@
 class FakeStore:
     """The platform's store with its faults; calls and bytes are counted by purpose.
 
-    Parameters of faults: `down`; `cut`, names of processes whose calls time out; `silent`, names
-    of processes whose open watches never end; `stale`, an old entry by process name that
-    its reads give; `lose_answers`, how many writes take effect and then time out.
+    Faults: `down`; `trip_s`, how long each call takes; `cut`, names of processes whose calls time
+    out; `silent`, names of processes whose open watches never end; `stale`, an old entry by
+    process name that its reads give; `lose_answers`, how many writes take effect and time out.
     """
 
     def __init__(self, sim):
@@ -123,6 +130,7 @@
         self.silent = set()
         self.stale = {}
         self.lose_answers = 0
+        self.trip_s = STORE_TRIP_S
         self.calls = collections.Counter()
         self.bytes = collections.Counter()
         self.waiting = []
@@ -157,7 +165,7 @@
             self.store.lose_answers -= 1
             self._pause(STORE_TIMEOUT_S)
             raise StoreUncertain("no answer")
-        self._pause(STORE_TRIP_S / 2)
+        self._pause(self.store.trip_s / 2)
         if isinstance(result, Exception):
             raise result
         return result
@@ -180,17 +188,17 @@
     def _begin(self, purpose, uncertain=False):
         self.store.calls[purpose] += 1
         if self.store.down:
-            self._pause(STORE_TRIP_S)
+            self._pause(self.store.trip_s)
             raise StoreUnavailable("refused")
         if self.process.name in self.store.cut:
             self._pause(STORE_TIMEOUT_S)
             raise StoreUncertain("no answer") if uncertain else StoreUnavailable("no answer")
-        self._pause(STORE_TRIP_S / 2)
+        self._pause(self.store.trip_s / 2)
 
     def _finish(self, entry):
         if entry is not None:
             self.store.bytes[self.process.name] += len(entry.value)
-        self._pause(STORE_TRIP_S / 2)
+        self._pause(self.store.trip_s / 2)
         if self.process.name in self.store.cut or self.store.down:
             self._pause(STORE_TIMEOUT_S)
             raise StoreUnavailable("no answer")
@@ -211,6 +219,19 @@
         self.store.sim.block()
 
 
+class NoFlights:
+    """Coalesces nothing: waiting for another call needs the loop of a real process."""
+
+    def under_way(self, _key):
+        return False
+
+    def run(self, _key, call):
+        return call()
+
+    def forget(self, _matches):
+        pass
+
+
 class FakeNetwork:
     """The PeerNetwork of one process."""
 
@@ -293,12 +314,14 @@
         self.timers = ProcessTimers(sim)
         self.cfg = Configuration()
         self.network = FakeNetwork(fleet, self)
-        store = StoreClient(fleet.store, self)
+        rng = random.Random(sim.rng.random())
+        client = StoreClient(fleet.store, self)
+        store = BudgetedStore(client, calls_per_s=CALLS_PER_S, now=self.timers.now, rng=rng)
+        store._flights = NoFlights()
         loop = Loop(
             lambda function, *args: sim.spawn(self.timers, function, *args),
             lambda seconds: sim.sleep(self.timers, seconds),
         )
-        rng = random.Random(sim.rng.random())
         self.spread = TicketSpread(
             self.cfg,
             store,
