Tests: the link with faults runs in its own process

Cause: in the whole suite tests/standins/test_link.py::test_delay_holds_each_way failed twice with 'Second simultaneous read'. A reader of a link that served inside the test process stayed registered with the loop after its socket was closed; the number of its descriptor was then used by the next test. Ruled out by the loop's listener table: the endpoint stand-in and HttpEndpoints. The fault of standins.link is left to its owner; the tests here now start it as a program.

--- a/tests/retries/test_faults.py
+++ b/tests/retries/test_faults.py
@@ -9,13 +9,13 @@
 from collections import Counter  # noqa: E402
 from dataclasses import dataclass, field  # noqa: E402
 
+import urllib3  # noqa: E402
 from testtools import TestCase  # noqa: E402
 from testtools.matchers import Equals, IsInstance  # noqa: E402
 
 from burdocklug.endpoints import HttpEndpoints  # noqa: E402
 from burdocklug.retries import Finished, NotRun, Unknown, run_attempt  # noqa: E402
-from standins.launch import free_address  # noqa: E402
-from standins.link import Link  # noqa: E402
+from standins.launch import free_address, launch  # noqa: E402
 from tests.endpoints.support import (  # noqa: E402
     RemoteEndpoint,
     attempt,
@@ -186,11 +186,19 @@
         super().setUp()
         self.endpoint = local_endpoint()
         self.addCleanup(self.endpoint.close)
-        self.link = Link(free_address(), self.endpoint.address)
-        self.addCleanup(self.link.set_mode, "cut")
+        self.listen, self.control = free_address(), free_address()
+        args = ("--listen", self.listen, "--to", self.endpoint.address, "--control", self.control)
+        link = launch("standins.link", *args, health=f"http://{self.control}/health")
+        self.addCleanup(link.stop)
+
+    def set_mode(self, mode, **options):
+        """Change the link, which runs in its own process."""
+        body = {"mode": mode, **options}
+        answer = urllib3.request("POST", f"http://{self.control}/mode", json=body)
+        self.assertThat(answer.status, Equals(200))
 
     def silence(self, direction="both"):
-        self.link.set_mode("silent", scope="existing", direction=direction)
+        self.set_mode("silent", scope="existing", direction=direction)
 
     def test_open_connections_silent_new_ones_work(self):
         for direction, reason in [("both", NotRun), ("to_server", NotRun), ("to_client", Finished)]:
@@ -215,7 +223,7 @@
         self.assertThat(starts_by_task(self.endpoint.state.starts), Equals(ran))
 
     def run_link(self, number, **payload):
-        return self.run_one(self.link.listen, attempt(number, **payload))
+        return self.run_one(self.listen, attempt(number, **payload))
 
     def test_silent_while_the_task_runs(self):
         pending = eventlet.spawn(self.run_link, 0, run_s=0.3, value=7)
@@ -229,8 +237,8 @@
     def test_cut_while_the_task_runs_and_back(self):
         pending = eventlet.spawn(self.run_link, 0, run_s=0.3, value=7)
         eventlet.sleep(0.05)
-        self.link.set_mode("cut")
+        self.set_mode("cut")
         eventlet.sleep(0.2)
-        self.link.set_mode("forward")
+        self.set_mode("forward")
         self.assert_outcome(pending.wait(), Finished)
         self.assertThat(len(self.endpoint.state.starts), Equals(1))
