A task that left the queue does not start once its job is closed; jobs package in smaller modules

Cause: a task waits for its greenlet between the queue and the attempt. A job cancelled, or past its deadline, in that turn was answered with ran no, and the task was sent all the same. The lease of a claim outlasts the window by the minutes that clocks may differ.

--- a/burdocklug/jobs/_claims.py
+++ b/burdocklug/jobs/_claims.py
@@ -17,6 +17,7 @@
 NONCE_BYTES = 8
 CLAIM_TRIES = 3
 LEASE_REUSE_S = 60.0  # one lease serves all claims of this time
+LEASE_MARGIN_S = 180.0  # clocks of hosts and callers that differ by a minute each
 MAX_KEPT = 10_000  # claims and pending nonces, each
 PURPOSE = "claim"
 
@@ -135,7 +136,9 @@
     def _current_lease(self):
         now = self._now()
         if now >= self._lease_until_s:
-            self._lease = self._store.grant_lease(self._window_s + LEASE_REUSE_S, purpose=PURPOSE)
+            self._lease = self._store.grant_lease(
+                self._window_s + LEASE_REUSE_S + LEASE_MARGIN_S, purpose=PURPOSE
+            )
             self._lease_until_s = now + LEASE_REUSE_S
         return self._lease
 
--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -1,29 +1,27 @@
 """Runs the tasks of accepted jobs: queue, slot lease, attempt, answer.
 
 A task waits in its service's queue until the service's router gives a lease on an endpoint's
-slot. One greenlet then runs one attempt. A job ends with its last task, its first failed task,
-its deadline or its cancellation, whichever comes first.
+slot. One greenlet then runs one attempt; its outcome goes to the job table, or the task to the
+retry line.
 """
 
-import collections
 import itertools
 
 import eventlet
 import msgspec
-import structlog
 
 from burdocklug.endpoints import Attempt
 from burdocklug.jobs._admission import admit_job
-from burdocklug.jobs._jobs import Job, Task, TaskState, encode_complete, encode_error
+from burdocklug.jobs._job_table import JobTable
+from burdocklug.jobs._jobs import TaskState
 from burdocklug.jobs._lanes import Lane
-from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
+from burdocklug.jobs._retry_line import RetryLine
+from burdocklug.kernel import ErrorKind, Ran
 from burdocklug.retries import Finished, NotRun
 from burdocklug.routing import LeaseOutcome, SlotLoad
 
 __all__ = ["Dispatcher"]
 
-log = structlog.get_logger(__name__)
-
 ROUTING_REFRESH_S = 0.25
 PUMP_S = 0.05
 
@@ -40,17 +38,24 @@
     def __init__(self, context):
         self.ctx = context
         self.lanes = {}
-        self.jobs = {}
-        self.counts = {
-            "jobs_complete": 0,
-            "jobs_failed": 0,
+        self.table = JobTable(context, self._drop_queued)
+        self._retries = RetryLine(context, self._push_again)
+        self._counts = {
             "attempts": 0,
             "attempts_not_run": 0,
             "attempts_unknown": 0,
             "tasks_finished": 0,
         }
         self._attempt_numbers = itertools.count(1)
-        self._retries = collections.deque()  # lanes and tasks that wait for the retry budget
+
+    @property
+    def jobs(self):
+        """The running jobs by key."""
+        return self.table.jobs
+
+    def counts(self):
+        """Return counters by name."""
+        return {**self.table.counts, **self._counts}
 
     def start_timers(self):
         """Subscribe to the timer service."""
@@ -77,44 +82,30 @@
         deadline_s = submission.deadline_s or self.ctx.settings.default_deadline_s
         admit_job(self.ctx, self._lane(submission.service), submission, deadline_s)
         lane = self.lanes[submission.service]
-        job = self._new_job(record, submission, now, deadline_s)
+        job = self.table.add(record, submission, deadline_s)
         for task in job.tasks:
-            cost_s = lane.expected_run_s(job.team, task.declared_s)
-            lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now)
+            self._push(lane, task, now, again=False)
         self._schedule_pump(lane)
 
-    def _new_job(self, record, submission, now, deadline_s):
-        job = Job(
-            key=record.key,
-            service=submission.service,
-            team=submission.team,
-            deadline_s=now + deadline_s,
-            created_s=now,
-            record=record,
-        )
-        job.tasks = [
-            Task(job, index, task.payload, task.declared_s, task.accelerators)
-            for index, task in enumerate(submission.tasks)
-        ]
-        job.unfinished = len(job.tasks)
-        job.timer = self.ctx.timers.after(deadline_s, lambda: self._expire(job))
-        record.job = job
-        self.jobs[job.key] = job
-        return job
-
     def cancel(self, job):
         """End a job now; its waiting tasks are dropped and its running ones told to stop."""
-        self._fail(job, BurdocklugError(ErrorKind.CANCELLED, f"job {job.key} was cancelled"))
+        self.table.cancel(job)
 
     def abandon_all(self):
         """Fail every running job, since this process is about to end."""
-        for job in list(self.jobs.values()):
-            fault = f"the process that ran job {job.key} shut down"
-            self._fail(job, BurdocklugError(ErrorKind.OUTCOME_UNKNOWN, fault))
+        self.table.abandon_all()
 
-    def _expire(self, job):
-        fault = f"job {job.key} was not complete by its deadline"
-        self._fail(job, BurdocklugError(ErrorKind.DEADLINE_EXCEEDED, fault))
+    def _drop_queued(self, job):
+        self.lanes[job.service].queue.cancel_job(job.key)
+
+    def _push(self, lane, task, now, *, again):
+        job = task.job
+        cost_s = lane.expected_run_s(job.team, task.declared_s)
+        lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now, again=again)
+
+    def _push_again(self, lane, task, now):
+        self._push(lane, task, now, again=True)
+        self._schedule_pump(lane)
 
     def _lane(self, service):
         lane = self.lanes.get(service)
@@ -135,7 +126,7 @@
 
     def _pump_all(self):
         """Pump the lanes with work; one without any is pumped by each routing refresh."""
-        self._drain_retries()
+        self._retries.drain()
         for lane in self.lanes.values():
             if lane.is_active():
                 self._pump(lane)
@@ -209,14 +200,22 @@
         return waiting
 
     def _run_task(self, lane, lease, task, address):
-        """Run one attempt of a task on a leased slot, or without a lease as a trial."""
+        """Run one attempt of a task on a leased slot, or without a lease as a trial.
+
+        Notes
+        -----
+        The job may have been closed, and "not run" said of it, since the task left the queue.
+        """
         job = task.job
         began_s = self.ctx.timers.now()
+        if job.closed:
+            self._leave_out(lane, lease, job, began_s)
+            return
         task.state = TaskState.STARTED
         task.address = address
         task.attempt_id = f"{self.ctx.incarnation}~{next(self._attempt_numbers):x}"
         job.in_flight += 1
-        self.counts["attempts"] += 1
+        self._counts["attempts"] += 1
         if not task.retries:
             self.ctx.retry_budget.note_first_sends(began_s)
         outcome = self._run_attempt(lane, task, began_s)
@@ -228,6 +227,12 @@
         self._settle(lane, task, outcome, ended_s - began_s)
         self._schedule_pump(lane)
 
+    def _leave_out(self, lane, lease, job, now):
+        lane.note_ended(job.team)
+        if lease is not None:
+            lane.router.release(now, lease, LeaseOutcome.FINISHED)
+        self._schedule_pump(lane)
+
     def _release_quota(self, lane, team, outcome, began_s, ended_s):
         """Give a task's place in its team's quota back once it certainly does not run."""
         if isinstance(outcome, Finished | NotRun):
@@ -253,84 +258,24 @@
         """Apply the outcome of an attempt to its task and job."""
         job = task.job
         if isinstance(outcome, Finished):
-            self.counts["tasks_finished"] += 1
+            self._counts["tasks_finished"] += 1
             lane.note_run(job.team, task.declared_s, run_s)
             job.ran = Ran.YES
             if not outcome.result.ok:
-                self._fail_task(task, ErrorKind.TASK_FAILED, str(outcome.result.value))
+                self.table.fail_task(task, ErrorKind.TASK_FAILED, str(outcome.result.value))
             else:
-                self._finish_task(task, outcome.result.value)
+                self.table.finish_task(task, outcome.result.value)
         elif isinstance(outcome, NotRun):
-            self.counts["attempts_not_run"] += 1
-            self._requeue(lane, task, outcome)
+            self._counts["attempts_not_run"] += 1
+            self._retry(lane, task, outcome)
         else:
-            self.counts["attempts_unknown"] += 1
+            self._counts["attempts_unknown"] += 1
             job.ran = Ran.UNKNOWN if job.ran is Ran.NO else job.ran
-            self._fail_task(task, ErrorKind.OUTCOME_UNKNOWN, outcome.why)
-
-    def _finish_task(self, task, value):
-        job = task.job
-        task.state = TaskState.FINISHED
-        task.value = value
-        job.unfinished -= 1
-        if job.unfinished == 0 and not job.closed:
-            self._close(job)
-            self.counts["jobs_complete"] += 1
-            self._answer(job, encode_complete(job))
-
-    def _requeue(self, lane, task, outcome):
-        if task.job.closed:
-            return
-        task.state = TaskState.QUEUED
-        task.retries += 1
-        log.debug("task_not_started", task=task.task_id, reason=outcome.reason)
-        delay_s = self.ctx.retry_delay_s(task.retries)
-        self.ctx.timers.after(delay_s, lambda: self._retry(lane, task))
-
-    def _retry(self, lane, task):
-        self._retries.append((lane, task))
-        self._drain_retries()
-
-    def _drain_retries(self):
-        """Queue tasks that did not start, in order, as far as the retry budget allows."""
-        now = self.ctx.timers.now()
-        while self._retries:
-            lane, task = self._retries[0]
-            if not task.job.closed:
-                if not self.ctx.retry_budget.try_retry(now):
-                    return
-                self._push_again(lane, task, now)
-            self._retries.popleft()
-
-    def _push_again(self, lane, task, now):
-        job = task.job
-        cost_s = lane.expected_run_s(job.team, task.declared_s)
-        lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now, again=True)
-        self._schedule_pump(lane)
-
-    def _fail_task(self, task, kind, why):
-        fault = BurdocklugError(kind, f"task {task.index}: {why}")
-        self._fail(task.job, fault, task=task.index)
-
-    def _fail(self, job, fault, *, task=None):
-        if job.closed:
-            return
-        self._close(job)
-        self.counts["jobs_failed"] += 1
-        ran = Ran.UNKNOWN if job.ran is Ran.NO and job.in_flight else job.ran
-        running = [item for item in job.tasks if item.state is TaskState.STARTED]
-        for item in running:
-            self.ctx.cancel_attempt(item.address, item.attempt_id)
-        self._answer(job, encode_error(fault, key=job.key, ran=ran, task=task))
-
-    def _close(self, job):
-        job.closed = True
-        job.timer.cancel()
-        self.lanes[job.service].queue.cancel_job(job.key)
-        del self.jobs[job.key]
+            self.table.fail_task(task, ErrorKind.OUTCOME_UNKNOWN, outcome.why)
 
-    def _answer(self, job, answer):
-        self.ctx.ledger.finish(job.record, answer.status, answer.body, answer.retry_after_s)
+    def _retry(self, lane, task, outcome):
+        if not task.job.closed:
+            self._retries.add(lane, task, outcome.reason)
 
 
 def _lease_outcome(outcome):
--- a/burdocklug/jobs/_part.py
+++ b/burdocklug/jobs/_part.py
@@ -131,7 +131,7 @@
 
     def counts(self):
         """Return counters by name."""
-        return {**self.service.counts, **self.dispatcher.counts}
+        return {**self.service.counts, **self.dispatcher.counts()}
 
 
 @part("jobs", needs=("peers", "tickets", "endpoints", "limits", "platform"))
--- /dev/null
+++ b/tests/jobs/test_dispatch.py
@@ -0,0 +1,180 @@
+"""The dispatcher over fakes: what may start, and what is said of jobs that did not."""
+
+import random
+from collections import Counter
+
+import eventlet
+import msgspec
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from burdocklug.endpoints import AttemptResult
+from burdocklug.endpoints._view import EndpointView
+from burdocklug.jobs._context import DispatchContext
+from burdocklug.jobs._dispatch import Dispatcher
+from burdocklug.jobs._ledger import Ledger, RecordState
+from burdocklug.jobs._models import parse_submission
+from burdocklug.kernel import JobSettings
+from burdocklug.retries import Finished, NotRun, RetryBudget, Unknown
+from burdocklug.tickets import Configuration, ConfigValue, apply_ticket, ticket_from_data
+from tests.fakes import FakeClock, FakeHub, FakePeers
+from tests.jobs.nodes import body
+
+TICKET = {
+    "number": 1,
+    "operator": "test",
+    "objects": {
+        "service/press": {
+            "weight": "latency",
+            "max_queue": 100,
+            "max_tasks": 100,
+            "task_timeout_s": 10.0,
+        },
+        "endpoints/press": {
+            "endpoints": [
+                {
+                    "name": f"e{n}",
+                    "address": f"127.0.0.1:{9000 + n}",
+                    "host": "127.0.0.1",
+                    "failure_domain": "north",
+                    "rack": "r1",
+                    "slots": 2,
+                    "max_connections": 64,
+                    "accelerators": 0,
+                }
+                for n in range(2)
+            ]
+        },
+        "team/vat": {"max_running": 100, "weight": 1},
+    },
+}
+
+
+class DispatcherTestCase(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = FakeClock()
+        self.ledger = Ledger(max_sessions=9, max_records=99, max_bytes=10**6, idle_s=1e9)
+        self.ledger.open_session("s", now_s=0.0)
+        self.sent, self.cancelled = Counter(), []
+        self.outcomes = {}
+        configuration = Configuration()
+        configuration.adopt(apply_ticket(ConfigValue(), ticket_from_data(TICKET))[0])
+        self.dispatcher = Dispatcher(self.context(configuration))
+        self.dispatcher.start_timers()
+        self.dispatcher._lane("press")
+        self.clock.advance(2.0)
+
+    def context(self, configuration):
+        return DispatchContext(
+            settings=JobSettings(),
+            timers=self.clock.timers,
+            configuration=configuration,
+            peers=FakePeers(FakeHub(), "p1"),
+            ledger=self.ledger,
+            incarnation="p1",
+            failure_domain="north",
+            run_attempt=self.run_attempt,
+            cancel_attempt=lambda address, attempt_id: self.cancelled.append(attempt_id),
+            endpoint_view=EndpointView(random.Random(1)),
+            endpoint_usable=lambda service, endpoint, now: True,
+            live_members=list,
+            team_may_start=lambda team: True,
+            note_team_started=lambda team: None,
+            note_team_ended=lambda team: None,
+            retry_budget=RetryBudget(),
+            retry_delay_s=lambda retries: 0.01,
+        )
+
+    def run_attempt(self, service, address, attempt, *, expected_s):
+        self.sent[attempt.task_id] += 1
+        outcome = self.outcomes.get(attempt.task_id, "ok")
+        if outcome == "ok":
+            return finished(attempt, ok=True)
+        if outcome == "failed":
+            return finished(attempt, ok=False)
+        if outcome == "full once" and self.sent[attempt.task_id] == 1:
+            return NotRun("full")
+        if outcome == "full once":
+            return finished(attempt, ok=True)
+        return outcome
+
+    def start(self, tasks=1, **more):
+        record, _ = self.ledger.enter("s", 1, b"d", now_s=self.clock())
+        data = body(tasks=[{"payload": n} for n in range(tasks)], **more)
+        submission = parse_submission(data, max_tasks=100, max_deadline_s=100)
+        self.dispatcher.start(record, submission)
+        return record
+
+    def run_until_finished(self, record, seconds=5.0):
+        until = self.clock() + seconds
+        while record.state is RecordState.RUNNING and self.clock() < until:
+            eventlet.sleep(0)
+            self.clock.advance(0.01)
+        return msgspec.json.decode(record.answer)
+
+
+def finished(attempt, *, ok):
+    value = attempt.payload if ok else "broken"
+    return Finished(AttemptResult(attempt.attempt_id, attempt.task_id, ok, value, 0.1, 1, False))
+
+
+class DispatcherTest(DispatcherTestCase):
+    def test_results_come_in_the_order_of_the_tasks(self):
+        answer = self.run_until_finished(self.start(tasks=9))
+        self.assertThat(answer["results"], Equals(list(range(9))))
+        self.assertThat(set(self.sent.values()), Equals({1}))
+
+    def test_a_task_that_failed_fails_the_whole_job(self):
+        self.outcomes["s~1/2"] = "failed"
+        answer = self.run_until_finished(self.start(tasks=4))
+        self.assertThat(answer["error"]["kind"], Equals("task_failed"))
+        self.assertThat((answer["error"]["task"], "results" in answer), Equals((2, False)))
+
+    def test_a_task_whose_outcome_is_unknown_is_never_sent_again(self):
+        self.outcomes["s~1/0"] = Unknown("deadline")
+        answer = self.run_until_finished(self.start())
+        self.assertThat(
+            (answer["error"]["kind"], answer["error"]["ran"]),
+            Equals(("outcome_unknown", "unknown")),
+        )
+        self.clock.advance(2.0)
+        self.assertThat(self.sent["s~1/0"], Equals(1))
+
+    def test_a_task_that_did_not_start_is_sent_again(self):
+        self.outcomes["s~1/0"] = "full once"
+        answer = self.run_until_finished(self.start())
+        self.assertThat((answer["state"], self.sent["s~1/0"]), Equals(("complete", 2)))
+
+    def test_a_job_cancelled_before_its_first_greenlet_runs_starts_nothing(self):
+        record = self.start(tasks=4)
+        lane = self.dispatcher.lanes["press"]
+        self.dispatcher._pump(lane)
+        self.assertTrue(len(lane.queue) < 4)
+        self.dispatcher.cancel(record.job)
+        answer = msgspec.json.decode(record.answer)
+        for _ in range(5):
+            eventlet.sleep(0)
+        self.assertThat((answer["error"]["ran"], self.sent), Equals(("no", Counter())))
+
+    def test_a_job_past_its_deadline_is_not_started_later(self):
+        self.dispatcher.ctx.team_may_start = lambda team: False
+        record = self.start(deadline_s=1.0)
+        self.clock.advance(1.1)
+        answer = msgspec.json.decode(record.answer)
+        self.assertThat(
+            (answer["error"]["kind"], answer["error"]["ran"]), Equals(("deadline_exceeded", "no"))
+        )
+        self.dispatcher.ctx.team_may_start = lambda team: True
+        self.clock.advance(1.0)
+        eventlet.sleep(0)
+        self.assertThat(self.sent, Equals(Counter()))
+
+    def test_leases_of_tasks_that_never_ran_are_free_again(self):
+        record = self.start(tasks=4)
+        self.dispatcher._pump(self.dispatcher.lanes["press"])
+        self.dispatcher.cancel(record.job)
+        for _ in range(5):
+            eventlet.sleep(0)
+        held, idle = self.dispatcher.lanes["press"].router.holder.counts()
+        self.assertThat(held, Equals(idle))
