--- /dev/null
+++ b/bench/_capacity_derived.py
@@ -0,0 +1,104 @@
+"""Figures at the target's size, worked out from the measured ones."""
+
+from dataclasses import dataclass
+
+from bench._capacity_model import (
+    TARGET,
+    fit_line,
+    processes_needed,
+    store_calls_per_s,
+    watched_peers,
+)
+from burdocklug.tickets import _decisions as ticket_decisions
+
+__all__ = ["Derived", "derive", "idle_line", "mean", "us_per_task"]
+
+BASE64 = 4 / 3  # bytes of a value in an answer of the store
+
+
+@dataclass(frozen=True, slots=True)
+class Derived:
+    """Figures at the target's size, worked out from the measured slopes."""
+
+    watched: tuple
+    per_job_us: float
+    per_task_us: float
+    processes: dict
+    control_us_per_s: float
+    control_us_per_peer: float
+    large_us_per_s: float
+    control_bytes_per_s: float
+    bytes_per_peer: float
+    growth_bytes: float
+    lease_bytes_per_s: float
+    store_calls: dict
+
+
+def mean(values):
+    """Return the arithmetic mean."""
+    values = list(values)
+    return sum(values) / len(values)
+
+
+def us_per_task(rounds):
+    """Return the mean processor time of a start over rounds of one case, in microseconds."""
+    return mean(one["cpu_us_per_task"] for one in rounds)
+
+
+def idle_line(idle, name):
+    """Return the line of a figure of idle processes over the number of watched peers."""
+    points = [(run["small"]["processes"] - 1, run["small"][name]) for run in idle]
+    return fit_line(points)
+
+
+def derive(figures, target=TARGET):
+    """Return what the measured figures give at the target's size.
+
+    Parameters
+    ----------
+    figures : dict
+        What `bench.capacity.measure` returned.
+    target : Target, optional
+        The size.
+    """
+    watched = watched_peers(target.processes, target.domains)
+    job_line = fit_line(
+        (tasks, us_per_task(rounds) * tasks) for tasks, rounds in figures["starts"].items()
+    )
+    idle = figures["idle"]
+    cpu = idle_line(idle, "processor_us_per_s")
+    sent = idle_line(idle, "bytes_sent_per_s")
+    received = idle_line(idle, "bytes_received_per_s")
+    resident = idle_line(idle, "resident_bytes")
+    large = [run for run in idle if run["large"]]
+
+    def added(name):
+        return mean(run["large"][name] - run["small"][name] for run in large)
+
+    largest = max(figures["configuration"])
+    reads = (
+        figures["configuration"][largest]["stored_bytes"] * BASE64 / ticket_decisions.SAFETY_POLL_S
+    )
+    rounds = figures["starts_many"][max(figures["starts_many"])]
+    lease_bytes = mean(one["peer_bytes_sent_per_task"] for one in rounds)
+    return Derived(
+        watched=watched,
+        per_job_us=job_line.at_zero,
+        per_task_us=job_line.slope,
+        processes={
+            tasks: processes_needed(
+                target.starts_per_s, us_per_task(rounds), usable_share=target.usable_core_share
+            )
+            for tasks, rounds in figures["starts"].items()
+        },
+        control_us_per_s=cpu.at(watched[1]) + added("processor_us_per_s"),
+        control_us_per_peer=cpu.slope,
+        large_us_per_s=added("processor_us_per_s"),
+        control_bytes_per_s=sent.at(watched[1]) + received.at(watched[1]) + reads,
+        bytes_per_peer=sent.slope + received.slope,
+        growth_bytes=resident.at(watched[1])
+        + added("resident_bytes")
+        - figures["imports"]["daemon"],
+        lease_bytes_per_s=2 * lease_bytes * target.starts_per_s / target.processes,
+        store_calls=store_calls_per_s(target.processes, target.domains),
+    )
--- a/bench/_capacity_state.py
+++ b/bench/_capacity_state.py
@@ -26,8 +26,8 @@
 )
 from burdocklug.routing._messages import ReturnedLease
 from burdocklug.tickets import (
-    ConfigValue,
     Configuration,
+    ConfigValue,
     apply_ticket,
     decode_value,
     encode_value,
