--- a/bench/_capacity_derived.py
+++ b/bench/_capacity_derived.py
@@ -30,7 +30,7 @@
     control_bytes_per_s: float
     bytes_per_peer: float
     growth_bytes: float
-    lease_bytes_per_s: float
+    lease_bytes_per_s: dict
     store_calls: dict
 
 
@@ -79,8 +79,7 @@
     reads = (
         figures["configuration"][largest]["stored_bytes"] * BASE64 / ticket_decisions.SAFETY_POLL_S
     )
-    rounds = figures["starts_many"][max(figures["starts_many"])]
-    lease_bytes = mean(one["peer_bytes_sent_per_task"] for one in rounds)
+    per_process = target.starts_per_s / target.processes
     return Derived(
         watched=watched,
         per_job_us=job_line.at_zero,
@@ -99,6 +98,9 @@
         growth_bytes=resident.at(watched[1])
         + added("resident_bytes")
         - figures["imports"]["daemon"],
-        lease_bytes_per_s=2 * lease_bytes * target.starts_per_s / target.processes,
+        lease_bytes_per_s={
+            tasks: 2 * per_process * mean(one["peer_bytes_sent_per_task"] for one in rounds)
+            for tasks, rounds in figures["starts_many"].items()
+        },
         store_calls=store_calls_per_s(target.processes, target.domains),
     )
--- a/bench/_capacity_model.py
+++ b/bench/_capacity_model.py
@@ -24,6 +24,7 @@
 US_PER_S = 1e6
 DAY_S = 86_400
 REMOTE_LINKS = 4
+ROUNDING_DIGITS = 9  # so that an exact number of processes is not rounded up
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +106,8 @@
     >>> processes_needed(46_000, 500, usable_share=0.7)
     33
     """
-    return math.ceil(starts_per_s * us_per_start / US_PER_S / usable_share)
+    needed = starts_per_s * us_per_start / US_PER_S / usable_share
+    return math.ceil(round(needed, ROUNDING_DIGITS))
 
 
 def _members(processes, domains):
--- a/bench/_capacity_roles.py
+++ b/bench/_capacity_roles.py
@@ -117,12 +117,15 @@
         "allocator of endpoint slots": (
             f"{len(loads)} of {target.processes} processes lease out {loads[-1]} to {loads[0]} "
             f"endpoints, {loads[0] * target.slots} leases at most",
-            f"{derived.lease_bytes_per_s:,.0f} B/s a process at the peak, jobs of "
-            f"{max(figures['starts_many'])}, sent and received",
+            f"at the peak, a process, sent and received: {_lease_bytes(derived)}",
             f"{lease_us:.0f} µs a lease at {max(figures['allocator'])} endpoints",
             f"{loads[0] * target.slots * lease_bytes / 1e6:.2f} MB",
             f"the busiest allocator, {loads[0] / target.endpoints:.0%} of all leases",
-            f"bytes: {verdict(derived.lease_bytes_per_s, target.control_bytes_per_s)}",
+            "bytes: "
+            + "; ".join(
+                f"jobs of {tasks}: {verdict(rate, target.control_bytes_per_s)}"
+                for tasks, rate in derived.lease_bytes_per_s.items()
+            ),
         ),
         "owner of submissions (ledger)": (
             f"a record a job: {ledger['resident_bytes_per_record']:.0f} B with an answer of 200 B",
@@ -162,6 +165,12 @@
     }
 
 
+def _lease_bytes(derived):
+    return "; ".join(
+        f"{rate:,.0f} B/s in jobs of {tasks}" for tasks, rate in derived.lease_bytes_per_s.items()
+    )
+
+
 def _sizes_that_fit(derived, target):
     """Say for which sizes of jobs the target's processes carry its starts."""
     verdicts = (
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,6 +15,7 @@
 
 from bench import _capacity_fleets as fleets  # noqa: E402, patches the standard library first
 from bench import _capacity_state as state  # noqa: E402
+from bench._capacity_day import day_table, loss_table  # noqa: E402
 from bench._capacity_derived import derive, idle_line, us_per_task  # noqa: E402
 from bench._capacity_model import TARGET, processes_needed, store_calls_per_s  # noqa: E402
 from bench._capacity_roles import roles_table, whole_process_table  # noqa: E402
@@ -236,6 +237,8 @@
         store_table(figures),
         whole_process_table(figures, derived),
         roles_table(figures, derived),
+        day_table(figures),
+        loss_table(figures),
     ]
     return "\n".join(parts)
 
