--- a/bench/_capacity_derived.py
+++ b/bench/_capacity_derived.py
@@ -14,6 +14,7 @@
 __all__ = ["Derived", "derive", "idle_line", "mean", "us_per_task"]
 
 BASE64 = 4 / 3  # bytes of a value in an answer of the store
+DIGESTS_PER_S = 4  # at most, sent and received, questions and answers
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,9 @@
 def derive(figures, target=TARGET):
     """Return what the measured figures give at the target's size.
 
+    The slopes come from fleets in which every process watches all others. Members that are not
+    watched cost rows in the digests of members; those are added.
+
     Parameters
     ----------
     figures : dict
@@ -79,6 +83,8 @@
     reads = (
         figures["configuration"][largest]["stored_bytes"] * BASE64 / ticket_decisions.SAFETY_POLL_S
     )
+    digests = fit_line(figures["digest"].items()).slope * DIGESTS_PER_S
+    unwatched = target.processes - 1 - watched[1]
     per_process = target.starts_per_s / target.processes
     return Derived(
         watched=watched,
@@ -93,7 +99,10 @@
         control_us_per_s=cpu.at(watched[1]) + added("processor_us_per_s"),
         control_us_per_peer=cpu.slope,
         large_us_per_s=added("processor_us_per_s"),
-        control_bytes_per_s=sent.at(watched[1]) + received.at(watched[1]) + reads,
+        control_bytes_per_s=sent.at(watched[1])
+        + received.at(watched[1])
+        + reads
+        + digests * unwatched,
         bytes_per_peer=sent.slope + received.slope,
         growth_bytes=resident.at(watched[1])
         + added("resident_bytes")
--- a/bench/_capacity_fleets.py
+++ b/bench/_capacity_fleets.py
@@ -17,6 +17,7 @@
 NS_PER_S = 1e9
 WARM_TASKS = 20
 TICKET_GAP_S = 0.2
+IN_FORCE_TIMEOUT_S = 30.0
 PART_IMPORTS = (
     "import burdocklug.daemon._process as process, importlib\n"
     "[importlib.import_module(module) for module in process.PART_MODULES]\n"
@@ -179,6 +180,7 @@
         time.sleep(1.0)
         after = Sample(fleet)
         busy = after.rates_since(before)
+        in_force_s = _time_until_in_force(fleet, 10 + tickets)
     window_s = after.at_s - before.at_s
     names = ("processor_us_per_s", "bytes_sent_per_s", "bytes_received_per_s")
     cost = {
@@ -186,7 +188,18 @@
         for name in names
     }
     calls = sum(busy["store_calls_per_s"].values()) - sum(idle["store_calls_per_s"].values())
-    return {**cost, "store_calls": calls * window_s / tickets, "idle": idle}
+    cost["store_calls"] = calls * window_s / tickets
+    return {**cost, "s_until_seen_in_force_everywhere": in_force_s, "idle": idle}
+
+
+def _time_until_in_force(fleet, number):
+    """Apply a ticket and return the seconds until every process was seen to have it."""
+    fleet.apply(fleet.ticket(number))
+    began_s = time.monotonic()
+    while any(fleet.state(name)["tickets"]["highest"] < number for name in fleet.names):
+        if time.monotonic() > began_s + IN_FORCE_TIMEOUT_S:
+            raise TimeoutError(f"ticket {number} is not in force everywhere")
+    return time.monotonic() - began_s
 
 
 def measure_starts(processes, cases, *, rounds):
--- a/bench/_capacity_state.py
+++ b/bench/_capacity_state.py
@@ -14,13 +14,14 @@
 from burdocklug.jobs._handover import copy_batches
 from burdocklug.jobs._lanes import Lane
 from burdocklug.jobs._ledger import Ledger
+from burdocklug.kernel import PeerSettings
 from burdocklug.limits._quotas import QuotaHandover, QuotaShares
 from burdocklug.peers import MemberState
+from burdocklug.peers._gossip import make_digest
+from burdocklug.peers._membership import MemberTable, Record
 from burdocklug.routing import (
-    HeldLease,
     RouteEndpoint,
     SlotAllocator,
-    SlotReport,
     SlotRequest,
     SlotReturn,
 )
@@ -35,6 +36,7 @@
 )
 
 __all__ = [
+    "digest_bytes",
     "measure_allocator",
     "measure_configuration",
     "measure_ledger",
@@ -193,10 +195,13 @@
     return getattr(outgoing.message, "leases", [])
 
 
-def report_bytes(leases):
-    """Return the bytes of a holder's report of so many leases, before the frame around it."""
-    held = [HeldLease((1 << 40) + n, f"worker-{n:03d}") for n in range(leases)]
-    return len(msgspec.msgpack.encode(SlotReport("press", held, 12345.678)))
+def digest_bytes(members):
+    """Return the bytes of a digest of so many members, before the frame around it."""
+    names = (f"10.0.{n // 250}.{n % 250}:7000~18edf837c060860724a9c29{n:x}" for n in range(members))
+    records = {name: Record(name, "perg-1", "perg", 0.0) for name in names}
+    table = MemberTable("10.9.9.9:7000~18edf837c060860724a9c290", "perg", records)
+    settings = PeerSettings(shared_key="0123456789abcdef")
+    return len(msgspec.msgpack.encode(make_digest(table, 1.0, settings)))
 
 
 def _fill(records):
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,6 +25,9 @@
 __all__ = ["FULL", "QUICK", "Extent", "measure", "tables"]
 
 
+DIGEST_MEMBERS = (20, TARGET.processes)
+
+
 @dataclass(frozen=True, slots=True)
 class Extent:
     """How much to measure."""
@@ -91,6 +94,7 @@
             count: state.measure_allocator(count, repeats=repeats)
             for count in extent.allocator_endpoints
         },
+        "digest": {count: state.digest_bytes(count) for count in DIGEST_MEMBERS},
         "ledger": state.measure_ledger(extent.records),
         "quotas": state.measure_quotas(teams, processes=TARGET.processes, repeats=repeats),
     }
@@ -170,11 +174,12 @@
         for count, one in figures["allocator"].items()
     ]
     more = [
-        (f"{name}: {key.replace('_', ' ')}", f"{value:,.1f}")
+        (f"{name}: {key.replace('_', ' ')}", f"{value:,.3g}" if value < 1 else f"{value:,.1f}")
         for name in ("ledger", "quotas", "tickets")
         for key, value in figures[name].items()
         if isinstance(value, float | int)
     ]
+    more += [(f"peers: digest of {n} members, B", size) for n, size in figures["digest"].items()]
     return [
         table(
             "Configuration in one process",
