Fleets of stand-ins take ports below the range of dialling sockets, from a start of their own

Ruled out: a fault of the daemon (the fleets had not started). Now the search begins at a place that depends on the process id and stays under the dialling range.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import json
+import os
 import socket
 import tempfile
 import urllib.request
@@ -22,6 +23,8 @@
 OPERATOR_TOKEN = "operator-token-for-stand-ins"
 SHARED_KEY = "shared-key-for-stand-ins"
 CONTROL_TIMEOUT_S = 5.0
+PORTS = range(10000, 32000)  # under the range that the kernel gives to dialling sockets
+PORT_STEP = 100
 
 
 @dataclass(frozen=True)
@@ -67,7 +70,9 @@
 
 def free_ports(count):
     """Return `count` TCP ports that are free now, in one run of consecutive numbers."""
-    for base in range(20000, 60000, 211):
+    bases = list(range(PORTS.start, PORTS.stop - count, PORT_STEP))
+    first = os.getpid() * 7 % len(bases)  # fleets of other programs start elsewhere
+    for base in bases[first:] + bases[:first]:
         with contextlib.ExitStack() as stack:
             try:
                 for port in range(base, base + count):
