--- a/burdocklug/limits/_quotas.py
+++ b/burdocklug/limits/_quotas.py
@@ -10,6 +10,7 @@
 import hashlib
 import math
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 from burdocklug.limits._messages import QuotaGrant, QuotaRequest, QuotaReturn
 from burdocklug.routing import Outgoing
@@ -19,6 +20,7 @@
 LOAN_TERM_S = 5.0
 ASK_TERM_S = 0.5  # a request without an answer counts as lost
 REFUSED_PAUSE_S = 0.5  # before a peer that had none is asked again
+KEPT_TEAMS = 1024  # teams whose order of processes is kept
 IDLE_LOAN_S = 1.0  # before an unused loan is returned
 
 
@@ -48,11 +50,18 @@
     >>> sorted(base_share("a", 3, name, fleet) for name in fleet)
     [0, 0, 0, 0, 1, 1, 1]
     """
-    names = sorted(set(fleet), key=lambda name: _rank(team, name))
-    if process not in names:
+    places = _places(team, tuple(fleet))
+    if process not in places:
         return 0
-    share, rest = divmod(max(quota, 0), len(names))
-    return share + (names.index(process) < rest)
+    share, rest = divmod(max(quota, 0), len(places))
+    return share + (places[process] < rest)
+
+
+@lru_cache(maxsize=KEPT_TEAMS)
+def _places(team, fleet):
+    """Return each name's place in the team's order."""
+    names = sorted(set(fleet), key=lambda name: _rank(team, name))
+    return {name: place for place, name in enumerate(names)}
 
 
 def _rank(team, name):
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -108,8 +108,6 @@
         Idle leases that large jobs leave to small ones.
     spare_batch : int
         Fewest spare leases worth a request.
-    hedge : int
-        Allocators asked at once for the same task where none has a free slot.
     patience_s : float
         Wait that a holder accepts from its own leases before it asks for more.
     ask_pause_s : float
@@ -129,7 +127,6 @@
     spare: int
     reserve: int
     spare_batch: int
-    hedge: int
     patience_s: float
     ask_pause_s: float
     chunk: int
@@ -146,7 +143,6 @@
         spare=4,
         reserve=1,
         spare_batch=4,
-        hedge=1,
         patience_s=0.002,
         ask_pause_s=0.1,
         chunk=8,
@@ -161,7 +157,6 @@
         spare=2,
         reserve=1,
         spare_batch=2,
-        hedge=1,
         patience_s=0.02,
         ask_pause_s=0.5,
         chunk=8,
