--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -46,6 +46,7 @@
             "attempts_unknown": 0,
             "tasks_finished": 0,
         }
+        self._attempt_prefix = context.incarnation.replace(":", "-")  # needs no quoting in a URL
         self._attempt_numbers = itertools.count(1)
 
     @property
@@ -100,8 +101,10 @@
 
     def _push(self, lane, task, now, *, again):
         job = task.job
-        cost_s = lane.expected_run_s(job.team, task.declared_s)
-        lane.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now, again=again)
+        task.expected_s = lane.expected_run_s(job.team, task.declared_s)
+        lane.queue.push(
+            task, team=job.team, job=job.key, cost_s=task.expected_s, now_s=now, again=again
+        )
 
     def _push_again(self, lane, task, now):
         self._push(lane, task, now, again=True)
@@ -213,7 +216,7 @@
             return
         task.state = TaskState.STARTED
         task.address = address
-        task.attempt_id = f"{self.ctx.incarnation}~{next(self._attempt_numbers):x}"
+        task.attempt_id = f"{self._attempt_prefix}~{next(self._attempt_numbers):x}"
         job.in_flight += 1
         self._counts["attempts"] += 1
         if not task.retries:
@@ -251,8 +254,7 @@
         attempt = Attempt(
             task.attempt_id, task.task_id, lane.service, task.payload, deadline_s - now
         )
-        expected_s = lane.expected_run_s(task.job.team, task.declared_s)
-        return self.ctx.run_attempt(lane.service, task.address, attempt, expected_s=expected_s)
+        return self.ctx.run_attempt(lane.service, task.address, attempt, expected_s=task.expected_s)
 
     def _settle(self, lane, task, outcome, run_s):
         """Apply the outcome of an attempt to its task and job."""
--- a/burdocklug/jobs/_jobs.py
+++ b/burdocklug/jobs/_jobs.py
@@ -35,6 +35,7 @@
     payload: object
     declared_s: float
     accelerators: int = 0
+    expected_s: float = 0.0
     state: TaskState = TaskState.QUEUED
     attempt_id: str | None = None
     address: str | None = None
--- a/tests/daemon/test_ownership.py
+++ b/tests/daemon/test_ownership.py
@@ -85,6 +85,21 @@
         self.assertThat({a["error"]["ran"] for a in answers}, Equals({"unknown"}))
         self.assertTrue(max(self.starts_of(self.key).values(), default=0) <= 1)
 
+    def test_the_store_down_and_the_owner_of_a_caller_key_killed(self):
+        key = caller_key("down-and-killed")
+        self.submit(self.owner, key, run_s=1.0, wait_s=0)
+        self.fleet.set_store_faults(down=True)
+        self.fleet.children[self.owner].kill()
+        down = [self.refusal(name, key, run_s=1.0) for name in (self.near, self.far)]
+        self.fleet.set_store_faults()
+        self.assertThat(down, Equals([("claim_uncertain", "unknown")] * 2))
+
+        def owner_known_as_lost():
+            return self.refusal(self.near, key, run_s=1.0) == ("owner_lost", "unknown")
+
+        self.wait_for(owner_known_as_lost)
+        self.assertTrue(max(self.starts_of(key).values(), default=0) <= 1)
+
     def test_another_body_under_the_key_starts_nothing(self):
         self.submit(self.owner, self.key)
         answers = [self.submit(name, self.key, value=2) for name in self.fleet.names]
--- a/tests/daemon/test_partitions.py
+++ b/tests/daemon/test_partitions.py
@@ -6,6 +6,7 @@
 
 import time
 
+import eventlet
 from testtools.matchers import Equals
 
 from standins.fleet import Deployment
@@ -25,6 +26,7 @@
 )
 CUT_S = 3.0  # longer than it takes to call a member dead
 TICKET_S = 9.0
+LEAVING_S = 3.0  # from the listing until no start may come
 
 
 class PartitionTestCase(FleetTestCase):
@@ -106,6 +108,54 @@
         self.assertThat(codes, Equals({None}))
 
 
+class CutOffShutdownTest(PartitionTestCase):
+    """A graceful shutdown without any peer to hand over to."""
+
+    def test_running_jobs_end_and_nothing_is_started_later(self):
+        session = self.open_session("north-1")
+        self.addCleanup(self.cut, peers=False, store=False)
+        self.cut(peers=True, store=True)
+        time.sleep(CUT_S)
+        answers = []
+        running = eventlet.spawn(
+            lambda: answers.append(self.submit("north-1", f"{session}~1", run_s=1.0))
+        )
+        time.sleep(0.4)
+        code = self.fleet.children["north-1"].stop(timeout_s=30.0)
+        running.wait()
+        self.assertThat((code, answers[0]["state"]), Equals((0, "complete")))
+        self.cut(peers=False, store=False)
+        self.assertThat(self.refusal("south-1", f"{session}~2"), Equals(("owner_lost", "unknown")))
+        self.assert_started_once(f"{session}~1")
+
+
+class CutOffLeavingHostTest(PartitionTestCase):
+    """A host is listed as leaving while a failure domain can't reach the platform."""
+
+    def test_the_list_comes_from_a_peer(self):
+        hosts = [self.fleet.endpoint_host(domain) for domain in self.fleet.endpoints]
+        self.fleet.set_hosts(hosts, [])
+        self.addCleanup(self.cut, peers=False, store=False)
+        self.cut(peers=False, store=True)
+        time.sleep(CUT_S)
+        self.fleet.set_hosts(hosts[1:], hosts[:1])
+        listed_s = time.time()
+        session = self.open_session("north-1")
+        for number in range(1, 9):
+            answer = self.submit("north-1", f"{session}~{number}", run_s=0.5, tasks=8)
+            self.assertThat(answer["state"], Equals("complete"))
+        late = [
+            start
+            for address, record in self.fleet.records().items()
+            if address.startswith(f"{hosts[0]}:")
+            for start in record["starts"]
+            if start[2] > listed_s + LEAVING_S
+        ]
+        self.assertTrue(time.time() > listed_s + LEAVING_S)
+        self.assertThat(late, Equals([]))
+        self.fleet.set_hosts(hosts, [])
+
+
 class WithoutConfigurationTest(FleetTestCase):
     """A process that starts with neither platform nor peers refuses; with peers alone it serves."""
 
@@ -140,8 +190,6 @@
 class LeavingHostTest(FleetTestCase):
     """A leaving host gets no start later than 3 s after it is listed; running tasks finish."""
 
-    LIMIT_S = 3.0
-
     def test_no_start_after_the_limit_and_no_running_task_is_cut(self):
         hosts = [self.fleet.endpoint_host(domain) for domain in self.fleet.endpoints]
         leaving = hosts[1]
@@ -165,8 +213,8 @@
             if start[0].startswith(session)
         ]
         self.assertTrue(any(at <= listed_s for at in at_leaving))
-        self.assertThat([at for at in at_leaving if at > listed_s + self.LIMIT_S], Equals([]))
-        self.assertTrue(time.time() > listed_s + self.LIMIT_S)
+        self.assertThat([at for at in at_leaving if at > listed_s + LEAVING_S], Equals([]))
+        self.assertTrue(time.time() > listed_s + LEAVING_S)
         self.fleet.set_hosts(hosts, [])
 
     def test_an_older_list_does_not_bring_it_back(self):
