--- a/burdocklug/cli/_main.py
+++ b/burdocklug/cli/_main.py
@@ -59,8 +59,9 @@
     """
     _prepare_loop()
     try:
-        build_app()(argv, exit_on_error=False, print_error=True, result_action="return_value")
-    except cyclopts.CycloptsError:
+        build_app()(argv, exit_on_error=False, print_error=False, result_action="return_value")
+    except cyclopts.CycloptsError as exc:
+        print(f"burdocklug: {_one_line(exc)}; see burdocklug --help", file=sys.stderr)
         return USAGE_EXIT_CODE
     except BurdocklugError as exc:
         where = f" at {exc.path}" if exc.path else ""
@@ -70,3 +71,7 @@
     except KeyboardInterrupt:
         return 130
     return 0
+
+
+def _one_line(exc):
+    return " ".join(str(exc).split()).rstrip(".")
