Capacity: conclusions from the fleet of several processes, where a start costs more

The processor time of further peers is under the noise of runs with 600 endpoints; the slope is taken from those with 24, and the cost of 600 endpoints added.

--- a/bench/_capacity_day.py
+++ b/bench/_capacity_day.py
@@ -122,7 +122,7 @@
     run_ms = 1000 * slots / target.starts_per_s
     sizes = [
         str(tasks)
-        for tasks, rounds in figures["starts"].items()
+        for tasks, rounds in figures["starts_many"].items()
         if processes_needed(
             target.starts_per_s, us_per_task(rounds), usable_share=target.usable_core_share
         )
--- a/bench/_capacity_derived.py
+++ b/bench/_capacity_derived.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Derived:
-    """Figures at the target's size, worked out from the measured slopes."""
+    """Figures at the target's size, worked out from the measured slopes.
+
+    Those of starts come from the fleet of several processes, where a start costs more.
+    """
 
     watched: tuple
     per_job_us: float
@@ -27,7 +30,7 @@
     processes: dict
     control_us_per_s: float
     control_us_per_peer: float
-    large_us_per_s: float
+    control_us_alone: float
     control_bytes_per_s: float
     bytes_per_peer: float
     growth_bytes: float
@@ -46,10 +49,24 @@
     return mean(one["cpu_us_per_task"] for one in rounds)
 
 
-def idle_line(idle, name):
-    """Return the line of a figure of idle processes over the number of watched peers."""
-    points = [(run["small"]["processes"] - 1, run["small"][name]) for run in idle]
-    return fit_line(points)
+def idle_line(idle, name, *, size):
+    """Return the line of a figure of idle processes over the number of watched peers.
+
+    Parameters
+    ----------
+    idle : list of dict
+        Runs of `bench._capacity_fleets.measure_idle`.
+    name : str
+        The figure.
+    size : {"small", "large"}
+        With few endpoints, or with as many as the target has.
+    """
+    return fit_line((run[size]["processes"] - 1, run[size][name]) for run in idle)
+
+
+def _added(idle, name):
+    """Return by how much the target's endpoints and teams raise a figure, over all fleets."""
+    return mean(run["large"][name] - run["small"][name] for run in idle)
 
 
 def derive(figures, target=TARGET):
@@ -67,18 +84,16 @@
     """
     watched = watched_peers(target.processes, target.domains)
     job_line = fit_line(
-        (tasks, us_per_task(rounds) * tasks) for tasks, rounds in figures["starts"].items()
+        (tasks, us_per_task(rounds) * tasks) for tasks, rounds in figures["starts_many"].items()
     )
     idle = figures["idle"]
-    cpu = idle_line(idle, "processor_us_per_s")
-    sent = idle_line(idle, "bytes_sent_per_s")
-    received = idle_line(idle, "bytes_received_per_s")
-    resident = idle_line(idle, "resident_bytes")
-    large = [run for run in idle if run["large"]]
-
-    def added(name):
-        return mean(run["large"][name] - run["small"][name] for run in large)
-
+    cpu = idle_line(idle, "processor_us_per_s", size="small")
+    resident = idle_line(idle, "resident_bytes", size="small")
+    sent = idle_line(idle, "bytes_sent_per_s", size="large")
+    received = idle_line(idle, "bytes_received_per_s", size="large")
+    added_us, added_bytes = (
+        _added(idle, name) for name in ("processor_us_per_s", "resident_bytes")
+    )
     largest = max(figures["configuration"])
     reads = (
         figures["configuration"][largest]["stored_bytes"] * BASE64 / ticket_decisions.SAFETY_POLL_S
@@ -94,19 +109,17 @@
             tasks: processes_needed(
                 target.starts_per_s, us_per_task(rounds), usable_share=target.usable_core_share
             )
-            for tasks, rounds in figures["starts"].items()
+            for tasks, rounds in figures["starts_many"].items()
         },
-        control_us_per_s=cpu.at(watched[1]) + added("processor_us_per_s"),
+        control_us_per_s=cpu.at(watched[1]) + added_us,
         control_us_per_peer=cpu.slope,
-        large_us_per_s=added("processor_us_per_s"),
+        control_us_alone=cpu.at_zero + added_us,
         control_bytes_per_s=sent.at(watched[1])
         + received.at(watched[1])
         + reads
         + digests * unwatched,
         bytes_per_peer=sent.slope + received.slope,
-        growth_bytes=resident.at(watched[1])
-        + added("resident_bytes")
-        - figures["imports"]["daemon"],
+        growth_bytes=resident.at(watched[1]) + added_bytes - figures["imports"]["daemon"],
         lease_bytes_per_s={
             tasks: 2 * per_process * mean(one["peer_bytes_sent_per_task"] for one in rounds)
             for tasks, rounds in figures["starts_many"].items()
--- a/bench/_capacity_roles.py
+++ b/bench/_capacity_roles.py
@@ -140,7 +140,7 @@
         "caller listener": (
             "1,000 connections at most",
             "2 a job",
-            f"{derived.per_job_us:.0f} µs a job (with ledger and answer)",
+            f"{derived.per_job_us:.0f} µs a job beside its tasks (with ledger and answer)",
             "not measured apart",
             "processor time of jobs of one task",
             f"one task a job: {verdict(derived.processes[1], target.processes)}",
@@ -193,9 +193,10 @@
             f"{target.processes} members; {derived.watched[0]:.0f} watched, at most "
             f"{derived.watched[1]}",
             f"2 heartbeats/s each way a peer, {derived.bytes_per_peer:.0f} B/s",
-            f"{derived.control_us_per_peer:.0f} µs/s a peer",
+            f"{derived.control_us_per_peer:.0f} µs/s a peer; {derived.control_us_alone:,.0f} µs/s "
+            "with none",
             "in the growth below",
-            "processor time, by the size of a failure domain (full mesh inside)",
+            "bytes, by the size of a failure domain (full mesh inside)",
             f"bytes: {verdict(derived.control_bytes_per_s, target.control_bytes_per_s)}; "
             f"processor: {verdict(control_share, target.core_share)}",
         ),
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -145,16 +145,17 @@
                 )
             )
     names = ("processor_us_per_s", "bytes_sent_per_s", "bytes_received_per_s", "resident_bytes")
-    cpu, sent, received, resident = (idle_line(idle, name) for name in names)
-    rows.append(
-        (
-            "slope per watched peer",
-            24,
-            f"{cpu.slope:.0f} (points within {cpu.largest_residual:.0f})",
-            f"{sent.slope + received.slope:.0f}",
-            f"{resident.slope / 1e6:.2f}",
+    for size, endpoints in (("small", 24), ("large", TARGET.endpoints)):
+        cpu, sent, received, resident = (idle_line(idle, name, size=size) for name in names)
+        rows.append(
+            (
+                "slope per watched peer",
+                endpoints,
+                f"{cpu.slope:.0f} (points within {cpu.largest_residual:.0f})",
+                f"{sent.slope + received.slope:.0f}",
+                f"{resident.slope / 1e6:.2f}",
+            )
         )
-    )
     head = ("processes", "endpoints", "processor, µs/s", "peer traffic, B/s", "resident, MB")
     return table("Idle processes in one failure domain, means over the fleet", head, rows)
 
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -50,8 +50,7 @@
     return {
         "imports": {"daemon": 48_000_000},
         "idle": [{"small": idle(n), "large": idle(n, added=500)} for n in (2, 7, 14)],
-        "starts": {1: starts(700), 20: starts(225), 200: starts(202.5)},
-        "starts_many": {200: starts(300, peer_bytes=5.0)},
+        "starts_many": {1: starts(700), 20: starts(225), 200: starts(202.5, peer_bytes=5.0)},
         "digest": {10: 110, 20: 210},
         "configuration": {(600, 75): {"stored_bytes": 9000}},
     }
@@ -112,13 +111,14 @@
         derived = derive(made_up_figures())
         most = derived.watched[1]
         self.assertAlmostEqual(1000 + 100 * most + 500, derived.control_us_per_s)
+        self.assertAlmostEqual(100, derived.control_us_per_peer)
         reads, digests = 9000 * 4 / 3 / 30, 4 * 10 * (50 - 1 - most)
         self.assertAlmostEqual(30 * most + reads + digests, derived.control_bytes_per_s)
         self.assertAlmostEqual(2e6 + 1e5 * most + 500, derived.growth_bytes)
         self.assertAlmostEqual(500, derived.per_job_us)
         self.assertAlmostEqual(200, derived.per_task_us)
         self.assertEqual({1: 46, 20: 15, 200: 14}, derived.processes)
-        self.assertEqual({200: 2 * 5 * 46_000 / 50}, derived.lease_bytes_per_s)
+        self.assertEqual({1: 0, 20: 0, 200: 2 * 5 * 46_000 / 50}, derived.lease_bytes_per_s)
 
 
 class PageTest(TestCase):
