--- a/burdocklug/jobs/_ledger.py
+++ b/burdocklug/jobs/_ledger.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Ledger", "Record", "RecordState", "Session"]
 
-RECORD_BYTES = 400  # fixed cost of a record beside its answer
+RECORD_BYTES = 500  # fixed cost of a record beside its answer
 
 
 class RecordState(enum.StrEnum):
