A claim that was left undecided is decided through any process

Cause: a claim's write took effect, the store went down before its answer was known, and the caller was told to send again under the same key. Any other process then found the claim, asked its owner, which had no record, and answered not_found for good; only a resubmission at the owner itself started the job. Found by reading; test_an_undecided_claim_is_decided_through_any_process was red (not_found twice). Now the submission itself is forwarded to the claim's owner, which recognises its own nonce.

--- a/burdocklug/jobs/_caller_keys.py
+++ b/burdocklug/jobs/_caller_keys.py
@@ -30,13 +30,15 @@
         self._claims = claims
         self._claiming = {}
 
-    def submit(self, key, submission, wait_s):
+    def submit(self, key, body, submission, wait_s):
         """Return the answer of a submission under a caller key.
 
         Parameters
         ----------
         key : CallerKey
             The key.
+        body : bytes
+            JSON of the submission, for another owner.
         submission : JobSubmission
             What to run.
         wait_s : float
@@ -51,7 +53,7 @@
                 ErrorKind.KEY_EXPIRED, f"the answer of key {key.text} is no longer kept"
             )
         self._service.counts["forwarded"] += 1
-        return self._service.forwarder.wait(owner, key.text, wait_s=wait_s)
+        return self._service.forwarder.submit(owner, key.text, body, wait_s=wait_s)
 
     def _check_age(self, key):
         age_s = self._service.wall_clock() - key.time_s
--- a/burdocklug/jobs/_peer_requests.py
+++ b/burdocklug/jobs/_peer_requests.py
@@ -1,7 +1,7 @@
 """Requests of peers about keys that this process owns, or has handed over."""
 
 from burdocklug.jobs._jobs import encode_error
-from burdocklug.jobs._keys import parse_key
+from burdocklug.jobs._keys import CallerKey, parse_key
 from burdocklug.jobs._messages import AwaitJob, CancelJob, JobReply, SubmitJob
 from burdocklug.jobs._waiting import wait_for_record
 from burdocklug.kernel import BurdocklugError, ErrorKind
@@ -38,6 +38,8 @@
             return self._service.forwarder.submit(
                 successor, message.key, message.body, wait_s=message.wait_s
             )
+        if isinstance(key, CallerKey):
+            return self._service.submit(message.key, message.body, wait_s=message.wait_s)
         if self._service.owner_of(key) != self._service.incarnation:
             raise BurdocklugError(ErrorKind.OWNER_LOST, f"{message.key} is not owned here")
         return self._service.submit_owned(key, message.body, message.wait_s)
--- a/burdocklug/jobs/_service.py
+++ b/burdocklug/jobs/_service.py
@@ -103,7 +103,8 @@
         self.await_unfrozen()
         if isinstance(key, CallerKey):
             submission = self._parse(body)
-            return self._caller_keys.submit(key, submission, self._wait_s(submission, wait_s))
+            wait_s = self._wait_s(submission, wait_s)
+            return self._caller_keys.submit(key, body, submission, wait_s)
         owner = self.owner_of(key)
         if owner == self.incarnation:
             return self.submit_owned(key, body, wait_s)
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -8,7 +8,7 @@
 from burdocklug.jobs._jobs import encode_error
 from burdocklug.jobs._messages import HandOver, HandOverCommit
 from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
-from burdocklug.platform import MemoryStore
+from burdocklug.platform import MemoryStore, StoreUncertain
 from tests.fakes import FakeClock, FakeHub
 from tests.jobs.nodes import CALLER_KEY, Node, body, decode
 from tests.scenarios import with_scenarios
@@ -198,6 +198,22 @@
         self.assertThat(self.submit(self.nodes[0], CALLER_KEY), Equals("complete"))
         self.assertThat(self.starts[CALLER_KEY], Equals(1))
 
+    def test_an_undecided_claim_is_decided_through_any_process(self):
+        put = self.store.put
+
+        def put_and_go_down(*args, **kwargs):
+            put(*args, **kwargs)
+            self.store.down = True
+            raise StoreUncertain("the answer was lost")
+
+        self.store.put = put_and_go_down
+        undecided = self.submit(self.nodes[0], CALLER_KEY)
+        self.store.put, self.store.down = put, False
+        self.assertThat(undecided, Equals(("claim_uncertain", "unknown")))
+        states = [self.submit(node, CALLER_KEY) for node in self.nodes[1:]]
+        self.assertThat(states, Equals(["complete"] * 2))
+        self.assertThat(self.starts[CALLER_KEY], Equals(1))
+
     def test_a_dead_owner_is_never_replaced(self):
         self.submit(self.nodes[0], CALLER_KEY)
         self.hub.dead.add(self.nodes[0].incarnation)
