--- a/burdocklug/kernel/_parts.py
+++ b/burdocklug/kernel/_parts.py
@@ -32,6 +32,10 @@
         Seconds since 1970.
     parts : dict
         The built parts by name.
+    draining : bool
+        Whether the process shuts down.
+    request_stop : callable
+        Begins a graceful shutdown; more calls change nothing.
     """
 
     settings: object
@@ -39,6 +43,7 @@
     wall_clock: object = time.time
     parts: dict = field(default_factory=dict)
     draining: bool = False
+    request_stop: object = None
 
     def __getitem__(self, name):
         return self.parts[name]
