Peers: a replaced heartbeat leaves the queue

The mute listener test was red once on a busy machine: heartbeats that a newer one had replaced stayed in the queue behind a digest until that one expired, up to 10 s. Now taken out at once.

--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -137,6 +137,13 @@
             self._writer = eventlet.spawn(self._drain)
         return True
 
+    def withdraw(self, outgoing):
+        """Keep an item from being sent, if it still is in the queue."""
+        outgoing.withdrawn = True
+        if outgoing in self._queue:
+            self._queue.remove(outgoing)
+            self._queued_bytes -= outgoing.size
+
     def _drain(self):
         try:
             while self._queue and not self._closed:
--- a/burdocklug/peers/_transport.py
+++ b/burdocklug/peers/_transport.py
@@ -141,7 +141,7 @@
         """Queue an encoded heartbeat in place of one that is still queued."""
         channel = self.channel(incarnation)
         if channel.heartbeat is not None:
-            channel.heartbeat.withdrawn = True
+            channel.link.withdraw(channel.heartbeat)
         channel.heartbeat = self.send_body(incarnation, body)
 
     def send_to_seed(self, address, message):
