--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -78,6 +78,24 @@
     return {**figures, **measure_state(extent)}
 
 
+def pool_runs(runs):
+    """Return the figures of several runs: all rounds with processes, the last run's other figures.
+
+    Examples
+    --------
+    >>> run = {"idle": [1], "starts": {1: ["a"]}, "starts_many": {1: ["b"]}, "ledger": 7}
+    >>> pool_runs([run, {**run, "ledger": 8}])
+    {'idle': [1, 1], 'starts': {1: ['a', 'a']}, 'starts_many': {1: ['b', 'b']}, 'ledger': 8}
+    """
+    pooled = dict(runs[-1])
+    pooled["idle"] = [one for run in runs for one in run["idle"]]
+    for name in ("starts", "starts_many"):
+        pooled[name] = {
+            tasks: [one for run in runs for one in run[name][tasks]] for tasks in pooled[name]
+        }
+    return pooled
+
+
 def measure_state(extent):
     """Return the figures that need no other process."""
     repeats, teams = extent.repeats, TARGET.teams
@@ -184,13 +202,20 @@
     return [
         table(
             "Configuration in one process",
-            ("endpoints", "teams", "stored, B", "resident, B", "encode, µs", "decode, µs"),
+            (
+                "number of endpoints",
+                "teams",
+                "stored, B",
+                "resident, B",
+                "encode, µs",
+                "decode, µs",
+            ),
             configuration,
         ),
         table(
             f"A service's lane, {TARGET.processes} members, {TARGET.teams} teams",
             (
-                "endpoints",
+                "number of endpoints",
                 "resident, B",
                 "refresh, µs",
                 "with changes, µs",
@@ -201,7 +226,7 @@
         ),
         table(
             "Allocator of slots",
-            ("endpoints", "µs a lease and its return", "B a lease", "tick, µs"),
+            ("number of endpoints", "µs a lease and its return", "B a lease", "tick, µs"),
             allocator,
         ),
         table("Ledger, quotas, tickets", ("figure", "value"), more),
@@ -254,10 +279,11 @@
     parser = argparse.ArgumentParser(prog="python -m bench.capacity", description=__doc__)
     parser.add_argument("--quick", action="store_true", help="measure less, for a test")
     parser.add_argument("--save", metavar="FILE", help="write the measured figures to a file")
-    parser.add_argument("--load", metavar="FILE", help="print the tables of saved figures")
+    parser.add_argument("--load", metavar="FILE", nargs="+", help="print the tables of saved runs")
     options = parser.parse_args(argv)
     if options.load:
-        figures = ast.literal_eval(Path(options.load).read_text(encoding="utf-8"))
+        texts = [Path(name).read_text(encoding="utf-8") for name in options.load]
+        figures = pool_runs([ast.literal_eval(text) for text in texts])
     else:
         figures = measure(QUICK if options.quick else FULL)
     if options.save:
