Dispatch uses weights of slow endpoints and the reserve for small jobs; lanes refresh on events

Cause: the router offers a reserve for small jobs and takes weights of slow endpoints, and the daemon passed neither.

--- a/burdocklug/endpoints/_part.py
+++ b/burdocklug/endpoints/_part.py
@@ -114,6 +114,10 @@
             return False
         return self.view.usable(service, endpoint.address, now_s)
 
+    def changes(self):
+        """Return a value that differs once an event may have changed the usable endpoints."""
+        return self._hosts.hosts.version, self.view.changes
+
     def retry_delay_s(self, retries):
         """Return the pause before a task that did not start is queued again."""
         return backoff_s(retries - 1, self._rng)
--- a/burdocklug/endpoints/_view.py
+++ b/burdocklug/endpoints/_view.py
@@ -38,6 +38,7 @@
         self._seen = {}  # (incarnation, address) to the number of its last ejection
         self._leaving = {}  # address to the time until which its own word counts
         self._ejections = {}  # address to the number of its ejections here
+        self.changes = 0  # grows whenever the usable endpoints may have changed by an event
 
     def set_endpoints(self, service, endpoints):
         """Replace the endpoints of a service.
@@ -72,6 +73,10 @@
         left_out = sum(self._shared.get(other, now_s) > now_s for other in entry.addresses)
         return left_out <= SHARED_FLEET_SHARE * len(entry.addresses)
 
+    def weight(self, service, address, now_s):
+        """Return the share of tasks to send, from 0 to 1, relative to healthy peers."""
+        return self._services[service].health.weight(address, now_s)
+
     def due_trials(self, service, now_s):
         """Yield addresses of ejected endpoints that one task may be tried on now."""
         entry = self._services.get(service)
@@ -97,13 +102,19 @@
             return
         was_usable = entry.health.usable(address, now_s)
         entry.health.note(address, outcome, now_s)
-        if was_usable and not entry.health.usable(address, now_s):
+        is_usable = entry.health.usable(address, now_s)
+        if was_usable and not is_usable:
             self._ejections[address] = self._ejections.get(address, 0) + 1
-        if outcome.kind is OutcomeKind.SUCCEEDED:
-            self._shared.pop(address, None)
+        if was_usable is not is_usable:
+            self.changes += 1
+        if outcome.kind is OutcomeKind.SUCCEEDED and address in self._shared:
+            del self._shared[address]
+            self.changes += 1
 
     def note_leaving(self, address, now_s):
         """Take an endpoint's own word that it is leaving."""
+        if not self.is_leaving(address, now_s):
+            self.changes += 1
         self._leaving[address] = now_s + LEAVING_TERM_S
 
     def is_leaving(self, address, now_s):
@@ -126,6 +137,7 @@
             if self._seen.get((incarnation, address)) != number:
                 self._seen[incarnation, address] = number
                 self._shared[address] = now_s + SHARED_TERM_S
+                self.changes += 1
 
     def forget_peers(self, live):
         """Forget what incarnations that are not in `live` told."""
--- a/burdocklug/jobs/_context.py
+++ b/burdocklug/jobs/_context.py
@@ -31,6 +31,8 @@
         Health of the endpoints.
     endpoint_usable : callable
         ``(service, endpoint, now_s)`` to bool.
+    endpoint_changes : callable
+        Returns a value that differs once an event may have changed the usable endpoints.
     live_members : callable
         Returns the live members that take work.
     team_may_start, note_team_started, note_team_ended : callable
@@ -52,6 +54,7 @@
     cancel_attempt: object
     endpoint_view: object
     endpoint_usable: object
+    endpoint_changes: object
     live_members: object
     team_may_start: object
     note_team_started: object
--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -143,7 +143,7 @@
         lane.pump_scheduled = False
         now = self.ctx.timers.now()
         waiting = lane.eligible_tasks()
-        leases, outgoing = lane.router.pump(now, waiting)
+        leases, outgoing = lane.router.pump(now, waiting, small=lane.queue.small_tasks())
         self._send(outgoing)
         for lease in leases:
             self._start_on(lane, lease, now)
--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -2,10 +2,11 @@
 
 from burdocklug.limits import FairQueue, RunTimes
 from burdocklug.peers import MemberState
-from burdocklug.routing import RouteEndpoint, RouteMember, ServiceRouter, SlotLoad
+from burdocklug.routing import SLOW_WEIGHT, RouteEndpoint, RouteMember, ServiceRouter, SlotLoad
 
 __all__ = ["Lane"]
 
+FULL_REFRESH_S = 1.0
 UNREACHABLE_QUEUED = 100_000  # makes an allocator that does not answer the last to be asked
 
 
@@ -36,12 +37,26 @@
         self.pump_scheduled = False
         self.running = {}
         self._times = RunTimes()
-        self._members_count = 1
+        self._seen = None
+        self._full_refresh_s = 0.0
         self._addresses = {}
         self._view = None
 
     def refresh(self, now):
-        """Take configuration, members and health as they are; return messages to send."""
+        """Take configuration, members and health as they are; return messages to send.
+
+        Notes
+        -----
+        Without an event, endpoints are looked at once in `FULL_REFRESH_S`, which is what ends
+        the terms of peers' ejections and of slowness.
+        """
+        members = self._members()
+        suspects = self._suspects()
+        seen = (self.ctx.configuration.digest, self.ctx.endpoint_changes(), members, suspects)
+        if seen == self._seen and now < self._full_refresh_s:
+            return []
+        self._seen = seen
+        self._full_refresh_s = now + FULL_REFRESH_S
         state = self.ctx.configuration.service(self.service)
         if state is not None:
             self.state = state
@@ -52,9 +67,6 @@
             self.queue.set_weight(team, self.ctx.configuration.team(team).weight)
         self._addresses = {endpoint.name: endpoint.address for endpoint in endpoints}
         routes = [self._route(endpoint, now) for endpoint in endpoints]
-        members = self._members()
-        self._members_count = len(members)
-        suspects = self._suspects()
         if (routes, members, suspects) == self._view:
             return []
         self._view = (routes, members, suspects)
@@ -73,7 +85,9 @@
 
     def _route(self, endpoint, now):
         usable = self.ctx.endpoint_usable(self.service, endpoint, now)
-        return RouteEndpoint(endpoint.name, endpoint.failure_domain, endpoint.slots, usable)
+        weight = self.ctx.endpoint_view.weight(self.service, endpoint.address, now)
+        weight = 1.0 if weight >= SLOW_WEIGHT else round(weight, 1)
+        return RouteEndpoint(endpoint.name, endpoint.failure_domain, endpoint.slots, usable, weight)
 
     def _members(self):
         own = RouteMember(self.ctx.incarnation, self.ctx.failure_domain)
@@ -120,9 +134,8 @@
         return self._times.expect(team, declared_s=declared_s)
 
     def slots_here(self):
-        """Return the slots that serve this process's queue: its fair part, or what it holds."""
-        held, _ = self.router.holder.counts()
-        return max(held, self.slots() / self._members_count)
+        """Return the slots that may serve this process's queue."""
+        return self.router.slots()
 
     def waiting_by_team(self):
         """Return the number of waiting tasks by team."""
--- a/burdocklug/jobs/_part.py
+++ b/burdocklug/jobs/_part.py
@@ -64,6 +64,7 @@
             cancel_attempt=endpoints.cancel_attempt,
             endpoint_view=endpoints.view,
             endpoint_usable=endpoints.usable,
+            endpoint_changes=endpoints.changes,
             live_members=self._live_members,
             team_may_start=process["limits"].may_start,
             note_team_started=process["limits"].note_started,
--- a/burdocklug/routing/__init__.py
+++ b/burdocklug/routing/__init__.py
@@ -19,6 +19,7 @@
     SlotReturn,
 )
 from burdocklug.routing._models import (
+    SLOW_WEIGHT,
     WEIGHTS,
     LeaseOutcome,
     Outgoing,
@@ -49,6 +50,7 @@
     "SlotReport",
     "SlotRequest",
     "SlotReturn",
+    "SLOW_WEIGHT",
     "TICK_S",
     "WEIGHTS",
     "WeightPolicy",
--- a/tests/jobs/test_dispatch.py
+++ b/tests/jobs/test_dispatch.py
@@ -78,6 +78,7 @@
             cancel_attempt=lambda address, attempt_id: self.cancelled.append(attempt_id),
             endpoint_view=EndpointView(random.Random(1)),
             endpoint_usable=lambda service, endpoint, now: True,
+            endpoint_changes=lambda: 0,
             live_members=list,
             team_may_start=lambda team: True,
             note_team_started=lambda team: None,
