--- a/bench/_capacity_state.py
+++ b/bench/_capacity_state.py
@@ -129,6 +129,7 @@
         failure_domain=DOMAINS[0],
         endpoint_view=view,
         endpoint_usable=lambda service, e, now_s: view.usable(service, e.address, now_s),
+        endpoint_changes=lambda: 0,
         live_members=lambda: members,
     )
     return Lane("press", cfg.service("press"), ctx)
@@ -139,7 +140,7 @@
     lane, resident = held_bytes(lambda: _refreshed(_lane(endpoints, teams, processes)))
 
     def refresh_changed():
-        lane._view = None
+        lane._view = lane._seen = None
         lane.refresh(2.0)
 
     return {
--- a/burdocklug/peers/_sockets.py
+++ b/burdocklug/peers/_sockets.py
@@ -1,7 +1,8 @@
 """Nonblocking pynng sockets under eventlet.
 
 No call here waits inside nng: sends and receives are tried, and a greenlet that has to wait
-does so on the descriptor of the socket. Each descriptor has one greenlet.
+does so on the descriptor of the socket. Each descriptor has one greenlet. The hub is told of each
+new descriptor, since nng may reuse the number of one that was closed without the hub's knowledge.
 """
 
 import logging
@@ -11,7 +12,7 @@
 import structlog
 from eventlet import patcher
 from eventlet.green import socket as green_socket
-from eventlet.hubs import trampoline
+from eventlet.hubs import notify_opened, trampoline
 
 from burdocklug.peers._codec import MAX_FRAME_BYTES
 
@@ -69,6 +70,7 @@
             self._sock.close()
             raise
         self._fd = self._sock.recv_fd
+        notify_opened(self._fd)
         self._handle = handle
         self._data = pynng.ffi.new("char **")
         self._size = pynng.ffi.new("size_t *")
@@ -120,6 +122,7 @@
         self._sock.reconnect_time_max = RECONNECT_MAX_MS
         self._sock.dial(f"tcp://{address}", block=False)
         self._fd = self._sock.send_fd
+        notify_opened(self._fd)
 
     def try_send(self, frame):
         """Hand a frame to nng; return False, with nothing handed over, if it takes none now."""
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -90,7 +90,7 @@
         "not whole": broken,
         "p50/ideal": f"{percentile(ratios, 0.5):.2f}",
         "p99/ideal": f"{percentile(ratios, 0.99):.2f}",
-        "messages/task": f"{2 * messages / max(1, len(starts)):.3f}",
+        "endpoint messages/task": f"{2 * messages / max(1, len(starts)):.3f}",
     }
     return row, not twice and not broken and len(complete) > 0
 
--- a/tests/peers/test_sockets.py
+++ b/tests/peers/test_sockets.py
@@ -1,3 +1,5 @@
+import contextlib
+import os
 import time
 
 import eventlet
@@ -50,6 +52,31 @@
         self.check_close(dialer)
 
 
+class ReusedDescriptorTest(TestCase):
+    def test_a_waiter_left_on_a_closed_descriptor_does_no_harm(self):
+        ends = [os.pipe() for _ in range(40)]
+        for reader, _ in ends:
+            eventlet.spawn(self.wait_on, reader)
+        eventlet.sleep(0)
+        for end in ends:
+            os.close(end[0])
+            os.close(end[1])
+        address, frames = free_address(), []
+        listener = PullListener(address, frames.append)
+        self.addCleanup(listener.close)
+        dialer = PushDialer(address)
+        self.addCleanup(dialer.close)
+        dialer.wait_writable(5.0)
+        self.assertTrue(dialer.try_send(b"1"))
+        with eventlet.Timeout(5):
+            while not frames:
+                eventlet.sleep(0.01)
+
+    def wait_on(self, descriptor):
+        with contextlib.suppress(OSError):
+            eventlet.hubs.trampoline(descriptor, read=True)
+
+
 class ListenerTest(TestCase):
     def test_failing_handler_does_not_end_the_reader(self):
         address, frames = free_address(), []
