A shutdown does not cut requests that wait for a job elsewhere

Cause: a request that waited at this process for a job of another owner waited on through the drain, and the listener closed its connection after 5 s. Found by reading; the unit test was red (still waiting after 1 s). A draining process now ends such waits with the next slice and says that the job is running, and its listener waits for longer than a slice. Real processes: 1 passed, 0 failed.

--- a/burdocklug/callers/_part.py
+++ b/burdocklug/callers/_part.py
@@ -6,7 +6,7 @@
 
 __all__ = ["CallersPart"]
 
-STOP_S = 5.0  # for answers that are being written
+STOP_S = 8.0  # for answers in flight; a wait for a job elsewhere ends within a slice
 
 
 class CallersPart:
--- a/burdocklug/jobs/_forwarding.py
+++ b/burdocklug/jobs/_forwarding.py
@@ -29,12 +29,16 @@
     ----------
     peers : PeerNetwork
         Carries the messages.
+    is_draining : callable
+        Whether this process shuts down; waits then end with the next slice, and the caller is
+        told that the job is running, so that no request in flight is cut.
     clock : callable, optional
         Monotonic seconds.
     """
 
-    def __init__(self, peers, *, clock=time.monotonic):
+    def __init__(self, peers, *, is_draining, clock=time.monotonic):
         self._peers = peers
+        self._is_draining = is_draining
         self._clock = clock
 
     def submit(self, owner, key_text, body, *, wait_s):
@@ -56,6 +60,8 @@
 
     def _wait_until(self, owner, key_text, answer, until_s):
         while not answer.done and (left_s := until_s - self._clock()) > 0:
+            if self._is_draining():
+                break
             owner = self._peers.successor_of(owner) or owner
             answer = self._ask(owner, AwaitJob(key_text, min(left_s, SLICE_S)), key_text)
         return answer
--- a/burdocklug/jobs/_service.py
+++ b/burdocklug/jobs/_service.py
@@ -55,7 +55,7 @@
         self.handed_over_to = None
         self.counts = {"submitted": 0, "resubmitted": 0, "refused": 0, "forwarded": 0}
         self._frozen = None
-        self.forwarder = Forwarder(peers)
+        self.forwarder = Forwarder(peers, is_draining=lambda: self.draining)
         self._caller_keys = CallerKeySubmissions(self, claims)
         self._peer_requests = PeerRequests(self, peers)
 
--- a/tests/daemon/test_shutdown.py
+++ b/tests/daemon/test_shutdown.py
@@ -84,6 +84,18 @@
         self.fleet.start_process("north-1")
         self.wait_ready()
 
+    def test_a_request_that_waits_for_a_job_elsewhere_is_not_cut(self):
+        key = f"{self.open_session('north-1')}~1"
+        answers = []
+        waiting = eventlet.spawn(
+            lambda: answers.append(self.submit("south-1", key, run_s=15.0, wait_s=25.0))
+        )
+        self.wait_for(lambda: self.starts_of(key))
+        self.assertThat(self.fleet.children["south-1"].stop(timeout_s=30.0), Equals(0))
+        waiting.wait()
+        self.assertThat(answers[0]["state"], Equals("running"))
+        self.http("DELETE", "north-1", f"/v1/jobs/{key}")
+
     def test_a_draining_process_refuses_honestly(self):
         session = self.open_session("south-2")
         self.submit("south-2", f"{session}~1", run_s=1.5, wait_s=0)
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.jobs import _forwarding
 from burdocklug.jobs._jobs import encode_error
 from burdocklug.jobs._messages import HandOver, HandOverCommit
 from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
@@ -88,6 +89,20 @@
         self.assertThat(self.starts, Equals(Counter()))
 
 
+class DrainingForwarderTest(ServiceTestCase):
+    def test_a_caller_that_waits_for_a_job_elsewhere_is_answered_before_the_end(self):
+        owner, other, _ = self.nodes
+        self.patch(_forwarding, "SLICE_S", 0.05)
+        owner.dispatcher.end_at_once = False
+        key = f"{owner.service.open_session()}~1"
+        waiting = eventlet.spawn(other.service.submit, key, body(), wait_s=5.0)
+        eventlet.sleep(0.1)
+        other.service.draining = True
+        with eventlet.Timeout(1.0):
+            answer = waiting.wait()
+        self.assertThat((answer.status, decode(answer)["state"]), Equals((202, "running")))
+
+
 class HandOverTest(ServiceTestCase):
     def setUp(self):
         super().setUp()
