--- a/bench/_capacity_state.py
+++ b/bench/_capacity_state.py
@@ -15,7 +15,7 @@
 from burdocklug.jobs._lanes import Lane
 from burdocklug.jobs._ledger import Ledger
 from burdocklug.kernel import PeerSettings
-from burdocklug.limits._quotas import QuotaHandover, QuotaShares
+from burdocklug.limits import QuotaHandover, QuotaShares
 from burdocklug.peers import MemberState
 from burdocklug.peers._gossip import make_digest
 from burdocklug.peers._membership import MemberTable, Record
--- a/burdocklug/limits/__init__.py
+++ b/burdocklug/limits/__init__.py
@@ -11,9 +11,11 @@
     WouldMissDeadline,
     admit,
 )
+from burdocklug.limits._base_shares import base_share
+from burdocklug.limits._handover import LentShare, QuotaHandover
 from burdocklug.limits._messages import QuotaGrant, QuotaMessage, QuotaRequest, QuotaReturn
 from burdocklug.limits._queue import FairQueue, QueuedTask, QueueFull
-from burdocklug.limits._quotas import LentShare, QuotaHandover, QuotaShares, base_share
+from burdocklug.limits._quotas import QuotaShares
 from burdocklug.limits._times import RunTimes
 
 __all__ = [
--- a/burdocklug/limits/_part.py
+++ b/burdocklug/limits/_part.py
@@ -10,8 +10,9 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError, part
+from burdocklug.limits._handover import LentShare, QuotaHandover
 from burdocklug.limits._messages import QuotaMessage
-from burdocklug.limits._quotas import LentShare, QuotaHandover, QuotaShares
+from burdocklug.limits._quotas import QuotaShares
 from burdocklug.peers import MemberState
 from burdocklug.platform import VersionMismatch
 
--- a/burdocklug/limits/_quotas.py
+++ b/burdocklug/limits/_quotas.py
@@ -7,92 +7,22 @@
 within the quota through partitions, deaths, and messages that are lost, late or repeated.
 """
 
-import hashlib
 import math
 from dataclasses import dataclass, field
-from functools import lru_cache
 
+from burdocklug.limits._base_shares import base_share, hash_rank
+from burdocklug.limits._handover import LentShare, QuotaHandover
 from burdocklug.limits._messages import QuotaGrant, QuotaRequest, QuotaReturn
 from burdocklug.routing import Outgoing
 
-__all__ = ["LentShare", "QuotaHandover", "QuotaShares", "base_share"]
+__all__ = ["QuotaShares"]
 
 LOAN_TERM_S = 5.0
 ASK_TERM_S = 0.5  # a request without an answer counts as lost
 REFUSED_PAUSE_S = 0.5  # before a peer that had none is asked again
-KEPT_TEAMS = 1024  # teams whose order of processes is kept
 IDLE_LOAN_S = 1.0  # before an unused loan is returned
 
 
-def base_share(team, quota, process, fleet):
-    """Return a process's fixed share of a team's quota.
-
-    Parameters
-    ----------
-    team : str
-        Name of the team.
-    quota : int
-        Its `max_running`.
-    process : str
-        Name of the process.
-    fleet : iterable of str
-        Names of all processes, the same list in each process's settings.
-
-    Notes
-    -----
-    The shares sum to the quota; the remainder goes to the first processes by a hash with the
-    team's name, so that small quotas don't all land on one process. A share never falls when
-    the quota rises.
-
-    Examples
-    --------
-    >>> fleet = [f"p{n}" for n in range(7)]
-    >>> sorted(base_share("a", 3, name, fleet) for name in fleet)
-    [0, 0, 0, 0, 1, 1, 1]
-    """
-    places = _places(team, tuple(fleet))
-    if process not in places:
-        return 0
-    share, rest = divmod(max(quota, 0), len(places))
-    return share + (places[process] < rest)
-
-
-@lru_cache(maxsize=KEPT_TEAMS)
-def _places(team, fleet):
-    """Return each name's place in the team's order."""
-    names = sorted(set(fleet), key=lambda name: _rank(team, name))
-    return {name: place for place, name in enumerate(names)}
-
-
-def _rank(team, name):
-    return hashlib.blake2b(f"{team}\0{name}".encode(), digest_size=8).digest()
-
-
-@dataclass(frozen=True, slots=True)
-class LentShare:
-    """A loan that a leaving process hands to its successor under the same name."""
-
-    team: str
-    amount: int
-    left_s: float  # until the lender may count it as its own again
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaHandover:
-    """What a leaving process hands to its successor under the same name.
-
-    Parameters
-    ----------
-    rest_s : float
-        How long the base shares still rest, in seconds.
-    lent : tuple of LentShare
-        Loans that are not over.
-    """
-
-    rest_s: float = 0.0
-    lent: tuple = ()
-
-
 @dataclass(slots=True)
 class _Lent:
     amount: int
@@ -253,7 +183,7 @@
             for name in peers
             if now_s - entry.refused_s.get(name, -REFUSED_PAUSE_S) >= REFUSED_PAUSE_S
         ]
-        ready = [(base, _rank(self.process, name), name) for base, name in ready if base > 0]
+        ready = [(base, hash_rank(self.process, name), name) for base, name in ready if base > 0]
         if not ready:
             return []
         name = max(ready)[2]
