--- a/burdocklug/cli/_main.py
+++ b/burdocklug/cli/_main.py
@@ -1,10 +1,10 @@
 """Entry point of ``burdocklug``: the commands, one-line errors, exit codes."""
 
 import sys
-import warnings
 
 import cyclopts
 
+from burdocklug._loop import patch_loop
 from burdocklug._version import __version__
 from burdocklug.cli import _callers, _load, _operators
 from burdocklug.kernel import BurdocklugError, answer_for
@@ -14,16 +14,6 @@
 USAGE_EXIT_CODE = 2
 
 
-EVENTLET_DEPRECATION = r"\s*Eventlet is deprecated"
-
-
-def _prepare_loop():
-    warnings.filterwarnings("ignore", message=EVENTLET_DEPRECATION)
-    import eventlet
-
-    eventlet.monkey_patch()
-
-
 def build_app():
     """Return the command line with all its commands."""
     app = cyclopts.App(
@@ -57,7 +47,7 @@
     int
         Exit code: 0, or that of the error kind.
     """
-    _prepare_loop()
+    patch_loop()
     try:
         build_app()(argv, exit_on_error=False, print_error=False, result_action="return_value")
     except cyclopts.CycloptsError as exc:
--- a/burdocklug/daemon/_main.py
+++ b/burdocklug/daemon/_main.py
@@ -2,11 +2,10 @@
 
 import argparse
 import sys
-import warnings
 
-__all__ = ["main"]
+from burdocklug._loop import patch_loop
 
-EVENTLET_DEPRECATION = r"\s*Eventlet is deprecated"
+__all__ = ["main"]
 
 
 def main(argv=None):
@@ -23,10 +22,7 @@
         Exit code: 0 after a graceful shutdown, 2 for settings with faults.
     """
     options = _parse_arguments(argv)
-    warnings.filterwarnings("ignore", message=EVENTLET_DEPRECATION)
-    import eventlet
-
-    eventlet.monkey_patch()
+    patch_loop()
     from burdocklug.kernel import SettingsError, answer_for, configure_logs, load_settings
 
     try:
