--- a/tests/peers/test_sockets.py
+++ b/tests/peers/test_sockets.py
@@ -55,8 +55,8 @@
 class ReusedDescriptorTest(TestCase):
     def test_a_waiter_left_on_a_closed_descriptor_does_no_harm(self):
         ends = [os.pipe() for _ in range(40)]
-        for reader, _ in ends:
-            eventlet.spawn(self.wait_on, reader)
+        waiting = [eventlet.spawn(self.wait_on, reader) for reader, _ in ends]
+        self.addCleanup(self.end_all, waiting)  # after both sockets are closed
         eventlet.sleep(0)
         for end in ends:
             os.close(end[0])
@@ -72,6 +72,10 @@
             while not frames:
                 eventlet.sleep(0.01)
 
+    def end_all(self, waiting):
+        for greenthread in waiting:
+            greenthread.kill()
+
     def wait_on(self, descriptor):
         with contextlib.suppress(OSError):
             eventlet.hubs.trampoline(descriptor, read=True)
