Read-through: one deployment for the throughput and capacity scripts, no unused subscription

Cause: the capacity script held a copy of the throughput script's deployment; the host watch kept subscribers that nobody adds; the endpoint view spelled out its own is_leaving.

--- a/bench/_capacity_fleets.py
+++ b/bench/_capacity_fleets.py
@@ -9,7 +9,7 @@
 
 from bench import throughput
 from bench._capacity_model import US_PER_S
-from standins.fleet import Deployment, Fleet, call_json
+from standins.fleet import Fleet, call_json
 
 __all__ = ["measure_idle", "measure_imports", "measure_starts", "measure_tickets"]
 
@@ -93,17 +93,6 @@
         return rates
 
 
-def _deployment(processes):
-    return Deployment(
-        name="capacity",
-        service="press",
-        weight="messages",
-        processes={"north": processes},
-        endpoints=24,
-        teams={"floor": 100_000},
-    )
-
-
 def _window(fleet, window_s):
     before = Sample(fleet)
     time.sleep(window_s)
@@ -138,7 +127,7 @@
     dict
         With ``small``, figures with 24 endpoints, and ``large``, None without a target.
     """
-    with Fleet(_deployment(processes)) as fleet:
+    with Fleet(throughput.deployment_of(processes)) as fleet:
         _warm(fleet, settle_s)
         small = _window(fleet, window_s)
         large = None
@@ -169,7 +158,7 @@
     -----
     The cost of the same time without tickets, measured just before, is taken off.
     """
-    with Fleet(_deployment(processes)) as fleet:
+    with Fleet(throughput.deployment_of(processes)) as fleet:
         _warm(fleet, settle_s)
         idle = _window(fleet, window_s)
         before = Sample(fleet)
--- a/burdocklug/endpoints/_view.py
+++ b/burdocklug/endpoints/_view.py
@@ -60,7 +60,7 @@
 
     def usable(self, service, address, now_s):
         """Return whether an endpoint takes work other than trials."""
-        if self._leaving.get(address, now_s) > now_s:
+        if self.is_leaving(address, now_s):
             return False
         entry = self._services[service]
         if not entry.health.usable(address, now_s):
--- a/burdocklug/hosts/_watch.py
+++ b/burdocklug/hosts/_watch.py
@@ -64,7 +64,6 @@
         self._peers = peers
         self._timers = timers
         self.hosts = HostList(version=0, live=frozenset(), leaving=frozenset())
-        self._subscribers = []
         self._fetching = False
         self._polling = False
         self._polled_s = timers.now()
@@ -77,10 +76,6 @@
         """Subscribe to the timer service."""
         self._timers.every(POLL_S, self._poll_when_due)
 
-    def subscribe(self, callback):
-        """Call `callback()` after every newer list."""
-        self._subscribers.append(callback)
-
     def is_leaving(self, host):
         """Return whether the host with this IP number is leaving."""
         return host in self.hosts.leaving
@@ -93,8 +88,6 @@
         self.hosts = merged
         self._counts["changes"] += 1
         log.info("hosts_changed", version=merged.version, leaving=sorted(merged.leaving))
-        for callback in self._subscribers:
-            callback()
 
     def _poll_when_due(self):
         now = self._timers.now()
