The endpoints part learns by health_outcome; a task that outlasts its deadline ejects nobody

Cause: the part repeated retries.health_outcome and differed from it: every unknown outcome counted as silence, and one silence ejects, so an endpoint that answered questions was ejected for one task past its deadline, or for having restarted. Now the one function decides.

--- a/burdocklug/endpoints/_part.py
+++ b/burdocklug/endpoints/_part.py
@@ -6,11 +6,18 @@
 import msgspec
 
 from burdocklug.endpoints._cancel import CancelBatcher
-from burdocklug.endpoints._health import Outcome, OutcomeKind
 from burdocklug.endpoints._protocol import endpoint_protocols
 from burdocklug.endpoints._view import EndpointView
 from burdocklug.kernel import part
-from burdocklug.retries import FailedPhase, Finished, RetryBudget, Unknown, backoff_s, run_attempt
+from burdocklug.retries import (
+    FailedPhase,
+    Finished,
+    NotRun,
+    RetryBudget,
+    backoff_s,
+    health_outcome,
+    run_attempt,
+)
 
 __all__ = ["EndpointsPart"]
 
@@ -90,19 +97,11 @@
 
     def _learn(self, service, address, outcome, expected_s):
         now = self._now()
-        if isinstance(outcome, Finished):
-            result = outcome.result
-            kind = OutcomeKind.SUCCEEDED if result.ok else OutcomeKind.FAILED
-            if result.leaving:
-                self.view.note_leaving(address, now)
-            if result.ok or not _was_cancelled(result):
-                self.view.note(service, address, Outcome(kind, result.run_s, expected_s), now)
-        elif isinstance(outcome, Unknown):
-            self.view.note(service, address, Outcome(OutcomeKind.SILENT), now)
-        elif outcome.reason == FailedPhase.REFUSED:
-            self.view.note(service, address, Outcome(OutcomeKind.REFUSED), now)
-        elif outcome.reason == FailedPhase.LEAVING:
+        if _says_leaving(outcome):
             self.view.note_leaving(address, now)
+        shown = None if _was_cancelled(outcome) else health_outcome(outcome, expected_s)
+        if shown is not None:
+            self.view.note(service, address, shown, now)
 
     def cancel_attempt(self, address, attempt_id):
         """Tell an endpoint to stop an attempt, together with others; best effort."""
@@ -137,8 +136,16 @@
         }
 
 
-def _was_cancelled(result):
-    return result.value == "cancelled"
+def _says_leaving(outcome):
+    if isinstance(outcome, Finished):
+        return outcome.result.leaving
+    return isinstance(outcome, NotRun) and outcome.reason == FailedPhase.LEAVING
+
+
+def _was_cancelled(outcome):
+    if not isinstance(outcome, Finished) or outcome.result.ok:
+        return False
+    return outcome.result.value == "cancelled"
 
 
 @part("endpoints", needs=("hosts", "peers"))
