Fleet tests: wait_ready asks every process, and a failure shows the processes' logs

Cause: wait_ready stopped at the first process that was not ready. One that had ended kept those before it in the list from being ready (too few members alive), so it was never asked and never started anew. Whether the first poll came before the others had noticed decided the test. Ruled out: a process that does not start; the list of members of those that ran was right. A failing test of a fleet now carries the last 25 log lines of each child.

--- a/tests/daemon/fleets.py
+++ b/tests/daemon/fleets.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3
 from testtools import TestCase
+from testtools.content import text_content
 from testtools.matchers import Equals
 
 from standins.fleet import Deployment, Fleet
@@ -22,6 +23,7 @@
     jobs={"shutdown_s": 10.0},
 )
 REQUEST_TIMEOUT_S = 30.0
+LOG_LINES = 25
 
 
 class FleetTestCase(TestCase):
@@ -48,8 +50,11 @@
 
     @classmethod
     def wait_ready(cls):
-        """Wait until every process serves and knows the others; ended ones are started anew."""
-        cls.wait_for(lambda: all(cls.serving(name) for name in cls.fleet.names))
+        """Wait until every process serves and knows the others; ended ones are started anew.
+
+        Each poll asks all of them, as one that ended keeps the others from being ready.
+        """
+        cls.wait_for(lambda: all([cls.serving(name) for name in cls.fleet.names]))
 
     @classmethod
     def serving(cls, name):
@@ -75,9 +80,17 @@
 
     def setUp(self):
         super().setUp()
+        self.addOnException(lambda _exc_info: self.attach_logs())
         self.wait_ready()
         self.pool = urllib3.PoolManager(retries=False, maxsize=32)
 
+    def attach_logs(self):
+        """Attach the end of each child's log, so that a failure elsewhere can be explained."""
+        for name, child in self.fleet.children.items():
+            lines = child.stderr_text().splitlines()[-LOG_LINES:]
+            if lines:
+                self.addDetail(f"log of {name}", text_content("\n".join(lines)))
+
     @classmethod
     def http(cls, method, name, path, data=None, **headers):
         pool = urllib3.PoolManager(retries=False)
