An allocator that is no longer suspect is asked again without waiting for its load

Cause: a lane told its holder of a suspect allocator by a made-up load without capacity, which only the allocator's next heartbeat replaced. A process that was frozen, declared dead and woken sees its peers as suspect for a moment and gets no heartbeats from them after that, so it never asked them for slots. If it kept no endpoint itself, its waiting jobs stood still until they were abandoned at the shutdown's limit. Red first: RemoteAllocatorTest in tests/jobs/test_dispatch.py. Ruled out: the handover (it took place), quotas, peers that drop messages of the dead (they don't). After: the holder knows which allocators are reachable. The log line of jobs left at shutdown holds the lanes and the quotas.

--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -2,12 +2,11 @@
 
 from burdocklug.limits import FairQueue, RunTimes
 from burdocklug.peers import MemberState
-from burdocklug.routing import SLOW_WEIGHT, RouteEndpoint, RouteMember, ServiceRouter, SlotLoad
+from burdocklug.routing import SLOW_WEIGHT, RouteEndpoint, RouteMember, ServiceRouter
 
 __all__ = ["Lane"]
 
 FULL_REFRESH_S = 1.0
-UNREACHABLE_QUEUED = 100_000  # makes an allocator that does not answer the last to be asked
 
 
 class Lane:
@@ -71,9 +70,7 @@
             return []
         self._view = (routes, members, suspects)
         out = self.router.update(now, routes, members)
-        for incarnation in suspects:
-            unreachable = SlotLoad(self.service, 0, 0, UNREACHABLE_QUEUED)
-            out += self.router.receive(now, incarnation, unreachable)
+        self.router.set_unreachable(suspects)
         return out
 
     def _suspects(self):
--- a/burdocklug/jobs/_part.py
+++ b/burdocklug/jobs/_part.py
@@ -113,7 +113,12 @@
             eventlet.sleep(DRAIN_POLL_S)
         self.service.freeze()
         if self.dispatcher.jobs:
-            log.warning("jobs_left_at_shutdown", jobs=sorted(self.dispatcher.jobs))
+            log.warning(
+                "jobs_left_at_shutdown",
+                jobs=sorted(self.dispatcher.jobs),
+                lanes={name: lane.dump() for name, lane in self.dispatcher.lanes.items()},
+                limits=self._process["limits"].dump(),
+            )
             self.dispatcher.abandon_all()
         successor = HandOverSender(self._peers, self.ledger).hand_over()
         self.service.unfreeze(successor)
--- a/burdocklug/routing/_demand.py
+++ b/burdocklug/routing/_demand.py
@@ -25,6 +25,7 @@
     local: bool
     capacity: int
     free: int
+    reachable: bool = True
     queued: int = 0
     asked: int = 0  # leases for waiting tasks, asked for and not granted yet
     asked_s: float = -math.inf
@@ -128,7 +129,10 @@
         ready = [
             (name, entry)
             for name, entry in self.allocators.items()
-            if entry.capacity and entry.offered and self._may_ask(now_s, entry, short)
+            if entry.capacity
+            and entry.offered
+            and entry.reachable
+            and self._may_ask(now_s, entry, short)
         ]
         ready.sort(
             key=lambda item: (item[1].free < short, not item[1].local, -item[1].free, item[0])
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -81,6 +81,20 @@
             self._check_lease(now_s, lease, moved)
         return self._flush(now_s, force=True) + self._report(now_s, moved)
 
+    def set_unreachable(self, allocators):
+        """Set which allocators may not answer.
+
+        Notes
+        -----
+        One that is reached again may have no reason to tell its load: a member that it has as
+        dead gets no heartbeats, but its requests are served.
+        """
+        for name, entry in self._demand.allocators.items():
+            reachable = name not in allocators
+            if entry.reachable != reachable:
+                entry.reachable = reachable
+                entry.free = entry.capacity if reachable else 0
+
     def _check_lease(self, now_s, lease, moved):
         endpoint = self._endpoints.get(lease.endpoint)
         allocator = self._allocator_of.get(lease.endpoint)
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -99,6 +99,10 @@
         out = self.allocator.update(now_s, mine, live=live)
         return self._settle(now_s, out + self.holder.update(now_s, endpoints, allocator_of))
 
+    def set_unreachable(self, incarnations):
+        """Set the members that may not answer; no lease is asked of them."""
+        self.holder.set_unreachable(incarnations)
+
     def receive(self, now_s, sender, message):
         """Take a `SlotMessage` of another process and return messages to send."""
         return self._settle(now_s, self._apply(now_s, sender, message))
--- a/tests/daemon/test_ownership.py
+++ b/tests/daemon/test_ownership.py
@@ -8,6 +8,8 @@
 from standins.fleet import call_json
 from tests.daemon.fleets import FleetTestCase
 
+MORE_THAN_SLOTS = 100  # four endpoints of eight
+
 
 def caller_key(text):
     now = datetime.datetime.now(datetime.UTC)
@@ -60,25 +62,48 @@
         self.wait_for(completes)
         self.assert_started_once(key)
 
-    def test_a_frozen_owner_that_wakes_has_started_once(self):
-        self.submit(self.owner, self.key, run_s=0.3, wait_s=0)
+    def freeze_until_declared_dead(self, **job):
+        """Freeze the owner until all others have it as dead, then let it go on."""
+        others = [name for name in self.fleet.names if name != self.owner]
+        incarnation = self.fleet.state(self.owner)["peers"]["incarnation"]
         self.fleet.children[self.owner].pause()
         try:
-            answers = [self.submit(name, self.key, run_s=0.3) for name in (self.near, self.far)]
+            self.wait_for(lambda: all(self.has_as_dead(name, incarnation) for name in others))
+            pool = eventlet.GreenPool()
+            answers = list(pool.imap(lambda name: self.refusal(name, self.key, **job), others))
         finally:
             self.fleet.children[self.owner].resume()
-        self.assertThat({a["error"]["ran"] for a in answers}, Equals({"unknown"}))
+        self.assertThat({ran for _kind, ran in answers}, Equals({"unknown"}))
+
+    def has_as_dead(self, name, incarnation):
+        members = self.fleet.state(name)["peers"]["members"]
+        return any(m["incarnation"] == incarnation and m["state"] == "dead" for m in members)
 
-        def complete():
-            return self.submit(self.far, self.key, run_s=0.3)["state"] == "complete"
+    def completes(self, **job):
+        return lambda: self.submit(self.far, self.key, **job)["state"] == "complete"
 
-        self.wait_for(complete)
+    def test_a_frozen_owner_that_wakes_has_started_once(self):
+        job = {"run_s": 0.3, "wait_s": 0}
+        self.submit(self.owner, self.key, **job)
+        self.wait_for(lambda: len(self.starts_of(self.key)) == 2)
+        self.freeze_until_declared_dead(**job)
+        self.wait_for(self.completes(**job))
         self.assert_started_once(self.key)
 
+    def test_an_owner_frozen_with_waiting_tasks_starts_them_once_after_it_wakes(self):
+        job = {"run_s": 0.3, "wait_s": 0, "tasks": MORE_THAN_SLOTS}
+        self.submit(self.owner, self.key, **job)
+        self.wait_for(lambda: self.starts_of(self.key))
+        self.freeze_until_declared_dead(**job)
+        self.wait_for(self.completes(**job))
+        self.assert_started_once(self.key, MORE_THAN_SLOTS)
+
     def test_a_killed_owner_is_never_replaced_for_its_keys(self):
         self.submit(self.owner, self.key, run_s=1.0, wait_s=0)
         self.fleet.children[self.owner].kill()
-        answers = [self.submit(name, self.key, run_s=1.0) for name in (self.near, self.far)]
+        pool = eventlet.GreenPool()
+        survivors = (self.near, self.far)
+        answers = list(pool.imap(lambda name: self.submit(name, self.key, run_s=1.0), survivors))
         self.fleet.start_process(self.owner)
         self.wait_ready()
         answers += [self.submit(name, self.key, run_s=1.0) for name in self.fleet.names]
--- a/tests/jobs/test_dispatch.py
+++ b/tests/jobs/test_dispatch.py
@@ -15,7 +15,9 @@
 from burdocklug.jobs._ledger import Ledger, RecordState
 from burdocklug.jobs._models import parse_submission
 from burdocklug.kernel import JobSettings
+from burdocklug.peers import Member, MemberState
 from burdocklug.retries import Finished, NotRun, RetryBudget, Unknown
+from burdocklug.routing import SlotRequest
 from burdocklug.tickets import Configuration, ConfigValue, apply_ticket, ticket_from_data
 from tests.fakes import FakeClock, FakeHub, FakePeers
 from tests.jobs.nodes import body
@@ -179,3 +181,37 @@
             eventlet.sleep(0)
         held, idle = self.dispatcher.lanes["press"].router.holder.counts()
         self.assertThat(held, Equals(idle))
+
+
+class RemoteAllocatorTest(DispatcherTestCase):
+    """A process in whose failure domain there are no endpoints, and the one that keeps them."""
+
+    def context(self, configuration):
+        self.state = MemberState.ALIVE
+        self.asked = []
+        hub = FakeHub()
+        FakePeers(hub, "p2").register(SlotRequest, self.take_request)
+        ctx = super().context(configuration)
+        ctx.peers = FakePeers(hub, "p1")
+        ctx.failure_domain = "south"
+        ctx.live_members = lambda: [Member("p2", "p2", "p2", "north", self.state)]
+        return ctx
+
+    def take_request(self, _sender, message):
+        self.asked.append(message.waiting)
+
+    def test_a_suspect_allocator_is_not_asked(self):
+        self.state = MemberState.SUSPECT
+        self.clock.advance(1.0)
+        self.start()
+        self.clock.advance(1.0)
+        self.assertThat(sum(self.asked), Equals(0))
+
+    def test_an_allocator_that_is_no_longer_suspect_is_asked_before_it_tells_its_load(self):
+        self.state = MemberState.SUSPECT
+        self.clock.advance(1.0)
+        self.state = MemberState.ALIVE
+        self.clock.advance(1.0)
+        self.start()
+        self.clock.advance(1.0)
+        self.assertThat(self.asked[:1], Equals([1]))
