--- a/bench/_capacity_fleets.py
+++ b/bench/_capacity_fleets.py
@@ -19,8 +19,10 @@
 TICKET_GAP_S = 0.2
 IN_FORCE_TIMEOUT_S = 30.0
 PART_IMPORTS = (
-    "import burdocklug.daemon._process as process, importlib\n"
-    "[importlib.import_module(module) for module in process.PART_MODULES]\n"
+    "from burdocklug.daemon import _imports\n"
+    "_imports.import_kernel()\n"
+    "import burdocklug.daemon._process\n"
+    "_imports.import_parts()\n"
 )
 REPORT = (
     "import resource\n"
--- /dev/null
+++ b/burdocklug/daemon/_imports.py
@@ -0,0 +1,61 @@
+"""Imports of the daemon, without optional modules that it never uses."""
+
+import contextlib
+import importlib
+import sys
+
+from burdocklug._loop import patch_loop
+
+__all__ = ["PART_MODULES", "hidden_modules", "import_kernel", "import_parts"]
+
+PART_MODULES = (
+    "burdocklug.platform._part",
+    "burdocklug.peers._part",
+    "burdocklug.tickets._part",
+    "burdocklug.hosts._part",
+    "burdocklug.endpoints._part",
+    "burdocklug.limits._part",
+    "burdocklug.jobs._part",
+    "burdocklug.callers._part",
+    "burdocklug.operators._part",
+)
+UNUSED_OPTIONS = ("rich",)  # structlog colours its console output with it where it is installed
+
+
+@contextlib.contextmanager
+def hidden_modules(names):
+    """Let imports of modules fail inside the block, as where they are not installed.
+
+    Parameters
+    ----------
+    names : iterable of str
+        Names of modules; those that are imported already stay so.
+
+    Examples
+    --------
+    >>> with hidden_modules(["tabnanny"]):
+    ...     import tabnanny
+    Traceback (most recent call last):
+    ModuleNotFoundError: import of tabnanny halted; None in sys.modules
+    >>> import tabnanny
+    """
+    hidden = [name for name in names if name not in sys.modules]
+    sys.modules.update(dict.fromkeys(hidden))
+    try:
+        yield
+    finally:
+        for name in hidden:
+            del sys.modules[name]
+
+
+def import_kernel():
+    """Patch the loop and import what the daemon needs before it knows its settings."""
+    patch_loop()
+    with hidden_modules(UNUSED_OPTIONS):
+        importlib.import_module("burdocklug.kernel")
+
+
+def import_parts():
+    """Import the module of each part, which registers its builder."""
+    for module in PART_MODULES:
+        importlib.import_module(module)
--- a/burdocklug/daemon/_main.py
+++ b/burdocklug/daemon/_main.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 
-from burdocklug._loop import patch_loop
+from burdocklug.daemon._imports import import_kernel
 
 __all__ = ["main"]
 
@@ -22,7 +22,7 @@
         Exit code: 0 after a graceful shutdown, 2 for settings with faults.
     """
     options = _parse_arguments(argv)
-    patch_loop()
+    import_kernel()
     from burdocklug.kernel import SettingsError, answer_for, configure_logs, load_settings
 
     try:
--- a/burdocklug/daemon/_process.py
+++ b/burdocklug/daemon/_process.py
@@ -1,6 +1,5 @@
 """Life cycle of a process: build the parts, serve, drain, stop."""
 
-import importlib
 import os
 import signal
 
@@ -8,23 +7,13 @@
 import structlog
 from eventlet.event import Event
 
+from burdocklug.daemon._imports import import_parts
 from burdocklug.kernel import Process, build_parts, parts
 
 __all__ = ["run_process"]
 
 log = structlog.get_logger(__name__)
 
-PART_MODULES = (
-    "burdocklug.platform._part",
-    "burdocklug.peers._part",
-    "burdocklug.tickets._part",
-    "burdocklug.hosts._part",
-    "burdocklug.endpoints._part",
-    "burdocklug.limits._part",
-    "burdocklug.jobs._part",
-    "burdocklug.callers._part",
-    "burdocklug.operators._part",
-)
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -45,8 +34,7 @@
     stop = Event()
     process.request_stop = lambda: None if stop.ready() else stop.send(None)
     _watch_signals(process.request_stop)
-    for module in PART_MODULES:
-        importlib.import_module(module)
+    import_parts()
     build_parts(process, parts.items())
     stopped = []
     timers = eventlet.spawn(process.timers.serve, lambda: bool(stopped))
