Bench: cases on the clock against real processes of both deployments

Processes now count the messages they send each other by type (peers, messages_<type>; the one change outside bench, in MessageTypes.encode), which the cases and the metrics page use.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,8 @@
 """Runs benchmark cases: ``python -m bench [--cases PATTERN]``, one JSON line for each figure.
 
-Without a pattern every case with a bound runs; cases under ``compare/`` only report and run
-when a pattern names them. Exit code 1 if a bound fails.
+Without a pattern every case with a bound runs, those in virtual time first, then those under
+``clock/`` against real processes (some minutes; CI runs none of these). Cases under ``compare/``
+only report and run when a pattern names them. Exit code 1 if a bound fails.
 """
 
 import argparse
@@ -9,11 +10,16 @@
 import json
 import sys
 
-import bench._cases_connections  # noqa: F401, registers cases
-import bench._cases_faults  # noqa: F401
-import bench._cases_overload  # noqa: F401
-import bench._cases_routing  # noqa: F401
-from bench._cases import cases
+from burdocklug._loop import patch_loop
+
+patch_loop()
+
+import bench._cases_clock  # noqa: E402, F401, registers cases
+import bench._cases_connections  # noqa: E402, F401
+import bench._cases_faults  # noqa: E402, F401
+import bench._cases_overload  # noqa: E402, F401
+import bench._cases_routing  # noqa: E402, F401
+from bench._cases import cases, clock_cases  # noqa: E402
 
 REPORT_ONLY = "compare/*"
 
@@ -24,7 +30,7 @@
     parser.add_argument("--cases", metavar="PATTERN", help="run the cases whose names match")
     pattern = parser.parse_args(argv).cases
     failed = False
-    for name, case in cases.items():
+    for name, case in [*cases.items(), *clock_cases.items()]:
         wanted = fnmatch.fnmatch(name, pattern) if pattern else not _reports(name)
         if not wanted:
             continue
--- a/bench/_cases.py
+++ b/bench/_cases.py
@@ -5,9 +5,10 @@
 
 from burdocklug.kernel import Registry
 
-__all__ = ["Line", "cases", "at_least", "at_most"]
+__all__ = ["Line", "cases", "clock_cases", "at_least", "at_most"]
 
-cases = Registry("benchmark case")
+cases = Registry("benchmark case")  # in virtual time: the same figures in every run
+clock_cases = Registry("benchmark case on the clock")
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklug/peers/_codec.py
+++ b/burdocklug/peers/_codec.py
@@ -4,6 +4,7 @@
 queued for one peer in one turn of the loop.
 """
 
+import collections
 import enum
 import hashlib
 import hmac
@@ -204,6 +205,7 @@
 
     def __init__(self):
         self._types = []
+        self.encoded = collections.Counter()  # messages by tag
         self._decoder = None
         self._encoder = msgspec.msgpack.Encoder()
 
@@ -237,6 +239,7 @@
         """
         if type(message) not in self._types:
             raise TypeError(f"message type {type(message).__name__} is not registered")
+        self.encoded[type(message).__struct_config__.tag] += 1
         return self._encoder.encode(message)
 
     def decode(self, body):
--- a/burdocklug/peers/_network.py
+++ b/burdocklug/peers/_network.py
@@ -272,6 +272,8 @@
     def counts(self):
         """Return counters by name."""
         counts = dict(self._transport.counters)
+        for tag, count in self._transport.types.encoded.items():
+            counts[f"messages_{tag}"] = count
         links = [channel.link for channel in self._transport.channels.values()]
         links.extend(self._transport.seed_links.values())
         for name in ("frames", "items", "bytes", "dials", "refused", "dropped"):
--- a/tests/peers/test_calls.py
+++ b/tests/peers/test_calls.py
@@ -18,6 +18,13 @@
         self.assertThat(replies, Equals(list(range(20))))
         self.assertThat(two.handled, Equals(list(range(20))))
 
+    def test_messages_are_counted_by_type_where_they_are_sent(self):
+        one, two = self.network("p1"), self.network("p2")
+        for number in range(3):
+            one.call(two.incarnation, Echo(number), timeout_s=5)
+        self.assertThat(one.counts()["messages_echo"], Equals(3))
+        self.assertThat(two.counts()["messages_echo"], Equals(3))
+
     def test_concurrent_calls_get_their_own_replies_in_few_frames(self):
         one, two = self.network("p1"), self.network("p2")
         pool = eventlet.GreenPool(500)
