--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -17,8 +17,9 @@
 import yaml  # noqa: E402
 
 from demo._deployments import AMHARA, MUEHLVIERTEL  # noqa: E402
-from demo._report import check_starts, percentile, print_report  # noqa: E402
+from demo._report import check_starts, message_cells, percentile, print_report  # noqa: E402
 from demo._workload import run_callers  # noqa: E402
+from standins.counts import endpoint_messages, peer_messages  # noqa: E402
 from standins.fleet import OPERATOR_TOKEN, Fleet  # noqa: E402
 
 RUN_S = 12.0
@@ -47,13 +48,14 @@
 
 
 def kill_one(fleet, rng):
-    """Kill one process in the midst of the run and start another under its name later."""
+    """Kill one process amid the run, start another under its name; return its last state."""
     eventlet.sleep(KILL_AFTER_S)
     name = rng.choice(fleet.names)
+    state = fleet.state(name)
     fleet.children[name].kill()
     eventlet.sleep(RESTART_AFTER_S - KILL_AFTER_S)
     fleet.start_process(name)
-    return name
+    return state
 
 
 def run_deployment(deployment, seed):
@@ -64,14 +66,14 @@
         until_s = time.monotonic() + RUN_S
         addresses = fleet.all_callers()
         jobs = run_callers(deployment, addresses, callers=CALLERS, until_s=until_s, seed=seed)
-        killer.wait()
+        dumps = [killer.wait(), *(fleet.state(name) for name in fleet.names)]
         records = fleet.records()
-    row, kept = summarise(deployment, jobs, records)
+    row, kept = summarise(deployment, jobs, records, dumps)
     gone = not fleet.running()
     return row, applied and kept and gone
 
 
-def summarise(deployment, jobs, records):
+def summarise(deployment, jobs, records, dumps):
     """Return the row of a deployment and whether no task started twice, no answer was partial."""
     starts = check_starts(records)
     states = [job.state for job in jobs]
@@ -79,7 +81,6 @@
     ratios = [job.elapsed_s / job.ideal_s for job in complete]
     twice = sum(count > 1 for count in starts.values())
     broken = sum(not job.whole for job in jobs)
-    messages = sum(sum(record["messages"].values()) for record in records.values())
     row = {
         "deployment": deployment.name,
         "complete": states.count("complete"),
@@ -90,7 +91,7 @@
         "not whole": broken,
         "p50/ideal": f"{percentile(ratios, 0.5):.2f}",
         "p99/ideal": f"{percentile(ratios, 0.99):.2f}",
-        "endpoint messages/task": f"{2 * messages / max(1, len(starts)):.3f}",
+        **message_cells(endpoint_messages(records), peer_messages(dumps), len(starts)),
     }
     return row, not twice and not broken and len(complete) > 0
 
