--- a/burdocklug/cli/_load.py
+++ b/burdocklug/cli/_load.py
@@ -11,7 +11,7 @@
 from burdocklug.cli._callers import Addresses
 from burdocklug.cli._output import print_json, print_rows
 from burdocklug.client import Client, JobFailed
-from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
 
 __all__ = ["LoadResult", "histogram_rows", "load"]
 
@@ -19,6 +19,7 @@
 MAX_DURATION_S = 600.0
 MAX_IN_FLIGHT = 5000
 BAR_WIDTH = 40
+PLOT_BINS = 60
 BUCKETS = (1.1, 1.2, 1.5, 2.0, 3.0, 5.0, 10.0, float("inf"))  # response time over ideal
 
 
@@ -110,11 +111,16 @@
     """
     if not (0 < rate <= MAX_RATE_PER_S and 0 < duration_s <= MAX_DURATION_S):
         raise BurdocklugError(ErrorKind.BAD_REQUEST, f"rate {rate}, duration {duration_s}")
+    figure = None if plot is None else _new_figure(plot)
     clients = [Client([one], team=team, seed=seed) for one in address]
     make = _job_maker(tasks, run_s, random.Random(seed))
     result = _run(clients, service, make, rate, duration_s, deadline_s, quiet=json)
-    if plot is not None:
-        _write_plot(result, plot)
+    _report(result, json=json)
+    if figure is not None:
+        _write_plot(figure, result, plot)
+
+
+def _report(result, *, json):
     if json:
         print_json(result.summary())
         return
@@ -165,16 +171,25 @@
         result.ratios.append((time.monotonic() - began_s) / ideal_s)
 
 
-def _write_plot(result, path):
+def _new_figure(path):
+    """Return an empty figure; what would prevent the picture is said before any load is sent."""
     try:
         from matplotlib.figure import Figure
     except ImportError as exc:
         raise BurdocklugError(
-            ErrorKind.BAD_REQUEST, "a plot needs the extra: pip install burdocklug[plots]"
+            ErrorKind.BAD_REQUEST, "--plot needs matplotlib: pip install burdocklug[plots]"
         ) from exc
-    figure = Figure(figsize=(6, 4))
+    if not path.absolute().parent.is_dir():
+        raise BurdocklugError(ErrorKind.BAD_REQUEST, f"--plot: no folder {path.parent}")
+    return Figure(figsize=(6, 4), layout="constrained")
+
+
+def _write_plot(figure, result, path):
     axes = figure.subplots()
-    axes.hist(result.ratios, bins=60)
+    axes.hist(result.ratios, bins=PLOT_BINS)
     axes.set_xlabel("response time over ideal")
     axes.set_ylabel("jobs")
-    figure.savefig(path)
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as exc:
+        raise BurdocklugError(ErrorKind.BAD_REQUEST, f"--plot: {exc}", ran=Ran.YES) from exc
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,15 +1,19 @@
+import importlib.util
 import json
 import subprocess
 import sys
 
 import yaml
-from testtools import TestCase
+from testtools import TestCase, skipUnless
 from testtools.matchers import Contains, Equals
 
 from burdocklug.kernel import ANSWERS, ErrorKind
 from standins.fleet import OPERATOR_TOKEN
 from tests.daemon.fleets import FleetTestCase
 
+PLOTS = importlib.util.find_spec("matplotlib") is not None
+LOAD = ("load", "press", "--team", "vat", "--rate", "20", "--duration-s", "1")
+SHORT_TASKS = ("--run-s", "0.05", "0.1")
 COMMANDS = (
     ("submit",),
     ("status",),
@@ -101,20 +105,34 @@
         self.assertThat(done.stderr, Contains("team_unknown"))
 
     def test_load_reports_a_histogram(self):
-        done = self.callers(
-            "load",
-            "press",
-            "--team",
-            "vat",
-            "--rate",
-            "20",
-            "--duration-s",
-            "1",
-            "--run-s",
-            "0.05",
-            "0.1",
-        )
+        done = self.callers(*LOAD, *SHORT_TASKS)
         self.assertThat(done.returncode, Equals(0))
         self.assertThat(done.stdout, Contains("over ideal up to"))
         self.assertThat(done.stdout, Contains("complete: 20"))
         self.assertThat(done.stderr, Equals(""))
+
+    @skipUnless(PLOTS, "matplotlib is not installed")
+    def test_load_writes_a_picture(self):
+        path = self.fleet.directory / "load.png"
+        done = self.callers(*LOAD, *SHORT_TASKS, "--plot", str(path))
+        self.assertThat((done.returncode, done.stderr), Equals((0, "")))
+        self.assertThat(path.read_bytes()[:4], Equals(b"\x89PNG"))
+
+
+class PlotTest(TestCase):
+    def test_what_prevents_the_picture_is_said_before_any_load(self):
+        done = run(*LOAD, "-a", "127.0.0.1:1", "--plot", "/no-such-folder/load.png")
+        self.assertThat(done.returncode, Equals(ANSWERS[ErrorKind.BAD_REQUEST].exit_code))
+        self.assertThat(done.stderr.count("\n"), Equals(1))
+        self.assertThat(done.stderr, Contains("no folder" if PLOTS else "needs matplotlib"))
+        self.assertThat(done.stdout, Equals(""))
+
+    def test_without_the_library_the_extra_is_named(self):
+        code = "import sys; sys.modules['matplotlib'] = None; import burdocklug.cli as c; "
+        code += "sys.exit(c.main(sys.argv[1:]))"
+        command = [sys.executable, "-c", code, *LOAD, "-a", "127.0.0.1:1", "--plot", "load.png"]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        expected = "burdocklug: bad_request: --plot needs matplotlib: "
+        expected += "pip install burdocklug[plots] (ran: no)\n"
+        self.assertThat(done.returncode, Equals(ANSWERS[ErrorKind.BAD_REQUEST].exit_code))
+        self.assertThat((done.stdout, done.stderr), Equals(("", expected)))
