A process that was declared dead goes on under a new incarnation by itself

Cause: a process that wakes and finds itself declared dead drained and ended with code 0, so that somebody had to start it again; most supervisors take code 0 for the end.

Ruled out: an exit code for "start me again" (needs a supervisor that does it); keeping parts over the change of incarnation (claims, ledger, links and leases all name the old one). All parts have start and stop and are built from the settings alone, so the process stops all and builds all again; the signal watch is outside. The registration loop of the limits part was the one greenlet that would have gone on for the old incarnation after its stop; it ends now.

The old incarnation's shares are released by its record before the new one registers; where its attempts still run the record says so and the new base shares rest.

--- a/burdocklug/daemon/_process.py
+++ b/burdocklug/daemon/_process.py
@@ -1,4 +1,4 @@
-"""Life cycle of a process: build the parts, serve, drain, stop."""
+"""Life cycle of a process: build the parts, serve, drain, stop, begin anew once declared dead."""
 
 import importlib
 import os
@@ -28,6 +28,38 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+class _EndRequests:
+    """Why the incarnation that runs has to end.
+
+    Attributes
+    ----------
+    stop_asked : bool
+        Whether the whole process has to end; never taken back.
+    """
+
+    def __init__(self):
+        self.stop_asked = False
+        self._end = Event()
+
+    def stop(self):
+        """End the process; more calls change nothing."""
+        self.stop_asked = True
+        self.end_incarnation()
+
+    def end_incarnation(self):
+        """End the present incarnation; more calls change nothing."""
+        if not self._end.ready():
+            self._end.send(None)
+
+    def wait(self):
+        """Wait until the present incarnation has to end."""
+        self._end.wait()
+
+    def begin_incarnation(self):
+        """Forget the end of the last incarnation."""
+        self._end = Event()
+
+
 def run_process(settings):
     """Serve until a stop signal or a drain request, then shut down gracefully.
 
@@ -40,24 +72,39 @@
     -------
     int
         Exit code 0.
+
+    Notes
+    -----
+    An incarnation that its peers declared dead never returns. It is drained and stopped as at a
+    shutdown, and the process goes on under a new one.
     """
-    process = Process(settings)
-    stop = Event()
-    process.request_stop = lambda: None if stop.ready() else stop.send(None)
-    _watch_signals(process.request_stop)
     for module in PART_MODULES:
         importlib.import_module(module)
+    requests = _EndRequests()
+    _watch_signals(requests.stop)
+    _run_incarnation(settings, requests)
+    while not requests.stop_asked:
+        log.info("beginning_anew")
+        requests.begin_incarnation()
+        _run_incarnation(settings, requests)
+    return 0
+
+
+def _run_incarnation(settings, requests):
+    """Serve under one incarnation until it has to end, then shut it down gracefully."""
+    process = Process(settings)
+    process.request_stop = requests.stop
+    process.request_rejoin = requests.end_incarnation
     build_parts(process, parts.items())
     stopped = []
     timers = eventlet.spawn(process.timers.serve, lambda: bool(stopped))
     for name, built in process.parts.items():
         _call(built, "start", name)
     log.info("serving", incarnation=process["peers"].incarnation, pid=os.getpid())
-    stop.wait()
+    requests.wait()
     _shut_down(process)
     stopped.append(True)
     timers.kill()
-    return 0
 
 
 def _watch_signals(request_stop):
--- a/burdocklug/kernel/_parts.py
+++ b/burdocklug/kernel/_parts.py
@@ -36,6 +36,8 @@
         Whether the process shuts down.
     request_stop : callable
         Begins a graceful shutdown; more calls change nothing.
+    request_rejoin : callable
+        Begins a graceful end of this incarnation; the Python process goes on under a new one.
     """
 
     settings: object
@@ -44,6 +46,7 @@
     parts: dict = field(default_factory=dict)
     draining: bool = False
     request_stop: object = None
+    request_rejoin: object = None
 
     def __getitem__(self, name):
         return self.parts[name]
--- a/burdocklug/limits/_part.py
+++ b/burdocklug/limits/_part.py
@@ -77,6 +77,7 @@
         self._version = 0
         self._running = {}
         self._ticked_s = 0.0
+        self._stopped = False
         self.waiting = dict
         self.shares = self._new_shares(None)
         for message_type in QuotaMessage.__args__:
@@ -100,7 +101,7 @@
 
     def _register(self):
         """Write the name's record; until then, and after a kill, base shares rest."""
-        while True:
+        while not self._stopped:
             try:
                 handover = self._take_over_name()
             except BurdocklugError as exc:
@@ -189,6 +190,7 @@
 
     def stop(self):
         """Return loans and leave a record for the next process of this name."""
+        self._stopped = True
         now = self._timers.now()
         if any(self._running.values()) or not self._version:
             return
--- a/burdocklug/peers/_part.py
+++ b/burdocklug/peers/_part.py
@@ -8,7 +8,7 @@
 
 @part("peers")
 def build_peers(process):
-    """Return the peer network of a process, which stops once its peers declare it dead."""
+    """Return the peer network of a process, which begins anew once its peers declare it dead."""
     settings = process.settings
     network = PeerNetwork(
         settings.process.name,
@@ -18,5 +18,5 @@
         process.timers,
         listen_address=settings.listen.peers,
     )
-    network.on_declared_dead(lambda _by: process.request_stop())
+    network.on_declared_dead(lambda _by: process.request_rejoin())
     return network
