A status read no longer takes a pending claim of this process for another's

Cause: Claims.read remembered any claim that it found. Where that was this process's own write whose answer had been lost, win() then found it as known, said "not ours", and the key was answered KEY_EXPIRED although nothing had started.

Ruled out: remembering no claim at all on a read (resubmissions would cost a call each).

tests/jobs/test_claims.py: before 2 of 4 failed, after 4 of 4 passed; tests/jobs and tests/docs pass.

Conclusion: a claim with the owner and the pending nonce of this process is left pending.

--- a/burdocklug/jobs/_claims.py
+++ b/burdocklug/jobs/_claims.py
@@ -86,8 +86,8 @@
             except (StoreUncertain, StoreUnavailable) as exc:
                 fault = exc
                 continue
-            ours = found.nonce == nonce and found.owner == self._owner
-            del self._nonces[key_text]
+            ours = self._is_pending(key_text, found)
+            self._nonces.pop(key_text, None)
             self._remember(key_text, found)
             return found, ours
         raise BurdocklugError(
@@ -113,9 +113,14 @@
         if entry is None:
             return None
         claim = msgspec.msgpack.decode(entry.value, type=Claim)
-        self._remember(key_text, claim)
+        if not self._is_pending(key_text, claim):
+            self._remember(key_text, claim)
         return claim
 
+    def _is_pending(self, key_text, claim):
+        """Return whether a claim is an own write that `win` has not reported yet."""
+        return claim.owner == self._owner and claim.nonce == self._nonces.get(key_text)
+
     def _remember(self, key_text, claim):
         """Keep a claim, which never changes, so that resubmissions cost no call."""
         self._known[key_text] = claim
