--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,7 +19,8 @@
         "tests/daemon/test_shutdown.py",
         "tests/daemon/test_partitions.py",
     ),
-    "fleets": ("tests/daemon", "tests/cli", "tests/operators", "tests/docs"),
+    "fleets": ("tests/daemon", "tests/cli", "tests/operators"),
+    "demo": ("tests/demo", "tests/docs"),
     "bench": ("tests/bench",),
     "others": ("tests", "burdocklug", "tools"),
 }
