--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -10,6 +10,8 @@
 MIN_COST_S = 0.001  # a zero cost would let a team pop without bound
 
 SMALL_TASKS = 4  # most waiting tasks of a job that counts as small
+SMALL_CREDIT_S = 10.0  # slot time by which a team's small jobs may run ahead of its turn
+SHARE_GAIN = 0.02  # of the moving average of small jobs' share of the starts
 
 
 class QueueFull(BurdocklugError):
@@ -53,6 +55,7 @@
     team: str
     tasks: deque = field(default_factory=deque)
     cost_s: float = 0.0
+    small: bool = True  # at most `SMALL_TASKS` of its tasks wait
 
 
 @dataclass(slots=True)
@@ -60,19 +63,26 @@
     weight: float = 1.0
     virtual_s: float = 0.0
     cost_s: float = 0.0
+    small_cost_s: float = 0.0  # that part of it which small jobs make up
     tasks: int = 0
-    ring: OrderedDict = field(default_factory=OrderedDict)  # jobs in order of their turns
+    ahead_s: float = 0.0  # cost of small jobs' tasks since the last start of a large job
+    small: OrderedDict = field(default_factory=OrderedDict)  # small jobs in order of their turns
+    large: OrderedDict = field(default_factory=OrderedDict)
 
-
-def _small(tasks):
-    return tasks if tasks <= SMALL_TASKS else 0
+    def next_ring(self):
+        """Return the jobs of which the first has the next turn."""
+        if self.small and (not self.large or self.ahead_s < SMALL_CREDIT_S):
+            return self.small
+        return self.large
 
 
 class FairQueue:
     """Waiting tasks of one service in one process.
 
-    Teams share starts by weighted virtual time; inside a team its jobs take turns, so that a
-    single request doesn't wait behind a large job of its own team.
+    Teams share starts by weighted virtual time. In a team large jobs go one after another, so
+    that under overload some are in time rather than all late, and small jobs take turns. Small
+    jobs go first, up to `SMALL_CREDIT_S` of slot time ahead of their team's turn, so that a
+    single request waits neither behind its own team's large job nor for what that job has used.
 
     Parameters
     ----------
@@ -99,7 +109,8 @@
         self._active = {}  # team name to line, in order of activation
         self._jobs = {}
         self._tasks = 0
-        self._small = 0  # waiting tasks of jobs with few waiting tasks
+        self._small = 0  # waiting tasks of small jobs
+        self._small_share = 0.0
         self._virtual_s = 0.0
 
     def __len__(self):
@@ -113,6 +124,10 @@
         """Return how many tasks wait that are among the last few of their job."""
         return self._small
 
+    def small_share(self):
+        """Return the share of small jobs' tasks in the last starts, from 0 to 1."""
+        return self._small_share
+
     def set_weight(self, team, weight):
         """Set a team's weight; a team with twice the weight gets twice the slot time."""
         self._team(team).weight = max(float(weight), 0.001)
@@ -147,15 +162,19 @@
         job_line = self._jobs.get(job)
         if job_line is None:
             job_line = self._jobs[job] = _JobLine(team)
-            line.ring[job] = job_line
+            line.small[job] = job_line
         cost_s = max(cost_s, MIN_COST_S)
         queued = QueuedTask(task_ref, team, job, cost_s, now_s)
         if again:
             job_line.tasks.appendleft(queued)
         else:
             job_line.tasks.append(queued)
-        self._small += _small(len(job_line.tasks)) - _small(len(job_line.tasks) - 1)
+        self._small += job_line.small
         job_line.cost_s += cost_s
+        if job_line.small:
+            line.small_cost_s += cost_s
+            if len(job_line.tasks) > SMALL_TASKS:
+                self._make_large(line, job, job_line)
         if not line.tasks:
             line.virtual_s = max(line.virtual_s, self._virtual_s)
             self._active[team] = line
@@ -163,6 +182,18 @@
         line.cost_s += cost_s
         self._tasks += 1
 
+    def _make_large(self, line, job, job_line):
+        job_line.small = False
+        self._small -= len(job_line.tasks)
+        line.small_cost_s -= job_line.cost_s
+        line.large[job] = line.small.pop(job)
+
+    def _make_small(self, line, job, job_line):
+        job_line.small = True
+        self._small += len(job_line.tasks)
+        line.small_cost_s += job_line.cost_s
+        line.small[job] = job_line
+
     def pop(self, eligible=None):
         """Remove and return the next task, or None.
 
@@ -176,34 +207,47 @@
         -----
         Takes time in proportion to the number of teams with waiting tasks.
         """
-        chosen = None
+        chosen, first_s = None, 0.0
         for team, line in self._active.items():
-            if chosen is None or line.virtual_s < self._active[chosen].virtual_s:
+            turn_s = line.virtual_s - (SMALL_CREDIT_S if line.small else 0.0)
+            if chosen is None or turn_s < first_s:
                 if eligible is None or eligible(team):
-                    chosen = team
-        return None if chosen is None else self._pop_from(chosen)
+                    chosen, first_s = team, turn_s
+        return None if chosen is None else self._pop_from(chosen, first_s)
 
-    def _pop_from(self, team):
+    def _pop_from(self, team, turn_s):
         line = self._active[team]
-        job, job_line = line.ring.popitem(last=False)
+        ring = line.next_ring()
+        job, job_line = ring.popitem(last=False)
         task = job_line.tasks.popleft()
-        self._small += _small(len(job_line.tasks)) - _small(len(job_line.tasks) + 1)
         job_line.cost_s -= task.cost_s
-        if job_line.tasks:
-            line.ring[job] = job_line
-        else:
+        self._count_start(line, job_line, task)
+        if not job_line.tasks:
             del self._jobs[job]
-        self._virtual_s = max(self._virtual_s, line.virtual_s)
+        elif job_line.small:
+            ring[job] = job_line
+        elif len(job_line.tasks) <= SMALL_TASKS:
+            self._make_small(line, job, job_line)
+        else:
+            ring[job] = job_line
+            ring.move_to_end(job, last=False)
+        self._virtual_s = max(self._virtual_s, turn_s)
         line.virtual_s += task.cost_s / line.weight
         self._forget(team, line, 1, task.cost_s)
         return task
 
+    def _count_start(self, line, job_line, task):
+        self._small -= job_line.small
+        self._small_share += SHARE_GAIN * (job_line.small - self._small_share)
+        line.small_cost_s -= task.cost_s if job_line.small else 0.0
+        line.ahead_s = line.ahead_s + task.cost_s if job_line.small else 0.0
+
     def _forget(self, team, line, tasks, cost_s):
         line.tasks -= tasks
         line.cost_s -= cost_s
         self._tasks -= tasks
         if not line.tasks:
-            line.cost_s = 0.0
+            line.cost_s = line.small_cost_s = 0.0
             del self._active[team]
 
     def cancel_job(self, job):
@@ -218,8 +262,10 @@
         if job_line is None:
             return 0
         line = self._teams[job_line.team]
-        del line.ring[job]
-        self._small -= _small(len(job_line.tasks))
+        del (line.small if job_line.small else line.large)[job]
+        if job_line.small:
+            self._small -= len(job_line.tasks)
+            line.small_cost_s -= job_line.cost_s
         self._forget(job_line.team, line, len(job_line.tasks), job_line.cost_s)
         return len(job_line.tasks)
 
@@ -231,12 +277,26 @@
         """Return the number of waiting tasks by team."""
         return {team: line.tasks for team, line in self._active.items()}
 
-    def team_cost_s(self, team):
-        """Return the summed expected run time of a team's waiting tasks, in seconds."""
+    def team_cost_s(self, team, *, small=False):
+        """Return the summed expected run time of a team's waiting tasks, in seconds.
+
+        Parameters
+        ----------
+        team : str
+            The team.
+        small : bool, optional
+            Whether to count only tasks of small jobs.
+        """
         line = self._active.get(team)
-        return 0.0 if line is None else line.cost_s
+        if line is None:
+            return 0.0
+        return line.small_cost_s if small else line.cost_s
+
+    def is_shared(self, team):
+        """Return whether tasks of other teams than `team` wait."""
+        return len(self._active) > (team in self._active)
 
-    def expected_wait_s(self, *, team, slots, job_cost_s=0.0):
+    def expected_wait_s(self, *, team, slots, job_cost_s=0.0, small=False):
         """Return the expected time until a new job of `team` has started its last task.
 
         Parameters
@@ -247,16 +307,18 @@
             Slots that serve this queue, at least a fraction of one.
         job_cost_s : float, optional
             Summed expected run time of the new job's tasks, in seconds.
+        small : bool, optional
+            Whether the new job is small, so that only small ones are before it.
 
         Notes
         -----
         A fluid estimate: until the team's own work is done, each other team gets at most its
         weighted share of the same time.
         """
-        own = self._teams.get(team, _TeamLine())
-        span = (own.cost_s + job_cost_s) / own.weight
-        work_s = own.cost_s + job_cost_s
+        work_s = self.team_cost_s(team, small=small) + job_cost_s
+        span = work_s / self._teams.get(team, _TeamLine()).weight
         for name, line in self._active.items():
             if name != team:
-                work_s += min(line.cost_s, span * line.weight)
+                cost_s = line.small_cost_s if small else line.cost_s
+                work_s += min(cost_s, span * line.weight)
         return work_s / max(slots, 0.001)
