Throughput bench: cases by size, rounds, system time, and a sampling profile of one process

The sampler counts processor time by a timer signal and takes the wake-up descriptor from the daemon, which reads every signal there as a stop request. Conclusion: the share of the loop's own work can be seen now.

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -1,12 +1,15 @@
 """Task starts a second and processor time per task of the real path, over real processes.
 
-``python -m bench.throughput [--processes N] [--profile]`` prints one JSON line a case. Load comes
-from the client library in this process; each case is bounded in jobs and time.
+``python -m bench.throughput [--processes N] [--tasks N] [--rounds N] [--profile]`` prints one JSON
+line a case. Load comes from the client library in this process; each case is bounded in jobs and
+time. With ``--profile`` the first process runs under the sampler, and the functions that were
+sampled most follow each case; its figures are then not to be compared with those without.
 """
 
 import argparse
 import json
 import os
+import signal
 import time
 import warnings
 from dataclasses import dataclass
@@ -19,11 +22,14 @@
 
 from burdocklug.client import Client, JobFailed  # noqa: E402
 from standins.fleet import Deployment, Fleet  # noqa: E402
+from standins.launch import launch  # noqa: E402
 
 __all__ = ["Case", "cpu_seconds", "measure"]
 
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 WARM_JOBS = 5
+SHOWN_FUNCTIONS = 25
+WRITE_S = 0.5
 US_PER_S = 1e6
 
 
@@ -39,11 +45,50 @@
 CASES = (Case(1, 1500, 32), Case(20, 150, 16), Case(200, 20, 8))
 
 
+class SampledFleet(Fleet):
+    """A fleet whose first process runs under the sampler."""
+
+    @property
+    def samples_path(self):
+        """File that the sampler writes."""
+        return self.directory / "samples.json"
+
+    def start_process(self, name, **changes):
+        """Start a process, the first one with the sampler."""
+        if name != self.names[0]:
+            return super().start_process(name, **changes)
+        path = self.directory / f"{name}.yaml"
+        self.settings[name] = self.process_settings(name)
+        path.write_text(json.dumps(self.settings[name]), encoding="utf-8")
+        arguments = ("bench._sampler", str(self.samples_path), str(path))
+        self.children[name] = launch(*arguments, health=self.operators(name))
+        return self.children[name]
+
+    def clear_samples(self):
+        """Drop the samples so far."""
+        self.children[self.names[0]].signal(signal.SIGUSR1)
+
+    def read_samples(self):
+        """Return the samples since the last `clear_samples`."""
+        self.children[self.names[0]].signal(signal.SIGUSR2)
+        time.sleep(WRITE_S)
+        return json.loads(self.samples_path.read_text(encoding="utf-8"))
+
+
 def cpu_seconds(pid):
     """Return the processor time a process has used, in seconds."""
-    with open(f"/proc/{pid}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    return sum(cpu_of_modes([pid]))
+
+
+def cpu_of_modes(pids):
+    """Return the processor time of processes in user and in system mode, in seconds."""
+    user_s = system_s = 0.0
+    for pid in pids:
+        with open(f"/proc/{pid}/stat", encoding="ascii") as file:
+            fields = file.read().rpartition(")")[2].split()
+        user_s += int(fields[11]) / TICKS_PER_S
+        system_s += int(fields[12]) / TICKS_PER_S
+    return user_s, system_s
 
 
 def deployment_of(processes):
@@ -83,31 +128,53 @@
     """Return the figures of one case as plain data."""
     run_jobs(fleet, Case(case.tasks, WARM_JOBS, WARM_JOBS))
     pids = [fleet.children[name].pid for name in fleet.names]
-    cpu_s = sum(map(cpu_seconds, pids))
+    user_s, system_s = cpu_of_modes(pids)
     began_s = time.monotonic()
     complete = run_jobs(fleet, case)
     wall_s = time.monotonic() - began_s
-    cpu_s = sum(map(cpu_seconds, pids)) - cpu_s
+    ended_user_s, ended_system_s = cpu_of_modes(pids)
+    user_s, system_s = ended_user_s - user_s, ended_system_s - system_s
+    cpu_s = user_s + system_s
     started = complete * case.tasks
     return {
         "name": f"throughput/processes={len(pids)}/tasks={case.tasks}",
         "jobs": complete,
         "starts_per_s": round(started / wall_s),
         "cpu_us_per_task": round(US_PER_S * cpu_s / max(1, started)),
+        "system_us_per_task": round(US_PER_S * system_s / max(1, started)),
         "cpu_share": round(cpu_s / wall_s, 2),
     }
 
 
+def print_samples(samples):
+    """Print the functions that were sampled most, by their shares in percent."""
+    total = max(1, samples["samples"])
+    for kind in ("own", "all"):
+        print(f"{kind} % of {total} samples")
+        shares = sorted(samples[kind].items(), key=lambda item: -item[1])
+        for name, count in shares[:SHOWN_FUNCTIONS]:
+            print(f"  {100 * count / total:5.1f} {name}")
+
+
 def main():
     """Run every case."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--processes", type=int, default=1)
+    parser.add_argument("--tasks", type=int, help="only the case of jobs of this size")
+    parser.add_argument("--rounds", type=int, default=1)
+    parser.add_argument("--profile", action="store_true")
     options = parser.parse_args()
-    with Fleet(deployment_of(options.processes)) as fleet:
+    fleet_type = SampledFleet if options.profile else Fleet
+    cases = [case for case in CASES if options.tasks in (None, case.tasks)]
+    with fleet_type(deployment_of(options.processes)) as fleet:
         fleet.apply(fleet.ticket(1))
         time.sleep(2.0)
-        for case in CASES:
+        for case in cases * options.rounds:
+            if options.profile:
+                fleet.clear_samples()
             print(json.dumps(measure(fleet, case)), flush=True)
+            if options.profile:
+                print_samples(fleet.read_samples())
 
 
 if __name__ == "__main__":
