Attempts: one coarse timer service for silence and deadlines; bench figures beside a reference work

Cause: each attempt set and cancelled two timers of the loop (heap, timer objects, an eventlet Timeout). Both are nearly always cancelled and may be late by a tick of 20 ms. CoarseTimers sets and cancels in constant time, keeps nothing of a cancelled one, and has one timer on the loop while any is set. The kernel's TimerService was ruled out: its heap compares data classes in Python. Conclusion: kept; a deadline may come 40 ms late.

--- a/bench/endpoints.py
+++ b/bench/endpoints.py
@@ -12,6 +12,7 @@
 
 eventlet.monkey_patch()
 
+from bench._reference import scaled_median  # noqa: E402
 from burdocklug.endpoints import (  # noqa: E402
     Attempt,
     CancelBatcher,
@@ -66,11 +67,10 @@
     return (time.process_time() - began_s) * 1e6 / tasks
 
 
-def median_cost(run_one, addresses, tasks, rounds):
-    """Return the median of several `task_cost`, after a warm-up."""
+def median_cost(run_one, addresses, tasks, slices):
+    """Return the median of several `task_cost` after a warm-up, scaled by the reference work."""
     task_cost(run_one, addresses, WARM_UP_TASKS)
-    costs = sorted(task_cost(run_one, addresses, tasks + i) for i in range(rounds))
-    return round(costs[rounds // 2], 1)
+    return round(scaled_median(lambda i: task_cost(run_one, addresses, tasks + i), slices), 1)
 
 
 def cancel_cost(cancellations=10_000, addresses=24):
@@ -95,8 +95,13 @@
     return round((time.process_time() - began_s) * 1e6 / outcomes, 2)
 
 
-def figures(tasks=10_000, rounds=3):
-    """Return processor time per task and per cancellation, in microseconds."""
+def figures(tasks=400, slices=14):
+    """Return processor time per task and per cancellation, in microseconds.
+
+    Notes
+    -----
+    Times per task are scaled by the reference work (`bench/_reference.py`), the others are not.
+    """
     process, addresses = start_standins(ENDPOINTS)
     try:
         http = HttpEndpoints()
@@ -107,11 +112,14 @@
 
         def run(address, attempt):
             deadline_s = time.monotonic() + 10.0
-            return run_attempt(http, address, attempt, deadline_s, 1.0, counts=counts).result
+            outcome = run_attempt(
+                http, address, attempt, deadline_s, 1.0, counts=counts, timers=http.timers
+            )
+            return outcome.result
 
         return {
-            "endpoint_start_cpu_us": median_cost(start, addresses, tasks, rounds),
-            "endpoint_run_attempt_cpu_us": median_cost(run, addresses, tasks + rounds, rounds),
+            "endpoint_start_cpu_us": median_cost(start, addresses, tasks, slices),
+            "endpoint_run_attempt_cpu_us": median_cost(run, addresses, 2 * tasks, slices),
             "endpoint_cancel_cpu_us": cancel_cost(),
             "endpoint_health_cpu_us": health_cost(),
         }
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -2,8 +2,9 @@
 
 ``python -m bench.throughput [--processes N] [--tasks N] [--rounds N] [--profile]`` prints one JSON
 line a case. Load comes from the client library in this process; each case is bounded in jobs and
-time. With ``--profile`` the first process runs under the sampler, and the functions that were
-sampled most follow each case; its figures are then not to be compared with those without.
+time. ``scaled_us_per_task`` is relative to the reference work. With ``--profile`` the first process
+runs under the sampler, and the functions that were sampled most follow each case; its figures are
+then not to be compared with those without.
 """
 
 import argparse
@@ -20,6 +21,7 @@
 
 eventlet.monkey_patch()
 
+from bench._reference import REFERENCE_S, reference_s  # noqa: E402
 from burdocklug.client import Client, JobFailed  # noqa: E402
 from standins.fleet import Deployment, Fleet  # noqa: E402
 from standins.launch import launch  # noqa: E402
@@ -132,6 +134,7 @@
     """Return the figures of one case as plain data."""
     run_jobs(fleet, Case(case.tasks, WARM_JOBS, WARM_JOBS))
     pids = [fleet.children[name].pid for name in fleet.names]
+    work_s = reference_s()
     user_s, system_s = cpu_of_modes(pids)
     began_s = time.monotonic()
     complete = run_jobs(fleet, case)
@@ -139,6 +142,7 @@
     ended_user_s, ended_system_s = cpu_of_modes(pids)
     user_s, system_s = ended_user_s - user_s, ended_system_s - system_s
     cpu_s = user_s + system_s
+    work_s = (work_s + reference_s()) / 2
     started = complete * case.tasks
     return {
         "name": f"throughput/processes={len(pids)}/tasks={case.tasks}",
@@ -146,6 +150,7 @@
         "starts_per_s": round(started / wall_s),
         "cpu_us_per_task": round(US_PER_S * cpu_s / max(1, started)),
         "system_us_per_task": round(US_PER_S * system_s / max(1, started)),
+        "scaled_us_per_task": round(US_PER_S * cpu_s / max(1, started) * REFERENCE_S / work_s),
         "cpu_share": round(cpu_s / wall_s, 2),
     }
 
--- a/burdocklug/endpoints/_http.py
+++ b/burdocklug/endpoints/_http.py
@@ -12,6 +12,7 @@
     read_start_answer,
     read_status_answer,
 )
+from burdocklug.endpoints._coarse_timers import CoarseTimers
 from burdocklug.endpoints._connections import AddressConnections, exchange, open_connection
 from burdocklug.endpoints._models import EndpointSilent, MaybeStarted, NotStarted
 from burdocklug.endpoints._protocol import EndpointProtocol, endpoint_protocols
@@ -37,6 +38,8 @@
         Seconds after which an unused connection is closed.
     now : callable
         Returns monotonic seconds.
+    timers : CoarseTimers, optional
+        End attempts and questions that take too long.
 
     Attributes
     ----------
@@ -51,12 +54,14 @@
         connect_timeout_s=CONNECT_TIMEOUT_S,
         idle_s=IDLE_S,
         now=time.monotonic,
+        timers=None,
     ):
         self.max_connections = max_connections
         self.connect_timeout_s = connect_timeout_s
         self.idle_s = idle_s
         self.now = now
         self.counts = Counter()
+        self.timers = timers or CoarseTimers()
         self._connections = {}
 
     def start(self, address, attempt, *, timeout_s):
@@ -71,7 +76,7 @@
         )
         path = f"/v1/attempts/{urllib.parse.quote(attempt.attempt_id, safe='')}"
         self.counts["starts"] += 1
-        with _time_limit(address, timeout_s) as limit:
+        with _time_limit(address, timeout_s, self.timers) as limit:
             kept = self._kept(address)
             conn, generation = kept.acquire(self.now())
             limit.sent = True
@@ -96,7 +101,7 @@
 
     def _question(self, address, method, path, body, timeout_s):
         try:
-            with _time_limit(address, timeout_s) as limit:
+            with _time_limit(address, timeout_s, self.timers) as limit:
                 conn = open_connection(address, min(timeout_s, self.connect_timeout_s))
                 self.counts["opened"] += 1
                 limit.sent = True
@@ -160,24 +165,36 @@
         The endpoint, for the message.
     timeout_s : float
         Seconds until the block is interrupted.
+    timers : CoarseTimers
+        Interrupts it.
     """
 
-    __slots__ = ("address", "sent", "timeout", "timeout_s")
+    __slots__ = ("address", "expiry", "owner", "sent", "timeout_s", "timer")
 
-    def __init__(self, address, timeout_s):
+    def __init__(self, address, timeout_s, timers):
         self.address = address
         self.timeout_s = timeout_s
         self.sent = False
+        self.expiry = None
+        self.owner = eventlet.getcurrent()
+        self.timer = timers.after(timeout_s, self._expire)
+
+    def _expire(self):
+        self.expiry = _Expired()
+        self.owner.throw(self.expiry)
 
     def __enter__(self):
-        self.timeout = eventlet.Timeout(self.timeout_s)
         return self
 
     def __exit__(self, _kind, exc, _trace):
-        self.timeout.cancel()
-        if exc is not self.timeout:
+        self.timer.cancel()
+        if exc is None or exc is not self.expiry:
             return
         message = f"no answer from {self.address} in {self.timeout_s} s"
         if self.sent:
             raise MaybeStarted("timeout", message) from exc
         raise NotStarted("refused", message) from exc
+
+
+class _Expired(BaseException):
+    """Interrupts a block whose time is over."""
--- a/burdocklug/endpoints/_part.py
+++ b/burdocklug/endpoints/_part.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from burdocklug.endpoints._cancel import CancelBatcher
+from burdocklug.endpoints._coarse_timers import CoarseTimers
 from burdocklug.endpoints._protocol import endpoint_protocols
 from burdocklug.endpoints._view import EndpointView
 from burdocklug.kernel import part
@@ -43,7 +44,10 @@
         self._peers = process["peers"]
         self._rng = random.Random()
         self._counts = Counter()
-        self.protocol = endpoint_protocols.get(PROTOCOL)(now=process.timers.now)
+        self._coarse_timers = CoarseTimers()
+        self.protocol = endpoint_protocols.get(PROTOCOL)(
+            now=process.timers.now, timers=self._coarse_timers
+        )
         self.view = EndpointView(self._rng)
         self.budget = RetryBudget()
         self._cancellations = CancelBatcher(self.protocol, process.timers)
@@ -91,6 +95,7 @@
             counts=self._counts,
             now=self._now,
             rng=self._rng,
+            timers=self._coarse_timers,
         )
         self._learn(service, address, outcome, expected_s)
         return outcome
--- a/burdocklug/endpoints/_reading.py
+++ b/burdocklug/endpoints/_reading.py
@@ -44,7 +44,7 @@
 
 @functools.lru_cache(maxsize=KEPT_HEADS)
 def parse_head(data):
-    """Return what a head says, or None where only `http.client` can tell where the answer ends.
+    r"""Return what a head says, or None where only `http.client` can tell where the answer ends.
 
     Parameters
     ----------
@@ -58,9 +58,9 @@
 
     Examples
     --------
-    >>> parse_head(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\n")
+    >>> parse_head(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
     Head(status=200, length=2, reusable=True)
-    >>> parse_head(b"HTTP/1.1 100 Continue\\r\\n\\r\\n") is None
+    >>> parse_head(b"HTTP/1.1 100 Continue\r\n\r\n") is None
     True
     """
     source = _HeadOnly(data)
--- a/burdocklug/retries/_attempts.py
+++ b/burdocklug/retries/_attempts.py
@@ -177,6 +177,7 @@
     counts,
     now=time.monotonic,
     rng=random,
+    timers=None,
 ):
     """Run one attempt and return its only outcome.
 
@@ -199,6 +200,8 @@
         Returns monotonic seconds.
     rng : random.Random, optional
         Source of the backoff's jitter.
+    timers : CoarseTimers, optional
+        Begin to ask; the loop's own timers by default.
 
     Returns
     -------
@@ -214,7 +217,8 @@
     if run.left_s() <= 0:
         return NotRun(FailedPhase.DEADLINE.value)
     race = _Race(run)
-    timer = eventlet.hubs.get_hub().schedule_call_global(expected_s, race.ask_when_silent)
+    after = eventlet.hubs.get_hub().schedule_call_global if timers is None else timers.after
+    timer = after(expected_s, race.ask_when_silent)
     try:
         return _start(run, race)
     except _Resolved:
