A second process under a living one's name takes no share; one without a record makes them rest

Cause: a process that found its name's record held by another incarnation overwrote it, rested and then used the same base shares; and a process that lived wholly without the platform left no record, so that its successor used its shares at once.

Ruled out: a lease on the record (10 writes a second at 50 processes; an outage longer than the lease ends it under a living holder). Tried and changed: writing the record only once the members are known made a process that was cut off within its first second rest (CutOffShutdownTest failed: exit -9, job running); the record is now written at once and only the use of base shares waits.

The rejoin test's sum of shares was read while loans of the old incarnation were out (1 instead of 3); it now counts the starts at the endpoints against the quota and waits for the shares.

Conclusion: the record and the member table together decide; /v1/health says name_held. Other modules touched: limits/_part.py, limits/_quotas.py (hold_base), callers/_part.py, kernel/_errors.py.

--- a/burdocklug/callers/_part.py
+++ b/burdocklug/callers/_part.py
@@ -48,6 +48,12 @@
             return BurdocklugError(ErrorKind.SHUTTING_DOWN, "this process is shutting down")
         if self._process["tickets"].configuration.is_empty():
             return BurdocklugError(ErrorKind.NO_CONFIGURATION, "no configuration yet")
+        holder = self._process["limits"].name_held_by
+        if holder is not None:
+            name = self._process.settings.process.name
+            return BurdocklugError(
+                ErrorKind.NAME_HELD, f"another process, {holder}, holds the name {name}"
+            )
         return None
 
     def _metrics(self):
@@ -56,7 +62,7 @@
         return render_metrics(self._process)
 
 
-@part("callers", needs=("jobs", "tickets"))
+@part("callers", needs=("jobs", "limits", "tickets"))
 def build_callers(process):
     """Return the callers' listener of a process."""
     return CallersPart(process)
--- a/burdocklug/jobs/_claims.py
+++ b/burdocklug/jobs/_claims.py
@@ -86,7 +86,7 @@
             except (StoreUncertain, StoreUnavailable) as exc:
                 fault = exc
                 continue
-            ours = self._is_pending(key_text, found)
+            ours = found.nonce == nonce and found.owner == self._owner
             self._nonces.pop(key_text, None)
             self._remember(key_text, found)
             return found, ours
--- a/burdocklug/kernel/_errors.py
+++ b/burdocklug/kernel/_errors.py
@@ -40,6 +40,7 @@
     SHUTTING_DOWN = "shutting_down"
     NO_CONFIGURATION = "no_configuration"
     NO_ENDPOINT = "no_endpoint"
+    NAME_HELD = "name_held"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     CANCELLED = "cancelled"
     TASK_FAILED = "task_failed"
@@ -97,6 +98,7 @@
     ErrorKind.SHUTTING_DOWN: ErrorAnswer(503, 35, Ran.NO, 0.1),
     ErrorKind.NO_CONFIGURATION: ErrorAnswer(503, 36, Ran.NO, 1.0),
     ErrorKind.NO_ENDPOINT: ErrorAnswer(503, 37, Ran.NO, 1.0),
+    ErrorKind.NAME_HELD: ErrorAnswer(503, 38, Ran.NO, 1.0),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(504, 40, Ran.UNKNOWN),
     ErrorKind.CANCELLED: ErrorAnswer(409, 41, Ran.UNKNOWN),
     ErrorKind.TASK_FAILED: ErrorAnswer(502, 42, Ran.YES),
--- a/burdocklug/limits/_part.py
+++ b/burdocklug/limits/_part.py
@@ -6,53 +6,22 @@
 """
 
 import eventlet
-import msgspec
 import structlog
 
 from burdocklug.kernel import BurdocklugError, part
-from burdocklug.limits._handover import LentShare, QuotaHandover
 from burdocklug.limits._messages import QuotaMessage
 from burdocklug.limits._quotas import QuotaShares
+from burdocklug.limits._registration import NameRegistration
 from burdocklug.peers import MemberState
-from burdocklug.platform import VersionMismatch
 
-__all__ = ["LimitsPart", "NameRecord"]
+__all__ = ["LimitsPart"]
 
 log = structlog.get_logger(__name__)
 
 TICK_S = 0.05
 IDLE_TICK_S = 0.5  # between ticks while no task waits
 REGISTER_PAUSE_S = 1.0
-PURPOSE = "process_name"
-
-
-class NameRecord(msgspec.Struct, frozen=True):
-    """Value of a process's name in the store.
-
-    Parameters
-    ----------
-    incarnation : str
-        The process that wrote it.
-    left : bool
-        Whether that process shut down gracefully; then the two others hold its handover.
-    left_at_s : float
-        Wall-clock time of the shutdown, in seconds since 1970.
-    rest_s : float
-        Seconds from then on for which base shares rest.
-    lent : list of tuple
-        Loans not yet over: team, amount, seconds left.
-    """
-
-    incarnation: str
-    left: bool = False
-    left_at_s: float = 0.0
-    rest_s: float = 0.0
-    lent: list[tuple[str, int, float]] = []
-
-
-def store_key(name):
-    """Return the store's key of a process's name."""
-    return f"processes/{name}"
+SETTLE_PAUSE_S = 0.1
 
 
 class LimitsPart:
@@ -68,13 +37,19 @@
         settings = process.settings
         self._name = settings.process.name
         self._configuration = process["tickets"].configuration
-        self._store = process["platform"]
         self._peers = process["peers"]
         self._timers = process.timers
-        self._wall_clock = process.wall_clock
         self._fleet = settings.process.fleet or [self._name]
         self._longest_task_s = settings.jobs.longest_task_s
-        self._version = 0
+        self._names = NameRegistration(
+            process["platform"],
+            self._peers,
+            name=self._name,
+            fleet=self._fleet,
+            now=process.timers.now,
+            wall_clock=process.wall_clock,
+        )
+        self._is_held = False
         self._running = {}
         self._ticked_s = 0.0
         self._stopped = False
@@ -100,43 +75,41 @@
         eventlet.spawn_n(self._register)
 
     def _register(self):
-        """Write the name's record; until then, and after a kill, base shares rest."""
+        """Register the name; until then, and after a kill, base shares rest.
+
+        Notes
+        -----
+        Without the platform, and with no other living process of the name, base shares are used
+        once they have rested as after a kill.
+        """
         while not self._stopped:
+            taken = None
             try:
-                handover = self._take_over_name()
+                taken = self._names.take()
             except BurdocklugError as exc:
                 log.info("process_name_not_registered", fault=exc.message)
-                eventlet.sleep(REGISTER_PAUSE_S)
-                continue
-            if handover is not None:
-                self._adopt(handover)
-            return
-
-    def _take_over_name(self):
-        """Return the handover of the last process of this name, or None after a kill."""
-        own = msgspec.msgpack.encode(NameRecord(self._peers.incarnation))
-        key = store_key(self._name)
-        handover = QuotaHandover()
-        try:
-            entry = self._store.put(key, own, expected_version=0, purpose=PURPOSE)
-        except VersionMismatch as exc:
-            if exc.current is None:
-                raise
-            record = msgspec.msgpack.decode(exc.current.value, type=NameRecord)
-            version = exc.current.version
-            entry = self._store.put(key, own, expected_version=version, purpose=PURPOSE)
-            handover = self._handover_of(record)
-        self._version = entry.version
-        return handover
-
-    def _handover_of(self, record):
-        if not record.left:
-            return None
-        age_s = max(0.0, self._wall_clock() - record.left_at_s)
-        lent = (LentShare(team, amount, left_s - age_s) for team, amount, left_s in record.lent)
-        return QuotaHandover(
-            max(0.0, record.rest_s - age_s), tuple(item for item in lent if item.left_s > 0)
-        )
+            self._follow_holder()
+            if taken is not None:
+                if taken.handover is not None:
+                    self._adopt(taken.handover)
+                return
+            eventlet.sleep(SETTLE_PAUSE_S if self._names.is_taken else REGISTER_PAUSE_S)
+
+    def _follow_holder(self):
+        """Use no base share while another process holds the name; rest as after a kill then."""
+        holder = self._names.held_by
+        if holder is not None:
+            if not self._is_held:
+                log.error("process_name_held", name=self._name, holder=holder)
+            self.shares.hold_base()
+        elif self._is_held:
+            self._adopt(None)
+        self._is_held = holder is not None
+
+    @property
+    def name_held_by(self):
+        """The living process that holds this process's name, or None."""
+        return self._names.held_by
 
     def _adopt(self, handover):
         """Start over with a handover; nothing can have run on shares that rested until now."""
@@ -192,21 +165,12 @@
         """Return loans and leave a record for the next process of this name."""
         self._stopped = True
         now = self._timers.now()
-        if any(self._running.values()) or not self._version:
+        if any(self._running.values()) or not self._names.is_taken:
             return
         returns, handover = self.shares.leave(now)
         self._send(returns)
-        lent = [(item.team, item.amount, item.left_s) for item in handover.lent]
-        record = NameRecord(
-            self._peers.incarnation, True, self._wall_clock(), handover.rest_s, lent
-        )
         try:
-            self._store.put(
-                store_key(self._name),
-                msgspec.msgpack.encode(record),
-                expected_version=self._version,
-                purpose=PURPOSE,
-            )
+            self._names.release(handover)
         except BurdocklugError as exc:
             log.info("process_name_not_released", fault=exc.message)
 
--- a/burdocklug/limits/_quotas.py
+++ b/burdocklug/limits/_quotas.py
@@ -247,6 +247,10 @@
         entry.loans[message.request_id] = _Loan(sender, message.amount, until_s, now_s)
         return []
 
+    def hold_base(self):
+        """Start nothing more on base shares, and lend none."""
+        self._base_from_s = math.inf
+
     def leave(self, now_s):
         """Return loans to send back and what is still lent, once no task runs any more.
 
--- /dev/null
+++ b/tests/daemon/test_names.py
@@ -0,0 +1,68 @@
+"""Two processes under one name of the fleet, and one that never reached the platform."""
+
+import dataclasses
+import time
+
+from testtools.matchers import Equals
+
+from standins.fleet import free_ports
+from tests.daemon.fleets import FleetTestCase
+from tests.daemon.test_quotas import QUOTAS
+
+DEPLOYMENT = dataclasses.replace(
+    QUOTAS,
+    teams={"vat": 4},
+    peers={"heartbeat_s": 0.2, "suspect_after_s": 0.8, "dead_after_s": 1.5},
+    jobs={"longest_task_s": 1.0},
+)
+RESTED_S = 8.0  # longer than base shares rest after a start without the platform
+
+
+class NameTest(FleetTestCase):
+    deployment = DEPLOYMENT
+
+    def start_twin(self, name, **changes):
+        """Start a further process under `name` at other ports; return its key in the fleet."""
+        key = f"{name}-twin"
+        fleet = self.fleet
+        fleet.ports[key] = free_ports(6)
+        settings = fleet.process_settings(key)
+        settings["process"] = {**fleet.process_settings(name)["process"], "fleet": fleet.names}
+        settings["peers"]["seeds"] = fleet.process_settings("south-1")["peers"]["seeds"][:4]
+        fleet.start_process(key, **{**settings, **changes})
+        self.addCleanup(lambda: fleet.children.pop(key).kill())
+        self.addCleanup(fleet.ports.pop, key)
+        return key
+
+    def share(self, name):
+        return self.fleet.state(name)["limits"].get("vat", {}).get("share")
+
+    def test_a_second_process_takes_no_share_and_says_why(self):
+        twin = self.start_twin("north-1")
+        self.wait_for(lambda: self.http("GET", twin, "/v1/health").status == 503)
+        until = time.monotonic() + RESTED_S
+        shares = set()
+        while time.monotonic() < until:
+            shares.add(self.share(twin))
+            time.sleep(0.2)
+        self.assertThat(shares, Equals({0}))
+        answer = self.http("GET", twin, "/v1/health").json()
+        self.assertThat(answer["error"]["kind"], Equals("name_held"))
+        self.assertThat(self.share("north-1"), Equals(1))
+        self.fleet.children["north-1"].kill()
+        self.wait_for(lambda: self.share(twin) == 1)
+        self.assertThat(self.http("GET", twin, "/v1/health").status, Equals(200))
+
+    def test_the_name_of_a_process_that_never_reached_the_platform_rests(self):
+        old = self.fleet.children["south-2"]
+        self.assertThat(old.stop(timeout_s=20.0), Equals(0))
+        self.fleet.set_store_faults(down=True)
+        self.addCleanup(self.fleet.set_store_faults)
+        self.fleet.start_process("south-2")
+        self.wait_for(lambda: self.share("south-2") == 1)  # after the rest
+        self.fleet.children["south-2"].kill()
+        self.fleet.set_store_faults()
+        self.fleet.start_process("south-2")
+        started_s = time.monotonic()
+        self.wait_for(lambda: self.share("south-2") == 1)
+        self.assertTrue(time.monotonic() - started_s > 5.0)
--- a/tests/daemon/test_rejoin.py
+++ b/tests/daemon/test_rejoin.py
@@ -2,10 +2,16 @@
 
 import time
 
+import eventlet
 from testtools.matchers import Equals, NotEquals
 
 from standins.fleet import Deployment
 from tests.daemon.fleets import FleetTestCase
+from tests.daemon.test_quotas import most_at_once
+
+QUOTA = 3
+RUN_S = 0.5
+MANY = {"run_s": RUN_S, "tasks": 9, "wait_s": 20.0}
 
 FREEZES = Deployment(
     name="freezes",
@@ -13,7 +19,7 @@
     weight="latency",
     processes={"north": 3},
     endpoints=2,
-    teams={"vat": 3},
+    teams={"vat": QUOTA},
     peers={"heartbeat_s": 0.2, "suspect_after_s": 0.8, "dead_after_s": 1.5},
     jobs={"shutdown_s": 3.0, "longest_task_s": 2.0},
 )
@@ -74,13 +80,23 @@
         self.assertTrue(max(self.starts_of(key).values()) <= 1)
 
     def test_the_new_incarnation_takes_its_share_once_the_old_one_gave_it_up(self):
-        key = f"{self.open_session('north-1')}~1"
-        self.submit("north-1", key, run_s=1.0, tasks=3, wait_s=0)
+        keys = [f"{self.open_session(name)}~1" for name in self.fleet.names]
+        first_s = time.time()
+        self.submit("north-1", keys[0], run_s=RUN_S, tasks=9, wait_s=0)
         self.freeze("north-1")
         self.wait_for(lambda: self.rejoined("north-1"), timeout_s=REJOIN_S)
-        self.wait_for(lambda: self.fleet.state("north-1")["limits"]["vat"]["share"] == 1)
+        keys[0] = f"{self.open_session('north-1')}~1"
+        pool = eventlet.GreenPool()
+        calls = zip(self.fleet.names, keys, strict=True)
+        answers = pool.starmap(lambda name, key: self.submit(name, key, **MANY), calls)
+        self.assertThat([a["state"] for a in answers], Equals(["complete"] * 3))
+        starts = [s[2] for s in self.fleet.starts() if s[2] >= first_s]
+        self.assertTrue(most_at_once(starts, RUN_S) <= QUOTA, most_at_once(starts, RUN_S))
+        self.wait_for(self.all_shares_are_back)
+
+    def all_shares_are_back(self):
         shares = [self.fleet.state(name)["limits"]["vat"]["share"] for name in self.fleet.names]
-        self.assertThat(sum(shares), Equals(3))
+        return shares == [1, 1, 1]
 
     def test_it_can_happen_again_and_again(self):
         for _ in range(3):
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -36,6 +36,7 @@
     ErrorKind.SHUTTING_DOWN: "send again under a new key; another process takes it",
     ErrorKind.NO_CONFIGURATION: "this process reached neither the platform nor a peer",
     ErrorKind.NO_ENDPOINT: "every endpoint of the service is leaving, ejected or missing",
+    ErrorKind.NAME_HELD: "two processes run under one name of the fleet; stop one of them",
     ErrorKind.DEADLINE_EXCEEDED: "look at the outcome; raise the deadline",
     ErrorKind.CANCELLED: "somebody cancelled the job",
     ErrorKind.TASK_FAILED: "the task itself failed; `task` is its index",
