One function chooses who reads from the platform; host lists with a lower version are counted

Cause: hosts.should_poll and tickets.choose_watcher decided alike in two places; a platform that numbers its host lists anew was ignored without a word.

Ruled out: taking a lower version after some minutes, and an epoch of our own (docs/decisions/tickets.md); the platform's interface can't tell a restart from a late read.

Conclusion: peers.choose_reader; hosts.counts.older and the log line hosts_older tell the operator.

--- a/burdocklug/hosts/__init__.py
+++ b/burdocklug/hosts/__init__.py
@@ -1,5 +1,5 @@
 """Leaving hosts: the platform's list, polled by one process of each failure domain and spread."""
 
-from burdocklug.hosts._watch import HostWatch, should_poll
+from burdocklug.hosts._watch import HostWatch
 
-__all__ = ["HostWatch", "should_poll"]
+__all__ = ["HostWatch"]
--- a/burdocklug/hosts/_watch.py
+++ b/burdocklug/hosts/_watch.py
@@ -9,10 +9,10 @@
 
 from burdocklug.hosts._messages import GetHosts, Hosts
 from burdocklug.kernel import BurdocklugError
-from burdocklug.peers import MemberState
+from burdocklug.peers import choose_reader
 from burdocklug.platform import HostList, merge_host_lists
 
-__all__ = ["HostWatch", "should_poll"]
+__all__ = ["HostWatch"]
 
 log = structlog.get_logger(__name__)
 
@@ -22,30 +22,6 @@
 PURPOSE = "hosts"
 
 
-def should_poll(incarnation, members, failure_domain):
-    """Return whether `incarnation` is the one that polls for its failure domain.
-
-    Parameters
-    ----------
-    incarnation : str
-        This process.
-    members : iterable of Member
-        The known members without this process.
-    failure_domain : str
-        The failure domain of this process.
-
-    Notes
-    -----
-    The lowest live incarnation polls. Views may differ for some seconds; then two poll or, until
-    the fallback poll, none.
-    """
-    return all(
-        incarnation < member.incarnation
-        for member in members
-        if member.failure_domain == failure_domain and member.state is MemberState.ALIVE
-    )
-
-
 class HostWatch:
     """Polls, spreads and answers which hosts are leaving.
 
@@ -67,7 +43,7 @@
         self._fetching = False
         self._polling = False
         self._polled_s = timers.now()
-        self._counts = {"polls": 0, "poll_failures": 0, "fetches": 0, "changes": 0}
+        self._counts = {"polls": 0, "poll_failures": 0, "fetches": 0, "changes": 0, "older": 0}
         peers.register(Hosts)
         peers.register(GetHosts, self._on_get, inline=True)
         peers.add_heartbeat_part("hosts", lambda: self.hosts.version or None, self._on_version)
@@ -91,10 +67,9 @@
 
     def _poll_when_due(self):
         now = self._timers.now()
-        poller = should_poll(
-            self._peers.incarnation, self._peers.members(), self._peers.failure_domain
-        )
-        if self._polling or not (poller or now - self._polled_s >= FALLBACK_POLL_S):
+        own = self._peers.incarnation
+        reader = choose_reader(own, self._peers.failure_domain, self._peers.members())
+        if self._polling or not (reader == own or now - self._polled_s >= FALLBACK_POLL_S):
             return
         self._polling = True
         self._polled_s = now
@@ -103,13 +78,23 @@
     def _poll(self):
         self._counts["polls"] += 1
         try:
-            self.adopt(self._store.hosts(purpose=PURPOSE))
+            found = self._store.hosts(purpose=PURPOSE)
+            self._note_older(found)
+            self.adopt(found)
         except BurdocklugError as exc:
             self._counts["poll_failures"] += 1
             log.debug("hosts_not_read", fault=exc.message)
         finally:
             self._polling = False
 
+    def _note_older(self, found):
+        """Count a list that is older than the one in force: read late, or numbered anew."""
+        if found.version >= self.hosts.version:
+            return
+        if not self._counts["older"]:
+            log.warning("hosts_older", version=found.version, in_force=self.hosts.version)
+        self._counts["older"] += 1
+
     def _on_version(self, member, version):
         if isinstance(version, int) and version > self.hosts.version and not self._fetching:
             self._fetching = True
--- a/burdocklug/peers/__init__.py
+++ b/burdocklug/peers/__init__.py
@@ -4,6 +4,7 @@
 from burdocklug.peers._incarnation import address_of, mint_incarnation, started_ns
 from burdocklug.peers._member import Member, MemberState
 from burdocklug.peers._network import PeerNetwork
+from burdocklug.peers._topology import choose_reader
 
 __all__ = [
     "Member",
@@ -13,6 +14,7 @@
     "PeerNotReached",
     "PeerSilent",
     "address_of",
+    "choose_reader",
     "mint_incarnation",
     "started_ns",
 ]
--- a/burdocklug/peers/_topology.py
+++ b/burdocklug/peers/_topology.py
@@ -2,7 +2,9 @@
 
 import hashlib
 
-__all__ = ["choose_links", "rendezvous_weight"]
+from burdocklug.peers._member import MemberState
+
+__all__ = ["choose_links", "choose_reader", "rendezvous_weight"]
 
 WEIGHT_BYTES = 8
 
@@ -77,3 +79,27 @@
             if by_domain[domain] and len(chosen) < wanted:
                 chosen.add(by_domain[domain].pop())
     return chosen
+
+
+def choose_reader(own, own_domain, members):
+    """Return which incarnation reads from the platform on behalf of the own failure domain.
+
+    Parameters
+    ----------
+    own, own_domain : str
+        The own incarnation and failure domain.
+    members : iterable of Member
+        The known members without the own process.
+
+    Returns
+    -------
+    str
+        The lowest incarnation that is alive in this process's view. A hint: views may differ for
+        some seconds, and two readers cost calls and nothing else.
+    """
+    alive = (
+        member.incarnation
+        for member in members
+        if member.failure_domain == own_domain and member.state is MemberState.ALIVE
+    )
+    return min([own, *alive])
--- a/burdocklug/tickets/_decisions.py
+++ b/burdocklug/tickets/_decisions.py
@@ -17,7 +17,6 @@
     "FollowState",
     "Role",
     "StoreAction",
-    "choose_watcher",
     "is_fresh",
     "live_members",
     "next_action",
@@ -104,25 +103,6 @@
     ]
 
 
-def choose_watcher(own_incarnation, domain_members):
-    """Return which incarnation watches the store for a failure domain.
-
-    Parameters
-    ----------
-    own_incarnation : str
-        This process, a member of the failure domain.
-    domain_members : list of Member
-        The other live members of the failure domain.
-
-    Returns
-    -------
-    str
-        The lowest incarnation. A hint: two processes with other views may both watch, which
-        costs calls and nothing else.
-    """
-    return min([own_incarnation, *(member.incarnation for member in domain_members)])
-
-
 def push_targets(failure_domain, members, *, across):
     """Return the incarnations to which a change is pushed.
 
--- a/burdocklug/tickets/_spread.py
+++ b/burdocklug/tickets/_spread.py
@@ -15,8 +15,9 @@
 
 import structlog
 
+from burdocklug.peers import choose_reader
 from burdocklug.tickets._codec import ValueUnreadable, decode_value
-from burdocklug.tickets._decisions import Role, choose_watcher, is_fresh, live_members
+from burdocklug.tickets._decisions import Role, is_fresh, live_members
 from burdocklug.tickets._exchange import PeerExchange
 from burdocklug.tickets._follow import StoreFollower
 from burdocklug.tickets._loop import eventlet_loop
@@ -83,11 +84,11 @@
 
     def role(self):
         """Return what this process has to do now for its failure domain."""
+        own = self._network.incarnation
         members = live_members(self._network.members(), self.failure_domain)
-        watcher = choose_watcher(self._network.incarnation, members)
         contacts_s = [self._own_contact_s(), *self.exchange.contacts_s(members)]
         return Role(
-            watcher=watcher == self._network.incarnation,
+            watcher=choose_reader(own, self.failure_domain, members) == own,
             fresh=is_fresh(self._timers.now(), contacts_s),
         )
 
--- a/tests/peers/test_topology.py
+++ b/tests/peers/test_topology.py
@@ -3,7 +3,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.peers._topology import choose_links
+from burdocklug.peers import Member, MemberState
+from burdocklug.peers._topology import choose_links, choose_reader
 
 LAYOUTS = st.lists(st.integers(min_value=1, max_value=8), min_size=2, max_size=8)
 
@@ -72,3 +73,21 @@
         self.assertThat({len(chosen) for chosen in links.values()}, Equals({3}))
         self.assertTrue(max(len(ends) for ends in both) <= 8)
         self.assertTrue(sum(len(ends) for ends in both) <= 5 * len(links))
+
+
+class ChooseReaderTest(TestCase):
+    """One process of a failure domain reads from the platform: the lowest that lives."""
+
+    def member(self, incarnation, state=MemberState.ALIVE, domain="north"):
+        return Member(incarnation, incarnation, "", domain, state)
+
+    def test_the_lowest_living_one_of_the_own_failure_domain(self):
+        members = [
+            self.member("a", domain="south"),
+            self.member("b", MemberState.DEAD),
+            self.member("c", MemberState.SUSPECT),
+            self.member("e"),
+        ]
+        self.assertThat(choose_reader("f", "north", members), Equals("e"))
+        self.assertThat(choose_reader("d", "north", members), Equals("d"))
+        self.assertThat(choose_reader("d", "north", []), Equals("d"))
