--- a/burdocklug/cli/_operators.py
+++ b/burdocklug/cli/_operators.py
@@ -10,7 +10,7 @@
 import yaml
 from cyclopts import Parameter
 
-from burdocklug.cli._output import print_json, print_rows
+from burdocklug.cli._output import print_fields, print_json, print_rows
 from burdocklug.kernel import (
     BurdocklugError,
     ErrorKind,
@@ -193,14 +193,7 @@
     if json:
         print_json(answer)
         return
-    for name, part in answer.items():
-        if not isinstance(part, dict):
-            print(f"{name}: {part}")
-            continue
-        print(f"{name}:")
-        for field, value in part.items():
-            text = value if isinstance(value, str) else msgspec.json.encode(value).decode()
-            print(f"  {field}: {text}")
+    print_fields(answer)
 
 
 def endpoints(*, operator: Operator, token: Token, json: bool = False):
--- a/burdocklug/cli/_output.py
+++ b/burdocklug/cli/_output.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["print_json", "print_rows"]
+__all__ = ["print_fields", "print_json", "print_rows"]
 
 
 def print_json(value):
@@ -10,7 +10,7 @@
     print(msgspec.json.encode(value).decode())
 
 
-def print_rows(header, rows):
+def print_rows(header, rows, *, indent=""):
     """Print rows as a table with columns as wide as their widest cell.
 
     Parameters
@@ -19,6 +19,8 @@
         Names of the columns.
     rows : iterable of sequences
         Cells; each is converted by `str`.
+    indent : str, optional
+        Put before each line.
 
     Examples
     --------
@@ -31,4 +33,45 @@
     widths = [max(len(row[col]) for row in table) for col in range(len(header))]
     for row in table:
         line = "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
-        print(line.rstrip())
+        print(f"{indent}{line}".rstrip())
+
+
+def print_fields(fields, *, indent=""):
+    """Print named values: lists of objects as tables, objects as blocks, the rest a line each.
+
+    Parameters
+    ----------
+    fields : dict
+        Values by name, as decoded from JSON.
+    indent : str, optional
+        Put before each line.
+
+    Examples
+    --------
+    >>> print_fields({"limit": 3, "names": ["a"], "queue": {"waiting": 1}})
+    limit: 3
+    names: ["a"]
+    queue:
+      waiting: 1
+    >>> print_fields({"peers": [{"name": "p1", "draining": False}, {"name": "press-2"}]})
+    peers:
+      name     draining
+      p1       false
+      press-2
+    """
+    deeper = f"{indent}  "
+    for name, value in fields.items():
+        if isinstance(value, dict) and value:
+            print(f"{indent}{name}:")
+            print_fields(value, indent=deeper)
+        elif isinstance(value, list) and value and all(isinstance(row, dict) for row in value):
+            print(f"{indent}{name}:")
+            columns = list(dict.fromkeys(column for row in value for column in row))
+            cells = ([_cell(row[c]) if c in row else "" for c in columns] for row in value)
+            print_rows(columns, cells, indent=deeper)
+        else:
+            print(f"{indent}{name}: {_cell(value)}")
+
+
+def _cell(value):
+    return value if isinstance(value, str) else msgspec.json.encode(value).decode()
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -86,7 +86,10 @@
         self.assertThat(done.returncode, Equals(ANSWERS[ErrorKind.TICKET_CONFLICT].exit_code))
 
     def test_state_and_endpoints_are_tables_and_json(self):
-        self.assertThat(self.operator("state").stdout, Contains("tickets:"))
+        text = self.operator("state").stdout
+        self.assertThat(text, Contains("tickets:"))
+        header = next(line for line in text.splitlines() if "incarnation  " in line)
+        self.assertThat(header.split()[:2], Equals(["incarnation", "name"]))
         state = json.loads(self.operator("state", "--json").stdout)
         self.assertThat(state["process"], Equals("north-1"))
         self.assertThat(self.operator("endpoints").stdout, Contains("north-worker-1"))
