--- a/standins/launch.py
+++ b/standins/launch.py
@@ -11,12 +11,13 @@
 import urllib.request
 from pathlib import Path
 
-__all__ = ["Child", "LaunchError", "free_address", "launch"]
+__all__ = ["Child", "LaunchError", "free_address", "launch", "wait_healthy"]
 
 ROOT = Path(__file__).resolve().parent.parent
 POLL_S = 0.02
 PROBE_TIMEOUT_S = 1.0
 STOP_TIMEOUT_S = 10.0
+HEALTHY_TIMEOUT_S = 30.0
 
 _running = {}
 
@@ -109,7 +110,9 @@
         return self.returncode
 
 
-def launch(module, *args, health=None, timeout_s=30.0, env=None, stdout=subprocess.DEVNULL):
+def launch(
+    module, *args, health=None, timeout_s=HEALTHY_TIMEOUT_S, env=None, stdout=subprocess.DEVNULL
+):
     """Start ``python -m module args`` and wait until it answers.
 
     Parameters
@@ -151,11 +154,27 @@
     child = Child(process, module, stderr_path)
     _running[child.pid] = child
     if health is not None:
-        _wait_healthy(child, health, timeout_s)
+        wait_healthy(child, health, timeout_s=timeout_s)
     return child
 
 
-def _wait_healthy(child, health, timeout_s):
+def wait_healthy(child, health, *, timeout_s=HEALTHY_TIMEOUT_S):
+    """Wait until a program answers.
+
+    Parameters
+    ----------
+    child : Child
+        The program.
+    health : str
+        As for `launch`.
+    timeout_s : float, optional
+        Longest wait, seconds.
+
+    Raises
+    ------
+    LaunchError
+        If it ends, or does not answer in time; it is killed then.
+    """
     end_s = time.monotonic() + timeout_s
     while not _answers(health):
         if child.returncode is not None:
