--- a/bench/_capacity_derived.py
+++ b/bench/_capacity_derived.py
@@ -31,12 +31,18 @@
     control_us_per_s: float
     control_us_per_peer: float
     control_us_alone: float
-    control_bytes_per_s: float
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
     bytes_per_peer: float
     growth_bytes: float
     lease_bytes_per_s: dict
     store_calls: dict
 
+    @property
+    def control_bytes_per_s(self):
+        """Bytes of idle control a second, both directions."""
+        return self.sent_bytes_per_s + self.received_bytes_per_s
+
 
 def mean(values):
     """Return the arithmetic mean."""
@@ -98,7 +104,7 @@
     reads = (
         figures["configuration"][largest]["stored_bytes"] * BASE64 / ticket_decisions.SAFETY_POLL_S
     )
-    digests = fit_line(figures["digest"].items()).slope * DIGESTS_PER_S
+    digests = fit_line(figures["digest"].items()).slope * DIGESTS_PER_S / 2  # each way
     unwatched = target.processes - 1 - watched[1]
     per_process = target.starts_per_s / target.processes
     return Derived(
@@ -114,10 +120,8 @@
         control_us_per_s=cpu.at(watched[1]) + added_us,
         control_us_per_peer=cpu.slope,
         control_us_alone=cpu.at_zero + added_us,
-        control_bytes_per_s=sent.at(watched[1])
-        + received.at(watched[1])
-        + reads
-        + digests * unwatched,
+        sent_bytes_per_s=sent.at(watched[1]) + digests * unwatched,
+        received_bytes_per_s=received.at(watched[1]) + reads + digests * unwatched,
         bytes_per_peer=sent.slope + received.slope,
         growth_bytes=resident.at(watched[1]) + added_bytes - figures["imports"]["daemon"],
         lease_bytes_per_s={
--- a/bench/_capacity_roles.py
+++ b/bench/_capacity_roles.py
@@ -49,12 +49,9 @@
             f"{100 * target.core_share:.1f} %",
             verdict(share, target.core_share),
         ),
-        (
-            "bytes, idle, sent and received",
-            f"{derived.control_bytes_per_s:,.0f} B/s",
-            f"{target.control_bytes_per_s:,} B/s",
-            verdict(derived.control_bytes_per_s, target.control_bytes_per_s),
-        ),
+        _bytes_row("sent", derived.sent_bytes_per_s, target),
+        _bytes_row("received", derived.received_bytes_per_s, target),
+        _bytes_row("sent and received", derived.control_bytes_per_s, target),
         (
             "memory: Python and libraries",
             f"{floor / 1e6:.1f} MB",
@@ -81,6 +78,15 @@
     )
 
 
+def _bytes_row(direction, rate, target):
+    return (
+        f"bytes, idle, {direction}",
+        f"{rate:,.0f} B/s",
+        f"{target.control_bytes_per_s:,} B/s",
+        verdict(rate, target.control_bytes_per_s),
+    )
+
+
 def roles_table(figures, derived, target=TARGET):
     """Return the table with one line for each role."""
     cells = {**_task_roles(figures, derived, target), **_control_roles(figures, derived, target)}
@@ -109,7 +115,8 @@
         "dispatcher": (
             f"a lane a service; {target.endpoints} endpoints: {refresh['resident_bytes']:,} B",
             f"{per_process:.0f} starts/s a process, 2 messages each",
-            f"{derived.per_task_us:.0f} µs a task; refresh {refresh['refresh_us']:.0f} µs, 4/s",
+            f"{derived.per_task_us:.0f} µs a task; refresh {refresh['refresh_us']:.0f} µs, 1/s and "
+            "on events",
             f"{refresh['resident_bytes'] / 1e6:.1f} MB, and the queue",
             "processor time of starts in jobs of one task",
             _sizes_that_fit(derived, target),
@@ -214,7 +221,7 @@
             "one request a waiting team and 0.5 s",
             f"tick {quotas['pressed_tick_us']:.0f} µs, 20/s while tasks wait; "
             f"{quotas['idle_tick_us']:.0f} µs, 2/s idle",
-            "under 0.1 MB",
+            f"{quotas['resident_bytes'] / 1e6:.2f} MB",
             f"quotas below {target.processes}: some processes have a base share of 0 and borrow",
             verdict(20 * quotas["pressed_tick_us"] / US_PER_S, target.core_share),
         ),
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -26,6 +26,8 @@
 
 
 DIGEST_MEMBERS = (20, TARGET.processes)
+IDLE_SIZES = (("small", 24), ("large", TARGET.endpoints))
+PER_PEER = "slope per watched peer"
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,37 +147,31 @@
     return table(title, head, rows)
 
 
-def idle_table(idle):
-    """Return the table of idle processes, with the slope per watched peer."""
-    rows = []
-    for size in sorted({run["small"]["processes"] for run in idle}):
-        runs = [run for run in idle if run["small"]["processes"] == size]
-        for name in ("small", "large"):
-            some = [run[name] for run in runs]
-            traffic = [one["bytes_sent_per_s"] + one["bytes_received_per_s"] for one in some]
-            rows.append(
-                (
-                    size,
-                    24 if name == "small" else TARGET.endpoints,
-                    spread(one["processor_us_per_s"] for one in some),
-                    spread(traffic),
-                    spread((one["resident_bytes"] / 1e6 for one in some), 1),
-                )
-            )
+def idle_tables(idle):
+    """Return the tables of idle processes, with the slopes per watched peer."""
     names = ("processor_us_per_s", "bytes_sent_per_s", "bytes_received_per_s", "resident_bytes")
-    for size, endpoints in (("small", 24), ("large", TARGET.endpoints)):
+    processor, traffic = [], []
+    for count in sorted({run["small"]["processes"] for run in idle}):
+        runs = [run for run in idle if run["small"]["processes"] == count]
+        for size, endpoints in IDLE_SIZES:
+            some = [run[size] for run in runs]
+            us, sent, received, resident = ([one[name] for one in some] for name in names)
+            resident_mb = spread((value / 1e6 for value in resident), 1)
+            processor.append((count, endpoints, spread(us)))
+            traffic.append((count, endpoints, spread(sent), spread(received), resident_mb))
+    for size, endpoints in IDLE_SIZES:
         cpu, sent, received, resident = (idle_line(idle, name, size=size) for name in names)
-        rows.append(
-            (
-                "slope per watched peer",
-                endpoints,
-                f"{cpu.slope:.0f} (points within {cpu.largest_residual:.0f})",
-                f"{sent.slope + received.slope:.0f}",
-                f"{resident.slope / 1e6:.2f}",
-            )
-        )
-    head = ("processes", "endpoints", "processor, µs/s", "peer traffic, B/s", "resident, MB")
-    return table("Idle processes in one failure domain, means over the fleet", head, rows)
+        slope = f"{cpu.slope:.0f} (points within {cpu.largest_residual:.0f})"
+        processor.append((PER_PEER, endpoints, slope))
+        rates = (f"{sent.slope:.0f}", f"{received.slope:.0f}", f"{resident.slope / 1e6:.2f}")
+        traffic.append((PER_PEER, endpoints, *rates))
+    where = "of idle processes in one failure domain, means over the fleet"
+    head = ("processes", "endpoints")
+    more = ("sent, B/s", "received, B/s", "resident, MB")
+    return [
+        table(f"Processor time {where}", (*head, "processor, µs/s"), processor),
+        table(f"Peer traffic and memory {where}", (*head, *more), traffic),
+    ]
 
 
 def state_tables(figures):
@@ -263,7 +259,7 @@
     parts = [
         starts_table("Starts with 1 process", figures["starts"]),
         starts_table(f"Starts with {many} processes", figures["starts_many"]),
-        idle_table(figures["idle"]),
+        *idle_tables(figures["idle"]),
         *state_tables(figures),
         store_table(figures),
         whole_process_table(figures, derived),
--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -114,6 +114,7 @@
         self.assertAlmostEqual(100, derived.control_us_per_peer)
         reads, digests = 9000 * 4 / 3 / 30, 4 * 10 * (50 - 1 - most)
         self.assertAlmostEqual(30 * most + reads + digests, derived.control_bytes_per_s)
+        self.assertAlmostEqual(10 * most + digests / 2, derived.sent_bytes_per_s)
         self.assertAlmostEqual(2e6 + 1e5 * most + 500, derived.growth_bytes)
         self.assertAlmostEqual(500, derived.per_job_us)
         self.assertAlmostEqual(200, derived.per_task_us)
