The call budget is the fleet's: a process takes its share by the list or the known processes

Cause: 20 calls/s a process suit 50 processes; with 7 the platform's writes were left unused while caller keys were refused over the budget.

Ruled out: dividing by the living members alone, since each side of a cut would take the whole budget.

Conclusion: platform.fleet_calls_per_s (1,000) is shared; a rise brings no tokens at once.

--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -67,11 +67,16 @@
 
 
 class PlatformSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """The platform's key-value service: its addresses and this process's call budget."""
+    """The platform's key-value service: its addresses and the call budget.
+
+    `fleet_calls_per_s` is shared by the living processes; `calls_per_s` is the budget of a process
+    that knows of no other.
+    """
 
     addresses: list[Address]
     timeout_s: Seconds = 2.0
     calls_per_s: Seconds = 20.0
+    fleet_calls_per_s: Seconds = 1000.0
 
 
 class JobSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/burdocklug/platform/_budget.py
+++ b/burdocklug/platform/_budget.py
@@ -3,7 +3,18 @@
 import enum
 from dataclasses import dataclass, replace
 
-__all__ = ["Bucket", "Priority", "drain_tokens", "refill_tokens", "take_token"]
+__all__ = [
+    "MIN_CALLS_PER_S",
+    "Bucket",
+    "Priority",
+    "change_rate",
+    "drain_tokens",
+    "process_share",
+    "refill_tokens",
+    "take_token",
+]
+
+MIN_CALLS_PER_S = 5.0  # a process's polls and watches need about two
 
 
 class Priority(enum.IntEnum):
@@ -47,6 +58,38 @@
     return replace(bucket, tokens=tokens, at_s=max(now_s, bucket.at_s))
 
 
+def process_share(fleet_calls_per_s, *, names, known):
+    """Return the calls a second of one process out of those of a whole fleet.
+
+    Parameters
+    ----------
+    fleet_calls_per_s : float
+        Budget of the fleet.
+    names : int
+        Processes in the fleet's list, 0 where there is none.
+    known : int
+        Processes that are not known to have ended, this one included.
+
+    Notes
+    -----
+    In a cut each side knows fewer processes; the list keeps the sum within the fleet's budget.
+    Suspect members count, so that without a list this holds until they are forgotten.
+
+    Examples
+    --------
+    >>> process_share(1000.0, names=0, known=50), process_share(1000.0, names=10, known=4)
+    (20.0, 100.0)
+    """
+    return max(MIN_CALLS_PER_S, fleet_calls_per_s / max(1, names, known))
+
+
+def change_rate(bucket, rate_per_s, burst, now_s):
+    """Return the bucket with another rate; a higher one brings no tokens at once."""
+    filled = refill_tokens(bucket, now_s)
+    tokens = min(filled.tokens, burst)
+    return replace(filled, rate_per_s=rate_per_s, burst=burst, tokens=tokens)
+
+
 def drain_tokens(bucket, now_s):
     """Return the bucket without any saved tokens, so that no burst follows an outage."""
     filled = refill_tokens(bucket, now_s)
--- a/burdocklug/platform/_budgeted.py
+++ b/burdocklug/platform/_budgeted.py
@@ -5,7 +5,14 @@
 from collections import Counter
 
 from burdocklug.platform._breaker import Breaker, BreakerState, allows_call, begin_call, end_call
-from burdocklug.platform._budget import Bucket, Priority, drain_tokens, refill_tokens, take_token
+from burdocklug.platform._budget import (
+    Bucket,
+    Priority,
+    change_rate,
+    drain_tokens,
+    refill_tokens,
+    take_token,
+)
 from burdocklug.platform._flights import Abandoned, Flights
 from burdocklug.platform._store import Store, StoreError, StoreUnavailable, StoreUncertain
 
@@ -70,15 +77,23 @@
         self._priorities = DEFAULT_PRIORITIES if priorities is None else priorities
         self._now = now
         self._rng = rng
-        burst = max(1.0, calls_per_s * BURST_S)
+        burst = _call_burst(calls_per_s)
         self._calls = Bucket(calls_per_s, burst, tokens=burst, at_s=now())
         rate_per_s = calls_per_s * WRITE_SHARE if writes_per_s is None else writes_per_s
-        write_burst = max(1.0, rate_per_s * WRITE_BURST_S)
+        write_burst = _write_burst(rate_per_s)
         self._writes = Bucket(rate_per_s, write_burst, tokens=write_burst, at_s=now())
         self._breaker = Breaker()
         self._flights = Flights()
         self._counts = Counter()
 
+    def set_calls_per_s(self, calls_per_s):
+        """Change the budget; writes keep their share of it."""
+        if calls_per_s == self._calls.rate_per_s:
+            return
+        now_s, writes_per_s = self._now(), calls_per_s * WRITE_SHARE
+        self._calls = change_rate(self._calls, calls_per_s, _call_burst(calls_per_s), now_s)
+        self._writes = change_rate(self._writes, writes_per_s, _write_burst(writes_per_s), now_s)
+
     def counts(self):
         """Return calls by purpose and outcome, and the state of the breaker, as plain data.
 
@@ -100,6 +115,7 @@
         now_s = self._now()
         return {
             **self.counts(),
+            "calls_per_s": self._calls.rate_per_s,
             "calls_left": refill_tokens(self._calls, now_s).tokens,
             "writes_left": refill_tokens(self._writes, now_s).tokens,
         }
@@ -245,3 +261,11 @@
         if before is BreakerState.HALF_OPEN and self._breaker.state is BreakerState.CLOSED:
             self._calls = drain_tokens(self._calls, now_s)
             self._writes = drain_tokens(self._writes, now_s)
+
+
+def _call_burst(calls_per_s):
+    return max(1.0, calls_per_s * BURST_S)
+
+
+def _write_burst(writes_per_s):
+    return max(1.0, writes_per_s * WRITE_BURST_S)
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -1,16 +1,32 @@
 """The platform's store as a part of a process."""
 
 from burdocklug.kernel import part
+from burdocklug.peers import MemberState
+from burdocklug.platform._budget import process_share
 from burdocklug.platform._budgeted import BudgetedStore
 from burdocklug.platform._http import HttpStore
 
 __all__ = ["build_platform"]
 
+FOLLOW_S = 1.0
+ENDED = (MemberState.DEAD, MemberState.LEFT)
 
-@part("platform")
+
+@part("platform", needs=("peers",))
 def build_platform(process):
-    """Return the store's client of a process, within the process's call budget."""
+    """Return the store's client of a process, within the process's share of the call budget."""
     settings = process.settings.platform
     now = process.timers.now
+    names = len(set(process.settings.process.fleet))
     store = HttpStore(settings.addresses, timeout_s=settings.timeout_s, now=now)
-    return BudgetedStore(store, calls_per_s=settings.calls_per_s, now=now)
+    budgeted = BudgetedStore(store, calls_per_s=settings.calls_per_s, now=now)
+
+    def follow_members():
+        known = 1 + sum(m.state not in ENDED for m in process["peers"].members())
+        if max(names, known) > 1:
+            share = process_share(settings.fleet_calls_per_s, names=names, known=known)
+            budgeted.set_calls_per_s(share)
+
+    follow_members()
+    process.timers.every(FOLLOW_S, follow_members)
+    return budgeted
--- a/tests/platform/test_fleet_calls.py
+++ b/tests/platform/test_fleet_calls.py
@@ -7,10 +7,12 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from burdocklug.kernel import TimerService
+from burdocklug.kernel import PlatformSettings, TimerService
 from burdocklug.platform import BudgetedStore, HostList, Store, StoreUnavailable
+from burdocklug.platform._budget import process_share
 
 CALLS_PER_S = 20.0  # budget of each process, the default of the settings
+FLEET_CALLS_PER_S = PlatformSettings(addresses=[]).fleet_calls_per_s
 READS_PER_S = 2000  # what the platform carries, for everything of ours
 WRITES_PER_S = 300
 OUTAGE_S = (60, 120)
@@ -58,18 +60,19 @@
 class Fleet:
     """Clients that each poll, watch, write claims and retry at once what was refused."""
 
-    def __init__(self, size, *, claims_per_s):
+    def __init__(self, size, *, claims_per_s, calls_per_s=CALLS_PER_S):
         self.now_s = 0.0
         self.rng = random.Random(7)
         self.timers = TimerService(now=lambda: self.now_s)
         self.platform = CountingStore(lambda: self.now_s)
         self.answered = defaultdict(list)
-        self.clients = [self._add(number, claims_per_s) for number in range(size)]
+        self.clients = [self._add(number, claims_per_s, calls_per_s) for number in range(size)]
 
-    def _add(self, number, claims_per_s):
+    def _add(self, number, claims_per_s, calls_per_s):
         store = BudgetedStore(
             self.platform, calls_per_s=CALLS_PER_S, now=lambda: self.now_s, rng=self.rng
         )
+        store.set_calls_per_s(calls_per_s)
         self._loop(number, 1.0, lambda: store.hosts(purpose="hosts"))
         self._loop(number, 5.0, lambda: store.get("tickets", purpose="ticket_poll"))
         if number < FAILURE_DOMAINS:
@@ -114,6 +117,13 @@
     return Fleet(size, claims_per_s=claims_per_s).run()
 
 
+@functools.cache
+def run_shared(size):
+    """Run a fleet that asks for far more than its shares of the whole budget."""
+    share = process_share(FLEET_CALLS_PER_S, names=0, known=size)
+    return Fleet(size, claims_per_s=1000.0, calls_per_s=share).run()
+
+
 class FleetCallsTest(TestCase):
     # clients, claims a second of each, bound of calls a second at idle and at any time
     CASES = [
@@ -158,3 +168,31 @@
             self.assertThat(max(writes), LessThan(WRITES_PER_S * 1.5 + 1))
             idle = [second["hosts"] for second in calls[30 : OUTAGE_S[0]]]
             self.assertThat(sum(idle) / len(idle), GreaterThan(45.0))
+
+
+class SharedBudgetTest(TestCase):
+    """The budget is that of the fleet, however many processes share it."""
+
+    SIZES = (7, 50)
+
+    def test_calls_and_writes_stay_within_the_platforms_rates(self):
+        for size in self.SIZES:
+            fleet = run_shared(size)
+            calls = fleet.calls_per_s(0, END_S)
+            self.assertThat(max(calls), LessThan(READS_PER_S))
+            self.assertThat(sum(calls) / END_S, LessThan(READS_PER_S // 2 + 1))
+            writes = sum(fleet.platform.calls[second]["claim"] for second in range(END_S))
+            self.assertThat(writes / END_S, LessThan(WRITES_PER_S + 1))
+
+    def test_a_small_fleet_gets_as_many_writes_as_a_large_one(self):
+        for size in self.SIZES:
+            calls = run_shared(size).platform.calls
+            writes = [calls[second]["claim"] for second in range(30, OUTAGE_S[0])]
+            self.assertThat(sum(writes) / len(writes), GreaterThan(WRITES_PER_S * 0.9))
+
+    def test_no_herd_follows_an_outage(self):
+        for size in self.SIZES:
+            fleet = run_shared(size)
+            after = fleet.calls_per_s(OUTAGE_S[1], OUTAGE_S[1] + 10)
+            self.assertThat(max(after), LessThan(FLEET_CALLS_PER_S + 1))
+            self.assertThat(fleet.recovery_s(), LessThan(9.0))
