Failures count once a job and endpoint; a job that fails at two endpoints ejects neither

Now a job counts once at each endpoint, and when it fails at a second one the ejection of the first is taken back; an endpoint goes out for such jobs only when two of them failed there without a success between. One endpoint can be out between the first and the second failure.

Ruled out: counting by team, since an attempt does not carry it. Not proved: peers that were told of the ejection within those moments leave the endpoint out for up to 10 s; the view's change count does not grow when an ejection is taken back, so routing sees it by its refresh of 1 s.

--- a/burdocklug/endpoints/_health.py
+++ b/burdocklug/endpoints/_health.py
@@ -25,6 +25,7 @@
 TRIAL_JITTER = 0.25
 TRIAL_TIMEOUT_S = 30.0
 FORGIVE_S = 60.0  # without an ejection until the interval between trials starts over
+MAX_FAILED_JOBS = 256  # whose failures are told apart
 PEERS_PERIOD_S = 0.5  # between two computations of the peers' slowness
 
 
@@ -47,11 +48,14 @@
         How it ended.
     run_s, expected_s : float
         Run time and expected run time in seconds, of attempts that succeeded.
+    job : str
+        Key of the task's job, of attempts that failed; empty for one that is like no other.
     """
 
     kind: OutcomeKind
     run_s: float = 0.0
     expected_s: float = 0.0
+    job: str = ""
 
 
 class EndpointHealth:
@@ -68,7 +72,9 @@
     -----
     An endpoint is ejected at the first failure that is unlikely at its peers' failure ratio, so
     one that fails everything spoils what is in flight at that moment, at most its slots, and
-    then one task per trial. A success of a task in flight takes a run of failures back.
+    then one task per trial. A success of a task in flight takes a run of failures back. A job
+    counts once at each endpoint, and once it fails at a second one it is at fault itself: it
+    ejects neither, unless another job fails there too.
 
     Examples
     --------
@@ -93,6 +99,7 @@
         self._counted_s = 0.0
         self._peer_slowness = 1.0
         self._peers_due_s = 0.0
+        self._job_failures = {}  # job to the addresses where it failed, the latest jobs only
         self.set_endpoints(endpoints)
 
     def set_endpoints(self, endpoints):
@@ -111,7 +118,10 @@
         if record is None:
             return
         record.decay(now_s)
-        self._count(record, outcome, now_s)
+        if self._counts(address, outcome):
+            self._count(record, outcome, now_s)
+        if outcome.kind is OutcomeKind.FAILED:
+            self._clear_others(address, outcome.job, now_s)
         if record.standing is Standing.ACTIVE:
             self._judge(record, now_s)
         elif outcome.kind is OutcomeKind.SUCCEEDED:
@@ -119,6 +129,32 @@
         elif record.trial_ends_s is not None:
             self._schedule_trial(record, now_s)
 
+    def _counts(self, address, outcome):
+        """Return whether an outcome counts; a job's failures count once at each endpoint."""
+        if outcome.kind is not OutcomeKind.FAILED or not outcome.job:
+            return True
+        places = self._job_failures.setdefault(outcome.job, set())
+        if len(self._job_failures) > MAX_FAILED_JOBS:
+            del self._job_failures[next(iter(self._job_failures))]
+        known = address in places
+        places.add(address)
+        return not known
+
+    def _all_shared(self, record):
+        """Return whether every job of a run of failures failed at another endpoint too."""
+        if len(record.failing_jobs) < record.failure_run:
+            return False
+        return all(len(self._job_failures.get(job, ())) > 1 for job in record.failing_jobs)
+
+    def _clear_others(self, address, job, now_s):
+        """Re-admit endpoints that a job ejected which turns out to be at fault itself."""
+        for other in self._job_failures.get(job, ()):
+            record = self._records.get(other)
+            if other == address or record is None or record.fault is not Fault.FAILURE_RUN:
+                continue
+            if self._find_fault(record) is None:
+                self._take_back(record)
+
     def _count(self, record, outcome, now_s):
         factor = decay_factor(now_s - self._counted_s)
         self._succeeded *= factor
@@ -128,6 +164,7 @@
             record.succeeded += 1
             self._succeeded += 1
             record.failure_run = record.silent_run = 0
+            record.failing_jobs.clear()
             if outcome.expected_s > 0:
                 slowness = outcome.run_s / outcome.expected_s
                 record.slowness += SLOWNESS_GAIN * (slowness - record.slowness)
@@ -136,6 +173,8 @@
             record.failed += 1
             self._failed += 1
             record.failure_run += 1
+            if outcome.job:
+                record.failing_jobs.add(outcome.job)
             record.silent_run = 0
         else:
             record.silent_run += 1
@@ -145,8 +184,12 @@
         succeeded = max(0.0, self._succeeded - record.succeeded)
         return peer_ratio(failed, failed + succeeded)
 
+    def _find_fault(self, record):
+        ratio = self._peer_ratio(record)
+        return find_fault(record, ratio, all_shared=self._all_shared(record))
+
     def _judge(self, record, now_s):
-        fault = find_fault(record, self._peer_ratio(record))
+        fault = self._find_fault(record)
         if fault is None:
             return
         fleet_limit, domain_limit = share_limit(
@@ -184,8 +227,16 @@
             record.succeeded = record.failed = 0.0
         if on_trial:
             record.admitted_s = now_s
+            self._activate(record)
         else:
-            record.ejections = max(0, record.ejections - 1)
+            self._take_back(record)
+
+    def _take_back(self, record):
+        """Take an ejection back."""
+        record.ejections = max(0, record.ejections - 1)
+        self._activate(record)
+
+    def _activate(self, record):
         record.standing = Standing.ACTIVE
         record.fault = record.trial_ends_s = None
         self.counts["admitted"] += 1
--- a/burdocklug/endpoints/_health_rules.py
+++ b/burdocklug/endpoints/_health_rules.py
@@ -5,7 +5,7 @@
 
 import enum
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ["EndpointRecord", "Fault", "Standing", "failures_to_eject", "find_fault", "share_limit"]
 
@@ -14,6 +14,7 @@
 MAX_PEER_RATIO = 0.9
 PRIOR_FAILURES = 0.05
 PRIOR_OUTCOMES = 10.0
+SHARED_JOBS_TO_EJECT = 2  # jobs that failed elsewhere too; one such is at fault itself
 SILENT_TO_EJECT = 1
 MIN_OUTCOMES = 10.0
 MIN_FAILURE_RATIO = 0.3
@@ -52,7 +53,8 @@
     succeeded: float = 0.0
     failed: float = 0.0
     counted_s: float = 0.0
-    failure_run: int = 0
+    failure_run: int = 0  # jobs that failed since the last success
+    failing_jobs: set = field(default_factory=set)  # keys of those that have one
     silent_run: int = 0
     slowness: float = 1.0  # moving mean of run time over expected time
     runs: int = 0
@@ -105,7 +107,7 @@
     return max(1, math.ceil(math.log(CHANCE) / math.log(ratio) - 1e-9))
 
 
-def find_fault(record, ratio):
+def find_fault(record, ratio, *, all_shared=False):
     """Return the fault that a record shows, or None.
 
     Parameters
@@ -114,6 +116,8 @@
         The endpoint's record, decayed to the present.
     ratio : float
         Failure ratio of its peers, see `peer_ratio`.
+    all_shared : bool, optional
+        Whether every job of its run of failures failed at another endpoint too.
     """
     if record.silent_run >= SILENT_TO_EJECT:
         return Fault.UNREACHABLE
@@ -121,7 +125,8 @@
     limit = max(MIN_FAILURE_RATIO, RATIO_OVER_PEERS * ratio)
     if outcomes >= MIN_OUTCOMES and record.failed / outcomes >= limit:
         return Fault.FAILURE_RATIO
-    if record.failure_run >= failures_to_eject(ratio):
+    needed = max(failures_to_eject(ratio), SHARED_JOBS_TO_EJECT if all_shared else 1)
+    if record.failure_run >= needed:
         return Fault.FAILURE_RUN
     return None
 
--- a/burdocklug/endpoints/_part.py
+++ b/burdocklug/endpoints/_part.py
@@ -2,10 +2,12 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import msgspec
 
 from burdocklug.endpoints._cancel import CancelBatcher
+from burdocklug.endpoints._health import OutcomeKind
 from burdocklug.endpoints._protocol import endpoint_protocols
 from burdocklug.endpoints._view import EndpointView
 from burdocklug.kernel import part
@@ -92,14 +94,17 @@
             now=self._now,
             rng=self._rng,
         )
-        self._learn(service, address, outcome, expected_s)
+        job = attempt.task_id.rpartition("/")[0]
+        self._learn(service, address, outcome, expected_s, job=job)
         return outcome
 
-    def _learn(self, service, address, outcome, expected_s):
+    def _learn(self, service, address, outcome, expected_s, *, job=""):
         now = self._now()
         if _says_leaving(outcome):
             self.view.note_leaving(address, now)
         shown = None if _was_cancelled(outcome) else health_outcome(outcome, expected_s)
+        if shown is not None and shown.kind is OutcomeKind.FAILED:
+            shown = replace(shown, job=job)
         if shown is not None:
             self.view.note(service, address, shown, now)
 
--- a/tests/endpoints/test_health.py
+++ b/tests/endpoints/test_health.py
@@ -40,18 +40,18 @@
         return max((sum(t <= u < t + 1.0 for u in times) for t in times), default=0)
 
 
-def simulate(behave, *, seed, load=0.6, addresses=ADDRESSES, duration_s=DURATION_S):
+def simulate(behave, *, seed, load=0.6, addresses=ADDRESSES, duration_s=DURATION_S, job_tasks=None):
     """Send Poisson arrivals to `addresses`; `behave(address, now_s, rng)` gives kind and time."""
     rng = random.Random(seed)
     run = Run(EndpointHealth(addresses, rng=random.Random(seed)))
-    busy, ends, now_s = Counter(), [], 0.0
+    busy, ends, now_s, tasks = Counter(), [], 0.0, 0
     rate = load * len(addresses) * SLOTS / RUN_S
     while now_s < duration_s:
         now_s += rng.expovariate(rate)
         while ends and ends[0][0] <= now_s:
-            end_s, address, kind, run_s = heapq.heappop(ends)
+            end_s, address, kind, run_s, job = heapq.heappop(ends)
             busy[address] -= 1
-            run.health.note(address, Outcome(kind, run_s, RUN_S), end_s)
+            run.health.note(address, Outcome(kind, run_s, RUN_S, job), end_s)
             if kind is not OutcomeKind.SUCCEEDED:
                 run.spoilt.append((end_s, address))
             watch(run)
@@ -62,7 +62,9 @@
         busy[address] += 1
         run.sent[address] += 1
         kind, run_s = behave(address, now_s, rng)
-        heapq.heappush(ends, (now_s + run_s, address, kind, run_s))
+        tasks += 1
+        job = f"job-{tasks // job_tasks}" if job_tasks else ""
+        heapq.heappush(ends, (now_s + run_s, address, kind, run_s, job))
     return run
 
 
@@ -107,6 +109,14 @@
             self.assertThat(run.worst_second(), LessThan(SLOTS + 1))
             self.assertThat(len(run.spoilt), LessThan(SLOTS + 10))
 
+    def test_spoils_no_more_where_its_tasks_are_of_few_jobs(self):
+        for seed in SEEDS:
+            for job_tasks in (20, 1700):
+                behave = faulty({FIRST}, OutcomeKind.FAILED, 0.001)
+                run = simulate(behave, seed=seed, job_tasks=job_tasks)
+                self.assertThat(run.worst_second(), LessThan(SLOTS + 1))
+                self.assertThat(len(run.spoilt), LessThan(SLOTS + 10))
+
     def test_full_load_attracts_no_more(self):
         for seed in SEEDS:
             run = simulate(faulty({FIRST}, OutcomeKind.FAILED, 0.001), seed=seed, load=1.1)
