--- a/burdocklug/endpoints/_part.py
+++ b/burdocklug/endpoints/_part.py
@@ -2,7 +2,6 @@
 
 import random
 from collections import Counter
-from dataclasses import replace
 
 import msgspec
 
@@ -109,7 +108,7 @@
             self.view.note_leaving(address, now)
         shown = None if _was_cancelled(outcome) else health_outcome(outcome, expected_s)
         if shown is not None and shown.kind is OutcomeKind.FAILED:
-            shown = replace(shown, job=job)
+            shown = msgspec.structs.replace(shown, job=job)
         if shown is not None:
             self.view.note(service, address, shown, now)
 
