--- a/burdocklug/limits/_admission.py
+++ b/burdocklug/limits/_admission.py
@@ -15,7 +15,7 @@
 ]
 
 MIN_RETRY_S = 0.05
-LATER_WORK = 1.0  # of other teams, that comes later and is served between, over what waits now
+LATER_WORK = 3.0  # of other teams, that comes later and is served between, over what waits now
 
 
 class TaskImpossible(BurdocklugError):
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -79,8 +79,7 @@
 class FairQueue:
     """Waiting tasks of one service in one process.
 
-    Teams share starts by weighted virtual time. In a team large jobs go one after another, so
-    that under overload some are in time rather than all late, and small jobs take turns. Small
+    Teams share starts by weighted virtual time, and the jobs of a team take turns. Small
     jobs go first, up to `SMALL_CREDIT_S` of slot time ahead of their team's turn, so that a
     single request waits neither behind its own team's large job nor for what that job has used.
 
@@ -224,13 +223,10 @@
         self._count_start(line, job_line, task)
         if not job_line.tasks:
             del self._jobs[job]
-        elif job_line.small:
-            ring[job] = job_line
-        elif len(job_line.tasks) <= SMALL_TASKS:
+        elif not job_line.small and len(job_line.tasks) <= SMALL_TASKS:
             self._make_small(line, job, job_line)
         else:
             ring[job] = job_line
-            ring.move_to_end(job, last=False)
         self._virtual_s = max(self._virtual_s, turn_s)
         line.virtual_s += task.cost_s / line.weight
         self._forget(team, line, 1, task.cost_s)
--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -12,6 +12,7 @@
     SlotRenewal,
 )
 from burdocklug.routing._models import WEIGHTS, Outgoing
+from burdocklug.routing._recalls import SlotRecalls
 
 __all__ = ["LEASE_TERM_S", "SlotAllocator"]
 
@@ -22,7 +23,6 @@
 HEADROOM_SHARE = 1 / 40  # of the slots, left free for small jobs
 FULL_PAUSE_S = 0.25
 SLOW_TERM_S = 2.0
-RECALL_TERM_S = 2.0
 ID_BITS = 24  # room for the leases of one incarnation; the higher bits name the incarnation
 
 
@@ -45,12 +45,6 @@
     sent_s: float
 
 
-@dataclass(slots=True)
-class _Recall:
-    sent_s: float = -math.inf
-    owed: int = 0
-
-
 class SlotAllocator:
     """Leases out the slots of the endpoints of one service that this process is in charge of.
 
@@ -88,7 +82,7 @@
         self._demands = {}
         self._sequences = {}
         self._held = {}  # holder to number of leases
-        self._recalls = {}
+        self._recalls = SlotRecalls(pause_s=self.policy.recall_pause_s)
         self._slow = {}  # endpoint name to the time until which peers' word counts, and weight
         self._granted_s = -math.inf
         digest = hashlib.blake2b(incarnation.encode(), digest_size=4).digest()
@@ -126,7 +120,7 @@
                 self._drop(name, lease_id)
         self._demands.pop(holder, None)
         self._sequences.pop(holder, None)
-        self._recalls.pop(holder, None)
+        self._recalls.forget(holder)
 
     def _drop(self, endpoint, lease_id):
         lease = self._leases.get(endpoint, {}).pop(lease_id, None)
@@ -135,9 +129,7 @@
         self._held[lease.holder] -= 1
         if not self._held[lease.holder]:
             del self._held[lease.holder]
-        recall = self._recalls.get(lease.holder)
-        if recall is not None:
-            recall.owed = max(0, recall.owed - 1)
+        self._recalls.note_returned(lease.holder)
         return lease.holder
 
     def request(self, now_s, holder, message):
@@ -338,23 +330,10 @@
         """Ask holders above the fair share to give back for demands below it."""
         if not self._demands:
             return []
-        capacity = sum(endpoint.slots for endpoint in self._endpoints.values())
-        fair = math.ceil(capacity / max(1, len(self._held.keys() | self._demands.keys())))
-        unmet = sum(
-            min(demand.waiting, max(0, fair - self._held.get(holder, 0)))
-            for holder, demand in self._demands.items()
+        planned = self._recalls.plan(
+            now_s,
+            capacity=sum(endpoint.slots for endpoint in self._endpoints.values()),
+            held=self._held,
+            wanted={holder: demand.waiting for holder, demand in self._demands.items()},
         )
-        for recall in self._recalls.values():
-            if now_s - recall.sent_s > RECALL_TERM_S:
-                recall.owed = 0
-        unmet -= sum(recall.owed for recall in self._recalls.values())
-        out = []
-        for holder, held in sorted(self._held.items(), key=lambda item: (-item[1], item[0])):
-            recall = self._recalls.setdefault(holder, _Recall())
-            count = min(unmet, held - recall.owed - fair)
-            if count > 0 and now_s - recall.sent_s >= self.policy.recall_pause_s:
-                recall.sent_s = now_s
-                recall.owed += count
-                unmet -= count
-                out.append(Outgoing(holder, SlotRecall(self.service, recall.owed)))
-        return out
+        return [Outgoing(holder, SlotRecall(self.service, owed)) for holder, owed in planned]
