--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -10,12 +10,12 @@
     SlotReturn,
 )
 from burdocklug.routing._models import WEIGHTS, LeaseOutcome, Outgoing, SlotLease
+from burdocklug.routing._unleased import UnleasedStarts
 
 __all__ = ["SlotHolder"]
 
 REPORT_S = 3.0  # leases are renewed so often
 MAX_SHORTAGE = 0.04  # share of small tasks that may find no idle lease
-UNLEASED_PAUSE_S = 0.1
 LEASES_PER_RESERVED = 8
 RETURNED_TERM_S = 15.0  # longer than a lease's term: later grants of the same id are repeats
 
@@ -49,9 +49,7 @@
         self._giving_s = math.inf
         self._returned = {}  # lease id to the time until which a grant of it is a repeat
         self._unused_s = 0.0
-        self._unleased = 0  # id of the last start without a lease; these count downwards
-        self._unleased_s = 0.0
-        self._untried = []  # endpoints for such starts until `_unleased_s`
+        self._unleased = UnleasedStarts(failure_domain=failure_domain)
         self._kept = 0  # idle leases that recalls leave for small jobs
 
     def update(self, now_s, endpoints, allocator_of):
@@ -236,28 +234,10 @@
         self._give_back_unused(now_s)
         messages += self._flush(now_s, force=False)
         if small and self._demand.all_silent(now_s):
-            starts += self._start_unleased(now_s, small)
+            starts += self._unleased.take(now_s, self._endpoints.values(), small)
         due = {name for name, entry in self._demand.allocators.items() if now_s >= entry.report_s}
         return starts, messages + self._report(now_s, due)
 
-    def _start_unleased(self, now_s, small):
-        """Return starts for small jobs without a lease while every allocator is silent.
-
-        The endpoints' slot guards refuse what is too much; those of this failure domain go first,
-        each gets at most one such start in `UNLEASED_PAUSE_S`.
-        """
-        usable = [endpoint for endpoint in self._endpoints.values() if endpoint.usable]
-        local = [e for e in usable if e.failure_domain == self.failure_domain] or usable
-        if now_s >= self._unleased_s:
-            self._unleased_s = now_s + UNLEASED_PAUSE_S
-            self._untried = [endpoint.name for endpoint in local]
-        starts = []
-        while self._untried and len(starts) < small:
-            self._unleased -= 1
-            name = self._untried.pop()
-            starts.append(SlotLease(self._unleased, name, "", math.inf, now_s, busy=True))
-        return starts
-
     def _reserve(self, small_share):
         """Return how many idle leases to keep so that few small tasks find none.
 
