--- a/tests/docs/test_readme.py
+++ b/tests/docs/test_readme.py
@@ -7,10 +7,10 @@
 import tempfile
 from pathlib import Path
 
-from standins.deployment import free_ports
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
+from standins.deployment import free_ports
 from standins.launch import launch
 
 ROOT = Path(__file__).resolve().parent.parent.parent
