--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,8 +1,8 @@
 """Runs benchmark cases: ``python -m bench [--cases PATTERN]``, one JSON line for each figure.
 
-Without a pattern every case with a bound runs, those in virtual time first, then those under
-``clock/`` against real processes (some minutes; CI runs none of these). Cases under ``compare/``
-only report and run when a pattern names them. Exit code 1 if a bound fails.
+Without a pattern every case with a bound runs: those in virtual time side by side, then those
+under ``clock/`` against real processes (some minutes; CI runs none of these). Cases under
+``compare/`` only report and run when a pattern names them. Exit code 1 if a bound fails.
 """
 
 import argparse
@@ -20,6 +20,7 @@
 import bench._cases_overload  # noqa: E402, F401
 import bench._cases_routing  # noqa: E402, F401
 from bench._cases import cases, clock_cases  # noqa: E402
+from bench._side_by_side import run_side_by_side  # noqa: E402
 
 REPORT_ONLY = "compare/*"
 
@@ -29,19 +30,23 @@
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
     parser.add_argument("--cases", metavar="PATTERN", help="run the cases whose names match")
     pattern = parser.parse_args(argv).cases
-    failed = False
-    for name, case in [*cases.items(), *clock_cases.items()]:
-        wanted = fnmatch.fnmatch(name, pattern) if pattern else not _reports(name)
-        if not wanted:
-            continue
-        for line in case():
-            failed |= not line.passed
-            _print(line)
-    return int(failed)
+    if pattern:
+        found = {**dict(cases.items()), **dict(clock_cases.items())}
+        wanted = [case for name, case in found.items() if fnmatch.fnmatch(name, pattern)]
+        return int(not _run(wanted))
+    bounded = [name for name in cases.names() if not fnmatch.fnmatch(name, REPORT_ONLY)]
+    passed = run_side_by_side(bounded)
+    return int(not (_run(case for _, case in clock_cases.items()) and passed))
 
 
-def _reports(name):
-    return fnmatch.fnmatch(name, REPORT_ONLY)
+def _run(found):
+    """Run cases one after another and return whether all lines passed."""
+    passed = True
+    for case in found:
+        for line in case():
+            passed &= line.passed
+            _print(line)
+    return passed
 
 
 def _print(line):
--- a/tests/bench/test_clock.py
+++ b/tests/bench/test_clock.py
@@ -38,14 +38,18 @@
     def test_the_command_runs_both_registries_and_a_pattern_selects(self):
         virtual, clock = Registry("virtual"), Registry("clock")
         virtual.register("routing/a")(lambda: [at_most("routing/a", 1.0, 2.0)])
+        virtual.register("compare/a")(lambda: [at_most("compare/a", 1.0, None)])
+        side_by_side = []
         clock.register("clock/a")(lambda: [at_most("clock/a", 1.0, 2.0)])
         with (
             mock.patch.object(bench.__main__, "cases", virtual),
             mock.patch.object(bench.__main__, "clock_cases", clock),
+            mock.patch.object(bench.__main__, "run_side_by_side", side_by_side.extend),
         ):
-            found = {args: self.names(*args) for args in ((), ("--cases", "clock/*"))}
-        self.assertThat(found[()], Equals(["routing/a", "clock/a"]))
-        self.assertThat(found["--cases", "clock/*"], Equals(["clock/a"]))
+            found = {args: self.names(*args) for args in ((), ("--cases", "*/a"))}
+        self.assertThat(side_by_side, Equals(["routing/a"]))
+        self.assertThat(found[()], Equals(["clock/a"]))
+        self.assertThat(found["--cases", "*/a"], Equals(["compare/a", "routing/a", "clock/a"]))
 
     def names(self, *args):
         out = io.StringIO()
