Repeated one-way messages are dropped, and handlers that run at once are bounded

Cause: only requests were protected against repetition; and each message got a greenlet, however many.

Ruled out: a queue before the handlers (to be bounded too); a refusal of requests over the bound (an earlier copy may have run; unremembered, the sender asks after them and sends another copy).

tests/peers/test_faults.py, the two new tests: before 0 of 2 passed (recorded messages handled [0, 0, 0, 1, 1, 1, 2, 2, 9] for [0, 1, 2, 9]), after 2 of 2.

--- a/burdocklug/peers/_channel.py
+++ b/burdocklug/peers/_channel.py
@@ -4,7 +4,7 @@
 
 from eventlet.event import Event
 
-from burdocklug.peers._dedupe import RequestWindow
+from burdocklug.peers._dedupe import FrameWindow, RequestWindow
 
 __all__ = ["Channel", "ClockBase", "PendingCall"]
 
@@ -115,6 +115,7 @@
     link: object = None
     calls: dict = field(default_factory=dict)
     window: RequestWindow = field(default_factory=RequestWindow)
+    frames: FrameWindow = field(default_factory=FrameWindow)
     clock: ClockBase = field(default_factory=ClockBase)
     seen: int = 0
     heard_s: float | None = None
--- a/burdocklug/peers/_dedupe.py
+++ b/burdocklug/peers/_dedupe.py
@@ -1,4 +1,4 @@
-"""Window of requests that a receiver has had from one sender: pure state, no input or output.
+"""Windows of requests and frames that a receiver has had from one sender: pure state.
 
 A request is handled at most once. Its reply is kept until the sender's low-water mark passes it,
 so that a repeated request gets the same reply. Requests below the mark are never handled.
@@ -8,10 +8,38 @@
 import enum
 from dataclasses import dataclass, field
 
-__all__ = ["RequestWindow", "Verdict"]
+__all__ = ["FrameWindow", "RequestWindow", "Verdict"]
 
 MAX_REQUESTS = 65_536  # remembered for each sender
 MAX_REPLY_BYTES = 4_000_000  # kept for each sender
+FRAMES = 1024  # by which frames of an old connection may come late
+
+
+@dataclass(slots=True)
+class FrameWindow:
+    """Sequence numbers of the frames had from one sender, of the latest ones one by one.
+
+    Examples
+    --------
+    >>> window = FrameWindow()
+    >>> [window.admit(sequence) for sequence in (2, 1, 2, 1, 5000, 3, 4999)]
+    [True, True, False, False, True, False, True]
+    """
+
+    highest: int = 0
+    _had: int = 0  # bit n stands for `highest` - n
+
+    def admit(self, sequence):
+        """Return whether a frame is new, and remember it; one that is too late is not."""
+        behind = self.highest - sequence
+        if behind < 0:
+            self._had = (self._had << min(-behind, FRAMES) | 1) & ((1 << FRAMES) - 1)
+            self.highest = sequence
+            return True
+        if behind >= FRAMES or self._had >> behind & 1:
+            return False
+        self._had |= 1 << behind
+        return True
 
 
 class Verdict(enum.Enum):
--- a/burdocklug/peers/_receiver.py
+++ b/burdocklug/peers/_receiver.py
@@ -26,6 +26,8 @@
 }
 REPLACED = "replaced by another incarnation"
 NEVER_HANDLED = frozenset({RefusalReason.EXPIRED, RefusalReason.NO_HANDLER})
+MAX_HANDLERS = 4096  # at once; requests beyond it are asked after and sent again
+MAX_HANDLED_BYTES = 64_000_000  # bodies of messages whose handlers run
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +63,8 @@
         self._on_replaced = on_replaced
         self._handlers = {}
         self._listener = None
+        self._running = 0
+        self._running_bytes = 0
         self._item_handlers = {
             codec.Notice: self._on_notice,
             codec.Request: self._on_request,
@@ -106,7 +110,12 @@
             self._refuse_misdirected(channel, envelope)
             return
         channel.note_frame(envelope, self._transport.now())
+        is_new = not envelope.target or channel.frames.admit(envelope.sequence)
+        if not is_new:
+            counters["frames_repeated"] += 1
         for item in envelope.items:
+            if not is_new and type(item) is codec.Notice:
+                continue
             try:
                 self._item_handlers[type(item)](channel, item)
             except Exception:
@@ -142,8 +151,8 @@
             self._counters["items_without_handler"] += 1
         elif handler.inline:
             handler.handle(channel.incarnation, message)
-        else:
-            eventlet.spawn_n(self._run_notice, handler, channel.incarnation, message)
+        elif self._has_room(item):
+            self._spawn(item, self._run_notice, handler, channel.incarnation, message)
 
     def _run_notice(self, handler, sender, message):
         try:
@@ -152,21 +161,49 @@
             log.exception("peer_handler_failed", message_type=type(message).__name__)
 
     def _on_request(self, channel, item):
+        message = handler = None
+        if channel.window.ask(item.correlation) is Verdict.NOT_SEEN:
+            message = self._decode(item.body)
+            handler = self._handlers.get(type(message))
+            if handler is not None and not handler.inline and not self._has_room(item):
+                return  # not remembered: the sender asks after it and sends another copy
         expired = channel.clock.sender_time(self._transport.now()) > item.expires_s
         verdict = channel.window.admit(item.correlation, expired=expired)
         if verdict is not Verdict.HANDLE:
             self._counters[f"requests_{verdict.value}"] += 1
             self._answer_again(channel, item.correlation, item.copy, verdict)
             return
-        message = self._decode(item.body)
-        handler = self._handlers.get(type(message))
         if handler is None:
             self._counters["items_without_handler"] += 1
             self._refuse(channel, item, RefusalReason.NO_HANDLER)
         elif handler.inline:
             self._run_request(handler, channel, item, message)
         else:
-            eventlet.spawn_n(self._run_request, handler, channel, item, message)
+            self._spawn(item, self._run_request, handler, channel, item, message)
+
+    def _has_room(self, item):
+        """Return whether another handler may run; a message of any size may run alone."""
+        is_full = self._running >= MAX_HANDLERS
+        over = self._running and self._running_bytes + _size(item) > MAX_HANDLED_BYTES
+        if is_full or over:
+            self._counters["handlers_refused"] += 1
+            return False
+        return True
+
+    def _spawn(self, item, function, *args):
+        """Run a handler in a greenlet of its own, counted while it runs."""
+        size = _size(item)
+        self._running += 1
+        self._running_bytes += size
+
+        def run():
+            try:
+                function(*args)
+            finally:
+                self._running -= 1
+                self._running_bytes -= size
+
+        eventlet.spawn_n(run)
 
     def _run_request(self, handler, channel, item, message):
         try:
@@ -240,3 +277,7 @@
             call.resolve(error(item.target, REPLACED))
         if old is not None and item.copy == 0:
             self._transport.fail_calls(old, REPLACED)
+
+
+def _size(item):
+    return memoryview(item.body).nbytes
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -10,12 +10,13 @@
 from testtools import ExpectedException  # noqa: E402
 from testtools.matchers import Equals, Is  # noqa: E402
 
-from burdocklug.peers import PeerNotReached, PeerSilent  # noqa: E402
+from burdocklug.peers import PeerNotReached, PeerSilent, _receiver  # noqa: E402
 from burdocklug.peers._codec import (  # noqa: E402
     MAX_FRAME_BYTES,
     Envelope,
     FrameCodec,
     Misdirected,
+    Notice,
     Refusal,
     RefusalReason,
     Reply,
@@ -387,6 +388,34 @@
         body = self.one._transport.types.encode(Echo(number))
         return Request(correlation, 1, expires_s, msgspec.Raw(body))
 
+    def notice(self, number):
+        return Notice(msgspec.Raw(self.one._transport.types.encode(Echo(number))))
+
+    def test_a_recorded_one_way_message_is_handled_once(self):
+        frames = []
+        push, self.push = self.push, frames.append
+        for number in range(3):
+            self.push_items(self.notice(number))
+        self.push = push
+        for frame in [frames[1], frames[0], *frames, *frames]:
+            self.push(frame)
+        self.push_items(self.notice(9))
+        self.wait_for(lambda: 9 in self.one.handled)
+        self.assertThat(sorted(self.one.handled), Equals([0, 1, 2, 9]))
+        self.assertThat(self.count("frames_repeated"), Equals(5))
+
+    def test_a_burst_of_requests_runs_a_bounded_number_of_handlers(self):
+        self.patch(_receiver, "MAX_HANDLERS", 20)
+        types = self.one._transport.types
+        bodies = [msgspec.Raw(types.encode(Slow(number, 0.5))) for number in range(200)]
+        self.push_items(*(Request(n, 1, 1e9, body) for n, body in enumerate(bodies, 1)))
+        self.wait_for(lambda: self.one.counts().get("handlers_refused", 0) == 180)
+        self.assertThat(len(self.one.handled), Equals(20))
+        again = msgspec.Raw(types.encode(Slow(199, 0.0)))
+        eventlet.sleep(0.6)
+        self.push_items(Request(200, 2, 1e9, again))
+        self.wait_for(lambda: self.one.handled.count(199) == 1)
+
     def test_table_of_bad_frames(self):
         truncated = self.codec.seal(Envelope("a", "b", "c", "d", 1, 0.0, 0, 0, []))[:-3]
         codec = self.codec
