--- a/tests/platform/test_cost.py
+++ b/tests/platform/test_cost.py
@@ -9,7 +9,7 @@
 from standins.launch import free_address, launch
 
 CONTROL_SHARE = 0.018  # of a core that a process may spend on control
-CALLS_PER_S = 20.0  # the default budget
+CALLS_PER_S = 20.0  # a process's share of the default budget among 50
 FUNCTION_CALL_S = 1e-6  # a function call of the interpreter, with the work of its body
 CALLS = 200
 
