--- a/burdocklug/cli/_load.py
+++ b/burdocklug/cli/_load.py
@@ -184,9 +184,19 @@
     return Figure(figsize=(6, 4), layout="constrained")
 
 
+def _mark_percentiles(axes, result):
+    for share, style in ((0.5, "--"), (0.99, ":")):
+        ratio = result.percentile(share)
+        axes.axvline(ratio, color="black", linestyle=style, label=f"p{100 * share:.0f} {ratio:.2f}")
+    axes.legend()
+
+
 def _write_plot(figure, result, path):
     axes = figure.subplots()
     axes.hist(result.ratios, bins=PLOT_BINS)
+    axes.set_yscale("log")  # a few late jobs stay visible beside many
+    if result.ratios:
+        _mark_percentiles(axes, result)
     axes.set_xlabel("response time over ideal")
     axes.set_ylabel("jobs")
     try:
