Shares that start over with a handover go on with the numbers of their requests

Cause: a process borrows while its base shares rest, and starts over once its name is registered. The new shares began to number their requests at 1 again. A lender knows a loan by incarnation and number, so it granted the old loan again: for a new term at the borrower, but with the old end at the lender. The quota could be exceeded for as long as registration took. Red first: TestRegisteredAnew (share 2, not 1).

--- a/burdocklug/limits/_part.py
+++ b/burdocklug/limits/_part.py
@@ -54,17 +54,18 @@
         self._ticked_s = 0.0
         self._stopped = False
         self.waiting = dict
-        self.shares = self._new_shares(None)
+        self.shares = self._new_shares(None, first_request=1)
         for message_type in QuotaMessage.__args__:
             self._peers.register(message_type, self._receive, inline=True)
 
-    def _new_shares(self, handover):
+    def _new_shares(self, handover, *, first_request):
         return QuotaShares(
             process=self._name,
             fleet=self._fleet,
             started_s=self._timers.now(),
             longest_task_s=self._longest_task_s,
             handover=handover,
+            first_request=first_request,
         )
 
     def start(self):
@@ -113,7 +114,8 @@
 
     def _adopt(self, handover):
         """Start over with a handover; nothing can have run on shares that rested until now."""
-        self.shares = self._new_shares(handover)
+        first_request = self.shares.last_request + 1
+        self.shares = self._new_shares(handover, first_request=first_request)
         self._set_quotas()
         now = self._timers.now()
         for team, count in self._running.items():
--- a/burdocklug/limits/_quotas.py
+++ b/burdocklug/limits/_quotas.py
@@ -73,6 +73,10 @@
         there never was one. None after a kill: base shares rest for a loan's term and the
         longest task, as the predecessor's tasks and loans may still be in use.
 
+    first_request : int, optional
+        Number of its first request; one that replaces other shares of the same incarnation goes
+        on after their `last_request`, as lenders know a loan by incarnation and number.
+
     Notes
     -----
     How to drive it: `set_quota` when configuration changes; `may_start` in the predicate of
@@ -97,12 +101,14 @@
     False
     """
 
-    def __init__(self, *, process, fleet, started_s, longest_task_s, handover=None):
+    def __init__(
+        self, *, process, fleet, started_s, longest_task_s, handover=None, first_request=1
+    ):
         self.process = process
         self.fleet = tuple(fleet)
         self.longest_task_s = longest_task_s
         self._teams = {}
-        self._next_request = 0
+        self.last_request = first_request - 1
         if handover is None:
             handover = QuotaHandover(LOAN_TERM_S + longest_task_s)
         self._base_from_s = started_s + handover.rest_s
@@ -187,9 +193,9 @@
         if not ready:
             return []
         name = max(ready)[2]
-        self._next_request += 1
-        entry.asks[self._next_request] = _Ask(name, now_s)
-        return [Outgoing(peers[name], QuotaRequest(team, self._next_request, short, now_s))]
+        self.last_request += 1
+        entry.asks[self.last_request] = _Ask(name, now_s)
+        return [Outgoing(peers[name], QuotaRequest(team, self.last_request, short, now_s))]
 
     def _return_unused(self, now_s, team, entry):
         """Return loans that ended or lie idle, as far as running tasks fit without them."""
--- a/tests/limits/test_quotas.py
+++ b/tests/limits/test_quotas.py
@@ -237,3 +237,32 @@
         self.assertEqual(4, fresh.share(10.0 + LOAN_TERM_S + 2.0, "a"))
         [refusal] = fresh.receive(11.0, "p2", QuotaRequest("a", 1, 2, 11.0))
         self.assertEqual(0, refusal.message.amount)
+
+
+class TestRegisteredAnew(testtools.TestCase):
+    """One incarnation starts over with a handover after it has borrowed."""
+
+    def shares(self, process, **more):
+        shares = QuotaShares(
+            process=process,
+            fleet=FLEET[:2],
+            started_s=0.0,
+            longest_task_s=LONGEST_S,
+            handover=QuotaHandover(),
+            **more,
+        )
+        shares.set_quota(0.0, "a", 2)
+        return shares
+
+    def borrow(self, now_s, borrower, lender):
+        [ask] = borrower.tick(now_s, {"a": 9}, {"p1": "p1~1"})
+        [grant] = lender.receive(now_s, "p0~1", ask.message)
+        borrower.receive(now_s, "p1~1", grant.message)
+
+    def test_a_loan_of_the_old_shares_is_not_granted_again_for_a_new_term(self):
+        lender, old = self.shares("p1"), self.shares("p0")
+        self.borrow(0.0, old, lender)
+        self.assertEqual(2, old.share(0.0, "a"))
+        new = self.shares("p0", first_request=old.last_request + 1)
+        self.borrow(3.0, new, lender)
+        self.assertEqual(1, new.share(3.0, "a"))
