A failure domain that is cut off does not wait for an allocator on the other side

Cause: with weight messages one process leases out the slots of several failure domains. A cut makes the members of other failure domains suspect, never dead, and suspects were still chosen, so the side without the allocator kept large jobs waiting for as long as the cut lasted; small ones started without a lease. Ruled out: leaving suspects out within a failure domain too, where others decide whether one is dead and its endpoints would be leased out twice for a moment's silence.

--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -90,7 +90,11 @@
     def _members(self):
         own = RouteMember(self.ctx.incarnation, self.ctx.failure_domain)
         others = [
-            RouteMember(member.incarnation, member.failure_domain)
+            RouteMember(
+                member.incarnation,
+                member.failure_domain,
+                member.state is not MemberState.SUSPECT,
+            )
             for member in self.ctx.live_members()
             if member.incarnation != self.ctx.incarnation
         ]
--- a/burdocklug/routing/_models.py
+++ b/burdocklug/routing/_models.py
@@ -25,10 +25,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteMember:
-    """A live process: its incarnation id and its failure domain."""
+    """A live process.
+
+    Parameters
+    ----------
+    incarnation, failure_domain : str
+        Who and where it is.
+    reachable : bool
+        False while it is suspect: cut off, or frozen and not declared dead yet.
+    """
 
     incarnation: str
     failure_domain: str
+    reachable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,7 +207,9 @@
     Endpoints of a failure domain are put into groups of about `GROUP_ENDPOINTS` by hash, and a
     group goes to one process by rendezvous hash: few allocators make large batches, and a
     process that joins or dies moves only its own groups. Processes with different views may
-    choose differently; the endpoint's slot guard refuses the overflow.
+    choose differently; the endpoint's slot guard refuses the overflow. Across failure domains an
+    unreachable process is passed over, since a failure domain that is cut off has to go on by
+    itself; within one, other processes of it decide whether that process is dead.
 
     Examples
     --------
@@ -209,6 +220,8 @@
     endpoints, members = list(endpoints), list(members)
     if not members:
         return {}
+    if across_domains:
+        members = [member for member in members if member.reachable] or members
     pools = {e.name: "" if across_domains else e.failure_domain for e in endpoints}
     sizes = Counter(pools.values())
     chosen = {}
--- a/tests/daemon/test_partitions.py
+++ b/tests/daemon/test_partitions.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from dataclasses import replace
 
 import eventlet
 from testtools.matchers import Equals
@@ -24,6 +25,7 @@
     links=True,
     peers={"heartbeat_s": 0.2, "suspect_after_s": 0.8, "dead_after_s": 1.5},
 )
+MANY_TASKS = 40  # more than the slots of one failure domain
 CUT_S = 3.0  # longer than it takes to call a member dead
 TICKET_S = 9.0
 LEAVING_S = 3.0  # from the listing until no start may come
@@ -108,6 +110,22 @@
         self.assertThat(codes, Equals({None}))
 
 
+class SharedAllocatorTest(PartitionTestCase):
+    """With weight `messages` one process leases out the slots of both failure domains."""
+
+    deployment = replace(CUT_OFF, name="shared-allocator", weight="messages")
+
+    def test_large_jobs_go_on_in_both_failure_domains(self):
+        self.addCleanup(self.cut, peers=False, store=False)
+        keys = {name: f"{self.open_session(name)}~1" for name in self.fleet.names}
+        self.cut(peers=True, store=True)
+        time.sleep(CUT_S)
+        for name, key in keys.items():
+            answer = self.submit(name, key, tasks=MANY_TASKS)
+            self.assertThat((name, answer["state"]), Equals((name, "complete")))
+            self.assert_started_once(key, MANY_TASKS)
+
+
 class CutOffShutdownTest(PartitionTestCase):
     """A graceful shutdown without any peer to hand over to."""
 
