--- a/burdocklug/limits/__init__.py
+++ b/burdocklug/limits/__init__.py
@@ -14,7 +14,8 @@
 from burdocklug.limits._base_shares import base_share
 from burdocklug.limits._handover import LentShare, QuotaHandover
 from burdocklug.limits._messages import QuotaGrant, QuotaMessage, QuotaRequest, QuotaReturn
-from burdocklug.limits._queue import FairQueue, QueuedTask, QueueFull
+from burdocklug.limits._queue import FairQueue
+from burdocklug.limits._queue_lines import QueuedTask, QueueFull
 from burdocklug.limits._quotas import QuotaShares
 from burdocklug.limits._times import RunTimes
 
--- a/burdocklug/limits/_admission.py
+++ b/burdocklug/limits/_admission.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
-from burdocklug.limits._queue import SMALL_TASKS, QueueFull
+from burdocklug.limits._queue_lines import SMALL_TASKS, QueueFull
 
 __all__ = [
     "AdmissionLimits",
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -1,81 +1,20 @@
 """A bounded queue of waiting tasks of one service, fair between teams and between their jobs."""
 
-from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from burdocklug.limits._queue_lines import (
+    SMALL_CREDIT_S,
+    SMALL_TASKS,
+    JobLine,
+    QueuedTask,
+    QueueFull,
+    TeamLine,
+)
 
-from burdocklug.kernel import BurdocklugError, ErrorKind
-
-__all__ = ["FairQueue", "QueueFull", "QueuedTask"]
+__all__ = ["FairQueue"]
 
 MIN_COST_S = 0.001  # a zero cost would let a team pop without bound
-
-SMALL_TASKS = 4  # most waiting tasks of a job that counts as small
-SMALL_CREDIT_S = 10.0  # slot time by which a team's small jobs may run ahead of its turn
 SHARE_GAIN = 0.02  # of the moving average of small jobs' share of the starts
 
 
-class QueueFull(BurdocklugError):
-    """Raised when a push would exceed the queue's bound.
-
-    Parameters
-    ----------
-    message : str
-        One line that names the bound.
-    """
-
-    def __init__(self, message):
-        super().__init__(ErrorKind.QUEUE_FULL, message)
-
-
-@dataclass(slots=True)
-class QueuedTask:
-    """One waiting task.
-
-    Parameters
-    ----------
-    task_ref : object
-        Whatever the caller of `push` handed in.
-    team, job : str
-        Owner of the task and the job it belongs to.
-    cost_s : float
-        Expected run time, in seconds.
-    queued_s : float
-        Time of the push.
-    """
-
-    task_ref: object
-    team: str
-    job: str
-    cost_s: float
-    queued_s: float
-
-
-@dataclass(slots=True)
-class _JobLine:
-    team: str
-    tasks: deque = field(default_factory=deque)
-    cost_s: float = 0.0
-    small: bool = True  # at most `SMALL_TASKS` of its tasks wait
-
-
-@dataclass(slots=True)
-class _TeamLine:
-    weight: float = 1.0
-    virtual_s: float = 0.0
-    cost_s: float = 0.0
-    small_cost_s: float = 0.0  # that part of it which small jobs make up
-    tasks: int = 0
-    ahead_s: float = 0.0  # cost of small jobs' tasks since the last start of a large job
-    small: OrderedDict = field(default_factory=OrderedDict)  # small jobs in order of their turns
-    large: OrderedDict = field(default_factory=OrderedDict)
-
-    def next_ring(self):
-        """Return the jobs of which the first has the next turn."""
-        if self.small and (not self.large or self.ahead_s < SMALL_CREDIT_S):
-            return self.small
-        return self.large
-
-
 class FairQueue:
     """Waiting tasks of one service in one process.
 
@@ -132,7 +71,7 @@
         self._team(team).weight = max(float(weight), 0.001)
 
     def _team(self, team):
-        return self._teams.setdefault(team, _TeamLine())
+        return self._teams.setdefault(team, TeamLine())
 
     def push(self, task_ref, *, team, job, cost_s, now_s=0.0, again=False):
         """Append a task.
@@ -160,7 +99,7 @@
         line = self._team(team)
         job_line = self._jobs.get(job)
         if job_line is None:
-            job_line = self._jobs[job] = _JobLine(team)
+            job_line = self._jobs[job] = JobLine(team)
             line.small[job] = job_line
         cost_s = max(cost_s, MIN_COST_S)
         queued = QueuedTask(task_ref, team, job, cost_s, now_s)
@@ -312,7 +251,7 @@
         weighted share of the same time.
         """
         work_s = self.team_cost_s(team, small=small) + job_cost_s
-        span = work_s / self._teams.get(team, _TeamLine()).weight
+        span = work_s / self._teams.get(team, TeamLine()).weight
         for name, line in self._active.items():
             if name != team:
                 cost_s = line.small_cost_s if small else line.cost_s
--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -2,8 +2,8 @@
 
 import hashlib
 import math
-from dataclasses import dataclass
 
+from burdocklug.routing._allocator_state import GrantedLease, HolderDemand
 from burdocklug.routing._messages import (
     HeldLease,
     SlotGrant,
@@ -13,6 +13,7 @@
 )
 from burdocklug.routing._models import WEIGHTS, Outgoing
 from burdocklug.routing._recalls import SlotRecalls
+from burdocklug.routing._usable_slots import UsableSlots
 
 __all__ = ["LEASE_TERM_S", "SlotAllocator"]
 
@@ -21,30 +22,9 @@
 DEMAND_TERM_S = 5.0
 LOST_GRANT_S = 1.0  # a report without a lease older than this means that its grant was lost
 HEADROOM_SHARE = 1 / 40  # of the slots, left free for small jobs
-FULL_PAUSE_S = 0.25
-SLOW_TERM_S = 2.0
 ID_BITS = 24  # room for the leases of one incarnation; the higher bits name the incarnation
 
 
-@dataclass(slots=True)
-class _Granted:
-    holder: str
-    granted_s: float
-    expires_s: float
-
-
-@dataclass(slots=True)
-class _Demand:
-    sequence: int
-    waiting: int
-    spare: int
-    urgent: int  # those of `waiting` that are for small jobs
-    small: bool  # served at once; a large one waits for several slots together
-    since_s: float
-    seen_s: float
-    sent_s: float
-
-
 class SlotAllocator:
     """Leases out the slots of the endpoints of one service that this process is in charge of.
 
@@ -76,14 +56,13 @@
         self.service = service
         self.policy = WEIGHTS[weight]
         self._endpoints = {}
-        self._leases = {}  # endpoint name to {lease id: _Granted}
-        self._paused = {}  # endpoint name to end times of pauses, one for each refused start
+        self._leases = {}  # endpoint name to {lease id: GrantedLease}
+        self._usable = UsableSlots()
         self._grants_from_s = {}
         self._demands = {}
         self._sequences = {}
         self._held = {}  # holder to number of leases
         self._recalls = SlotRecalls(pause_s=self.policy.recall_pause_s)
-        self._slow = {}  # endpoint name to the time until which peers' word counts, and weight
         self._granted_s = -math.inf
         digest = hashlib.blake2b(incarnation.encode(), digest_size=4).digest()
         self._next_id = int.from_bytes(digest, "big") << ID_BITS
@@ -105,7 +84,7 @@
             for lease_id in list(self._leases[name]):
                 self._drop(name, lease_id)
             del self._leases[name]
-            self._paused.pop(name, None)
+            self._usable.forget(name)
         for name in sorted(wanted.keys() - self._endpoints.keys()):
             self._leases[name] = {}
             self._grants_from_s[name] = now_s + TAKE_OVER_S
@@ -141,7 +120,7 @@
         if message.waiting or message.spare:
             since_s = now_s - max(0.0, message.oldest_age_s)
             small = message.waiting < self.policy.chunk
-            self._demands[holder] = _Demand(
+            self._demands[holder] = HolderDemand(
                 message.sequence,
                 message.waiting,
                 message.spare,
@@ -173,7 +152,7 @@
                 continue
             self._drop(lease.endpoint, lease.lease_id)
             if lease.full:
-                self._paused.setdefault(lease.endpoint, []).append(now_s + FULL_PAUSE_S)
+                self._usable.note_full(now_s, lease.endpoint)
         return self._serve(now_s)
 
     def report(self, now_s, holder, message):
@@ -200,7 +179,7 @@
         if granted is None:
             if len(leases) >= endpoint.slots:
                 return False
-            leases[lease.lease_id] = _Granted(holder, now_s, now_s + LEASE_TERM_S)
+            leases[lease.lease_id] = GrantedLease(holder, now_s, now_s + LEASE_TERM_S)
             self._held[holder] = self._held.get(holder, 0) + 1
             return True
         if granted.holder != holder:
@@ -210,18 +189,8 @@
 
     def note_slow(self, now_s, weights):
         """Take a process's weights of endpoints that it finds slow, by name."""
-        for name, weight in weights.items():
-            if name in self._endpoints:
-                self._slow[name] = (now_s + SLOW_TERM_S, weight)
-
-    def _slots(self, now_s, endpoint):
-        """Return how many slots to lease out; of a slow endpoint few, at least one."""
-        until_s, weight = self._slow.get(endpoint.name, (0.0, 1.0))
-        if endpoint.is_slow():
-            weight = endpoint.weight
-        elif until_s <= now_s:
-            return endpoint.slots
-        return max(1, round(endpoint.slots * weight))
+        known = {name: weight for name, weight in weights.items() if name in self._endpoints}
+        self._usable.note_slow(now_s, known)
 
     def tick(self, now_s):
         """Let overdue leases and demands lapse and serve what waits; call each 50 ms or so."""
@@ -250,10 +219,7 @@
         for name, endpoint in self._endpoints.items():
             if not endpoint.usable or self._grants_from_s[name] > now_s:
                 continue
-            pauses = [end_s for end_s in self._paused.get(name, ()) if end_s > now_s]
-            if name in self._paused:
-                self._paused[name] = pauses
-            free = self._slots(now_s, endpoint) - len(self._leases[name]) - len(pauses)
+            free = self._usable.count(now_s, endpoint) - len(self._leases[name])
             if free > 0:
                 pairs.append((name, free))
         return pairs
@@ -322,7 +288,7 @@
     def _lease(self, now_s, holder, endpoint):
         lease = HeldLease(self._next_id, endpoint)
         self._next_id += 1
-        self._leases[endpoint][lease.lease_id] = _Granted(holder, now_s, now_s + LEASE_TERM_S)
+        self._leases[endpoint][lease.lease_id] = GrantedLease(holder, now_s, now_s + LEASE_TERM_S)
         self._held[holder] = self._held.get(holder, 0) + 1
         return lease
 
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -3,11 +3,10 @@
 import math
 
 from burdocklug.routing._demand import AllocatorView, SlotDemand
+from burdocklug.routing._lease_returns import LeaseReturns
 from burdocklug.routing._messages import (
     HeldLease,
-    ReturnedLease,
     SlotReport,
-    SlotReturn,
 )
 from burdocklug.routing._models import WEIGHTS, LeaseOutcome, Outgoing, SlotLease
 from burdocklug.routing._unleased import UnleasedStarts
@@ -17,7 +16,6 @@
 REPORT_S = 3.0  # leases are renewed so often
 MAX_SHORTAGE = 0.04  # share of small tasks that may find no idle lease
 LEASES_PER_RESERVED = 8
-RETURNED_TERM_S = 15.0  # longer than a lease's term: later grants of the same id are repeats
 
 
 class SlotHolder:
@@ -45,9 +43,7 @@
         self._allocator_of = {}  # endpoint name to incarnation
         self._leases = {}
         self._idle = []  # lease ids, the latest used last; local endpoints after remote ones
-        self._giving = {}  # allocator to leases on their way back
-        self._giving_s = math.inf
-        self._returned = {}  # lease id to the time until which a grant of it is a repeat
+        self._returns = LeaseReturns(service)
         self._unused_s = 0.0
         self._unleased = UnleasedStarts(failure_domain=failure_domain)
         self._kept = 0  # idle leases that recalls leave for small jobs
@@ -84,7 +80,7 @@
         moved = set()
         for lease in list(self._leases.values()):
             self._check_lease(now_s, lease, moved)
-        return self._flush(now_s, force=True) + self._report(now_s, moved)
+        return self._returns.flush(now_s, force=True) + self._report(now_s, moved)
 
     def set_unreachable(self, allocators):
         """Set which allocators may not answer.
@@ -120,8 +116,8 @@
             entry.queued = message.queued
         expires_s = message.sent_s + message.term_s
         for granted in message.leases:
-            repeated = granted.lease_id in self._leases or granted.lease_id in self._returned
-            if repeated or expires_s <= now_s:
+            held = granted.lease_id in self._leases
+            if held or self._returns.is_repeat(granted.lease_id) or expires_s <= now_s:
                 continue
             lease = SlotLease(granted.lease_id, granted.endpoint, allocator, expires_s, now_s)
             self._leases[lease.lease_id] = lease
@@ -194,8 +190,8 @@
         elif entry is not None and entry.owed > 0 and len(self._idle) >= self._kept:
             entry.owed -= 1
             self._give_back(now_s, lease)
-            if not entry.owed or len(self._giving[lease.allocator]) >= self.policy.chunk:
-                self._giving_s = now_s
+            if not entry.owed or self._returns.count(lease.allocator) >= self.policy.chunk:
+                self._returns.hasten(now_s)
         else:
             self._put_idle(lease)
 
@@ -247,7 +243,7 @@
             oldest_age_s=oldest_age_s,
         )
         self._give_back_unused(now_s)
-        messages += self._flush(now_s, force=False)
+        messages += self._returns.flush(now_s)
         if small and self._demand.all_silent(now_s):
             starts += self._unleased.take(now_s, self._endpoints.values(), small)
         due = {name for name, entry in self._demand.allocators.items() if now_s >= entry.report_s}
@@ -294,23 +290,13 @@
         del self._leases[lease.lease_id]
         if lease.lease_id in self._idle:
             self._idle.remove(lease.lease_id)
-        self._returned[lease.lease_id] = now_s + RETURNED_TERM_S
-        returned = ReturnedLease(lease.lease_id, lease.endpoint, full)
-        self._giving.setdefault(lease.allocator, []).append(returned)
-        self._giving_s = min(self._giving_s, now_s + self.policy.return_delay_s)
-
-    def _flush(self, now_s, *, force):
-        if not self._giving or not (force or now_s >= self._giving_s):
-            return []
-        giving, self._giving, self._giving_s = self._giving, {}, math.inf
-        return [Outgoing(name, SlotReturn(self.service, leases)) for name, leases in giving.items()]
+        self._returns.add(now_s, lease, full=full, delay_s=self.policy.return_delay_s)
 
     def _report(self, now_s, allocators):
         """Ask each of `allocators` to renew what this process holds of it."""
         if not allocators:
             return []
-        for lease_id in [key for key, until_s in self._returned.items() if until_s <= now_s]:
-            del self._returned[lease_id]
+        self._returns.forget_old(now_s)
         held = {}
         for lease in self._leases.values():
             held.setdefault(lease.allocator, []).append(HeldLease(lease.lease_id, lease.endpoint))
@@ -324,7 +310,7 @@
 
     def next_due_s(self):
         """Return when `pump` has to be called at the latest for leases on their way back."""
-        return self._giving_s
+        return self._returns.due_s
 
     def allocators(self):
         """Return the allocator's incarnation by endpoint name."""
--- a/tests/limits/test_queue.py
+++ b/tests/limits/test_queue.py
@@ -1,7 +1,7 @@
 import testtools
 
 from burdocklug.limits import FairQueue, QueueFull
-from burdocklug.limits._queue import SMALL_CREDIT_S
+from burdocklug.limits._queue_lines import SMALL_CREDIT_S
 
 
 def fill(queue, team, job, count, cost_s=0.1):
