--- a/tests/bench/test_clock.py
+++ b/tests/bench/test_clock.py
@@ -40,11 +40,16 @@
         virtual.register("routing/a")(lambda: [at_most("routing/a", 1.0, 2.0)])
         virtual.register("compare/a")(lambda: [at_most("compare/a", 1.0, None)])
         side_by_side = []
+
+        def run(names):
+            side_by_side.extend(names)
+            return True
+
         clock.register("clock/a")(lambda: [at_most("clock/a", 1.0, 2.0)])
         with (
             mock.patch.object(bench.__main__, "cases", virtual),
             mock.patch.object(bench.__main__, "clock_cases", clock),
-            mock.patch.object(bench.__main__, "run_side_by_side", side_by_side.extend),
+            mock.patch.object(bench.__main__, "run_side_by_side", run),
         ):
             found = {args: self.names(*args) for args in ((), ("--cases", "*/a"))}
         self.assertThat(side_by_side, Equals(["routing/a"]))
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -6,7 +6,7 @@
 from testtools.matchers import Equals
 
 from burdocklug.kernel import ErrorKind
-from tools.reference import ACTIONS, PAGE, replace_tables
+from tools.reference import ACTIONS, PAGES, replace_tables
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 TEST_NAME = re.compile(r"`(tests/[\w/]+\.py)(?:::(\w+))?(?:::(\w+))?`")
@@ -22,10 +22,12 @@
     }
 
 
-class OperationsPageTest(TestCase):
-    def test_its_tables_are_those_of_the_code(self):
-        text = PAGE.read_text(encoding="utf-8")
-        self.assertThat(replace_tables(text), Equals(text))
+class TablesTest(TestCase):
+    def test_the_tables_are_those_of_the_code(self):
+        self.assertThat({page.name for page in PAGES}, Equals({"OPERATIONS.md", "INTERFACES.md"}))
+        for page, tables in PAGES.items():
+            text = page.read_text(encoding="utf-8")
+            self.assertThat(replace_tables(text, tables), Equals(text))
 
     def test_every_kind_says_what_to_do(self):
         self.assertThat(set(ACTIONS), Equals(set(ErrorKind)))
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -1,9 +1,10 @@
-"""Tables of the documentation that come from the code: error kinds and settings.
+"""Tables of the documentation that come from the code: error kinds, settings, peer messages.
 
-``python -m tools.reference`` writes them between the markers of docs/OPERATIONS.md; a test
-compares them.
+``python -m tools.reference`` writes them between the markers of docs/OPERATIONS.md and
+docs/INTERFACES.md; a test compares them.
 """
 
+import importlib
 import types
 import typing
 from pathlib import Path
@@ -12,9 +13,18 @@
 
 from burdocklug.kernel import ANSWERS, ErrorKind, Settings
 
-__all__ = ["ACTIONS", "PAGE", "error_rows", "replace_tables", "setting_rows"]
+__all__ = ["ACTIONS", "PAGES", "error_rows", "message_rows", "replace_tables", "setting_rows"]
 
-PAGE = Path(__file__).resolve().parent.parent / "docs" / "OPERATIONS.md"
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+MESSAGE_MODULES = (
+    "burdocklug.peers._codec",
+    "burdocklug.peers._gossip",
+    "burdocklug.tickets._messages",
+    "burdocklug.hosts._messages",
+    "burdocklug.jobs._messages",
+    "burdocklug.routing._messages",
+    "burdocklug.limits._messages",
+)
 
 ACTIONS = {
     ErrorKind.BAD_REQUEST: "mend the request at `path`",
@@ -77,6 +87,25 @@
         yield f"| `{path}` | {_form(field.type)} | {_default(field)} |"
 
 
+def message_rows():
+    """Yield the rows of the table of messages between processes and of their parts."""
+    yield "| package | message | tag | fields | what it says |"
+    yield "|---|---|---|---|---|"
+    for name in MESSAGE_MODULES:
+        package = name.split(".")[1]
+        for model in vars(importlib.import_module(name)).values():
+            if isinstance(model, type) and issubclass(model, msgspec.Struct):
+                if model.__module__ == name:
+                    yield _message_row(package, model)
+
+
+def _message_row(package, model):
+    tag = model.__struct_config__.tag
+    fields = ", ".join(f"`{field}`" for field in model.__struct_fields__)
+    cells = (package, f"`{model.__name__}`", "" if tag is None else f"`{tag}`", fields)
+    return "| " + " | ".join(cells) + f" | {model.__doc__.splitlines()[0]} |"
+
+
 def _form(kind):
     if typing.get_origin(kind) is typing.Annotated:
         inner, meta = typing.get_args(kind)[:2]
@@ -108,15 +137,22 @@
     return "none" if field.default is None else f"{field.default}"
 
 
-def replace_tables(text):
-    """Return the page `text` with both tables written anew."""
-    for name, rows in (("errors", error_rows()), ("settings", setting_rows())):
+PAGES = {
+    DOCS / "OPERATIONS.md": {"errors": error_rows, "settings": setting_rows},
+    DOCS / "INTERFACES.md": {"messages": message_rows},
+}
+
+
+def replace_tables(text, tables):
+    """Return the page `text` with its tables, row functions by name, written anew."""
+    for name, rows in tables.items():
         begin, end = f"<!-- {name} -->\n", f"<!-- end {name} -->"
         head, _, rest = text.partition(begin)
         _, _, tail = rest.partition(end)
-        text = head + begin + "\n".join(rows) + "\n" + end + tail
+        text = head + begin + "\n".join(rows()) + "\n" + end + tail
     return text
 
 
 if __name__ == "__main__":
-    PAGE.write_text(replace_tables(PAGE.read_text(encoding="utf-8")), encoding="utf-8")
+    for page, page_tables in PAGES.items():
+        page.write_text(replace_tables(page.read_text(encoding="utf-8"), page_tables), "utf-8")
