--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -45,9 +45,9 @@
 
     def push(self, task, *, again=False):
         """Queue a task; `again` puts one that was refused before the others of its job."""
-        now_s, job = self.fleet.loop.now_s, task.job
+        job = task.job
         cost_s = self.expected_s(task)
-        self.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, now_s=now_s, again=again)
+        self.queue.push(task, team=job.team, job=job.key, cost_s=cost_s, again=again)
 
     def expected_s(self, task):
         """Return the run time to expect of a task, in seconds."""
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -24,7 +24,6 @@
 from bench._reference import REFERENCE_S, reference_s  # noqa: E402
 from burdocklug.client import Client, JobFailed  # noqa: E402
 from standins.fleet import Deployment, Fleet  # noqa: E402
-from standins.launch import launch  # noqa: E402
 
 __all__ = ["Case", "cpu_seconds", "measure"]
 
@@ -56,16 +55,11 @@
         """File that the sampler writes."""
         return self.directory / "samples.json"
 
-    def start_process(self, name, **changes):
-        """Start a process, the first one with the sampler."""
+    def program(self, name, path):
+        """Return the sampler for the first process."""
         if name != self.names[0]:
-            return super().start_process(name, **changes)
-        path = self.directory / f"{name}.yaml"
-        self.settings[name] = self.process_settings(name)
-        path.write_text(json.dumps(self.settings[name]), encoding="utf-8")
-        arguments = ("bench._sampler", str(self.samples_path), str(path))
-        self.children[name] = launch(*arguments, health=self.operators(name))
-        return self.children[name]
+            return super().program(name, path)
+        return "bench._sampler", str(self.samples_path), str(path)
 
     def clear_samples(self):
         """Drop the samples so far."""
--- a/burdocklug/endpoints/_part.py
+++ b/burdocklug/endpoints/_part.py
@@ -7,7 +7,6 @@
 
 from burdocklug.endpoints._cancel import CancelBatcher
 from burdocklug.endpoints._coarse_timers import CoarseTimers
-from burdocklug.endpoints._health import OutcomeKind
 from burdocklug.endpoints._protocol import endpoint_protocols
 from burdocklug.endpoints._view import EndpointView
 from burdocklug.kernel import part
@@ -106,9 +105,9 @@
         now = self._now()
         if _says_leaving(outcome):
             self.view.note_leaving(address, now)
-        shown = None if _was_cancelled(outcome) else health_outcome(outcome, expected_s)
-        if shown is not None and shown.kind is OutcomeKind.FAILED:
-            shown = msgspec.structs.replace(shown, job=job)
+        if _was_cancelled(outcome):
+            return
+        shown = health_outcome(outcome, expected_s, job=job)
         if shown is not None:
             self.view.note(service, address, shown, now)
 
--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -63,7 +63,8 @@
         """Subscribe to the timer service."""
         self.ctx.timers.every(ROUTING_REFRESH_S, self.refresh)
         self.ctx.timers.every(PUMP_S, self._pump_all)
-        self.ctx.configuration.subscribe(self.refresh)
+        self.ctx.configuration.subscribe(self._follow_configuration)
+        self._follow_configuration()
 
     def start(self, record, submission):
         """Accept a job and queue its tasks.
@@ -80,13 +81,12 @@
         BurdocklugError
             Where the job is refused; nothing of it ran and nothing is left behind.
         """
-        now = self.ctx.timers.now()
         deadline_s = submission.deadline_s or self.ctx.settings.default_deadline_s
         admit_job(self.ctx, self._lane(submission.service), submission, deadline_s)
         lane = self.lanes[submission.service]
         job = self.table.add(record, submission, deadline_s)
         for task in job.tasks:
-            self._push(lane, task, now, again=False)
+            self._push(lane, task, again=False)
         self._schedule_pump(lane)
 
     def cancel(self, job):
@@ -100,15 +100,13 @@
     def _drop_queued(self, job):
         self.lanes[job.service].queue.cancel_job(job.key)
 
-    def _push(self, lane, task, now, *, again):
+    def _push(self, lane, task, *, again):
         job = task.job
         task.expected_s = lane.expected_run_s(job.team, task.declared_s)
-        lane.queue.push(
-            task, team=job.team, job=job.key, cost_s=task.expected_s, now_s=now, again=again
-        )
+        lane.queue.push(task, team=job.team, job=job.key, cost_s=task.expected_s, again=again)
 
-    def _push_again(self, lane, task, now):
-        self._push(lane, task, now, again=True)
+    def _push_again(self, lane, task):
+        self._push(lane, task, again=True)
         self._schedule_pump(lane)
 
     def _lane(self, service):
@@ -118,16 +116,19 @@
             self._refresh_lane(lane)
         return lane
 
-    def refresh(self):
-        """Pass configuration, members and endpoint health on to the routers.
+    def _follow_configuration(self):
+        """Make the lane of each service and refresh all.
 
         Notes
         -----
-        Each service of the configuration has its lane before its first job, which would wait for
-        the allocators to take over otherwise.
+        A service's first job would wait for its allocators to take over if it made the lane.
         """
         for service in self.ctx.configuration.services():
             self._lane(service)
+        self.refresh()
+
+    def refresh(self):
+        """Pass configuration, members and endpoint health on to the routers."""
         for lane in list(self.lanes.values()):
             self._refresh_lane(lane)
 
--- a/burdocklug/jobs/_handover.py
+++ b/burdocklug/jobs/_handover.py
@@ -16,7 +16,7 @@
     RecordCopy,
     SessionCopy,
 )
-from burdocklug.peers import MemberState, PeerNotReached, PeerSilent
+from burdocklug.peers import PeerNotReached, PeerSilent
 
 __all__ = ["HandOverSender", "copy_batches", "register_handover"]
 
@@ -145,11 +145,7 @@
 
     def _candidates(self):
         """Return live peers, those of the own failure domain first."""
-        live = [
-            member
-            for member in self._peers.members()
-            if member.state is MemberState.ALIVE and not member.draining
-        ]
+        live = [member for member in self._peers.members() if member.takes_work]
         own = self._peers.failure_domain
         return sorted(live, key=lambda m: (m.failure_domain != own, m.incarnation))
 
--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -51,8 +51,7 @@
         the terms of peers' ejections and of slowness.
         """
         members = self._members()
-        suspects = self._suspects()
-        seen = (self.ctx.configuration.digest, self.ctx.endpoint_changes(), members, suspects)
+        seen = (self.ctx.configuration.digest, self.ctx.endpoint_changes(), members)
         if seen == self._seen and now < self._full_refresh_s:
             return []
         self._seen = seen
@@ -67,19 +66,10 @@
             self.queue.set_weight(team, self.ctx.configuration.team(team).weight)
         self._addresses = {endpoint.name: endpoint.address for endpoint in endpoints}
         routes = [self._route(endpoint, now) for endpoint in endpoints]
-        if (routes, members, suspects) == self._view:
+        if (routes, members) == self._view:
             return []
-        self._view = (routes, members, suspects)
-        out = self.router.update(now, routes, members)
-        self.router.set_unreachable(suspects)
-        return out
-
-    def _suspects(self):
-        return [
-            member.incarnation
-            for member in self.ctx.live_members()
-            if member.state is MemberState.SUSPECT
-        ]
+        self._view = (routes, members)
+        return self.router.update(now, routes, members)
 
     def _route(self, endpoint, now):
         usable = self.ctx.endpoint_usable(self.service, endpoint, now)
--- a/burdocklug/jobs/_part.py
+++ b/burdocklug/jobs/_part.py
@@ -10,7 +10,6 @@
 from burdocklug.jobs._ledger import Ledger
 from burdocklug.jobs._service import JobService
 from burdocklug.kernel import part
-from burdocklug.peers import MemberState
 from burdocklug.routing import SlotMessage
 
 __all__ = ["JobsPart"]
@@ -96,7 +95,7 @@
         return [
             member
             for member in self._peers.members()
-            if member.state in (MemberState.ALIVE, MemberState.SUSPECT) and not member.draining
+            if member.state.is_living and not member.draining
         ]
 
     def start(self):
--- a/burdocklug/jobs/_retry_line.py
+++ b/burdocklug/jobs/_retry_line.py
@@ -47,5 +47,5 @@
             if not task.job.closed:
                 if not self._ctx.retry_budget.try_retry(now):
                     return
-                self._push(lane, task, now)
+                self._push(lane, task)
             self._line.popleft()
--- a/burdocklug/limits/_part.py
+++ b/burdocklug/limits/_part.py
@@ -12,7 +12,6 @@
 from burdocklug.limits._messages import QuotaMessage
 from burdocklug.limits._quotas import QuotaShares
 from burdocklug.limits._registration import NameRegistration
-from burdocklug.peers import MemberState
 
 __all__ = ["LimitsPart"]
 
@@ -134,9 +133,7 @@
             return
         self._ticked_s = now
         peers = {
-            member.name: member.incarnation
-            for member in self._peers.members()
-            if member.state is MemberState.ALIVE and not member.draining
+            member.name: member.incarnation for member in self._peers.members() if member.takes_work
         }
         self._send(self.shares.tick(now, waiting, peers))
 
--- a/burdocklug/limits/_queue.py
+++ b/burdocklug/limits/_queue.py
@@ -31,8 +31,8 @@
     --------
     >>> queue = FairQueue(max_tasks=100)
     >>> for index in range(3):
-    ...     queue.push(f"a{index}", team="a", job="job-a", cost_s=0.1, now_s=0.0)
-    >>> queue.push("b0", team="b", job="job-b", cost_s=0.1, now_s=0.0)
+    ...     queue.push(f"a{index}", team="a", job="job-a", cost_s=0.1)
+    >>> queue.push("b0", team="b", job="job-b", cost_s=0.1)
     >>> [queue.pop().task_ref for _ in range(3)]
     ['a0', 'b0', 'a1']
     >>> queue.cancel_job("job-a")
@@ -73,7 +73,7 @@
     def _team(self, team):
         return self._teams.setdefault(team, TeamLine())
 
-    def push(self, task_ref, *, team, job, cost_s, now_s=0.0, again=False):
+    def push(self, task_ref, *, team, job, cost_s, again=False):
         """Append a task.
 
         Parameters
@@ -84,8 +84,6 @@
             Team that pays for the task, and the job by which it may be cancelled.
         cost_s : float
             Expected run time, in seconds.
-        now_s : float, optional
-            The time, kept for `oldest_age_s`.
         again : bool, optional
             The task was popped before and did not start: it goes first in its job, past the bound.
 
@@ -102,7 +100,7 @@
             job_line = self._jobs[job] = JobLine(team)
             line.small[job] = job_line
         cost_s = max(cost_s, MIN_COST_S)
-        queued = QueuedTask(task_ref, team, job, cost_s, now_s)
+        queued = QueuedTask(task_ref, team, job, cost_s)
         if again:
             job_line.tasks.appendleft(queued)
         else:
--- a/burdocklug/limits/_queue_lines.py
+++ b/burdocklug/limits/_queue_lines.py
@@ -36,15 +36,12 @@
         Owner of the task and the job it belongs to.
     cost_s : float
         Expected run time, in seconds.
-    queued_s : float
-        Time of the push.
     """
 
     task_ref: object
     team: str
     job: str
     cost_s: float
-    queued_s: float
 
 
 @dataclass(slots=True)
--- a/burdocklug/limits/_registration.py
+++ b/burdocklug/limits/_registration.py
@@ -15,7 +15,6 @@
 __all__ = ["NameRecord", "NameRegistration", "Taken", "judge_name", "store_key"]
 
 PURPOSE = "process_name"
-LIVING = (MemberState.ALIVE, MemberState.SUSPECT)
 
 
 class NameRecord(msgspec.Struct, frozen=True):
@@ -86,7 +85,7 @@
         if address_of(incarnation) == address_of(own) and started_ns(incarnation) < started_ns(own):
             return True
         state = states.get(incarnation)
-        return unknown_is_gone if state is None else state not in LIVING
+        return unknown_is_gone if state is None else not state.is_living
 
     since_ns = -1 if record is None else started_ns(record.incarnation)
     unrecorded = [i for i in states if since_ns < started_ns(i) < started_ns(own)]
--- a/burdocklug/peers/_codec.py
+++ b/burdocklug/peers/_codec.py
@@ -38,7 +38,6 @@
 class RefusalReason(enum.IntEnum):
     """Why a request has no reply now, as carried in `Refusal`."""
 
-    OTHER_INCARNATION = 1
     EXPIRED = 2
     NOT_SEEN = 3
     IN_PROGRESS = 4
--- a/burdocklug/peers/_member.py
+++ b/burdocklug/peers/_member.py
@@ -14,6 +14,11 @@
     DEAD = "dead"
     LEFT = "left"
 
+    @property
+    def is_living(self):
+        """Whether the member has not ended as far as is known; it may not be reached."""
+        return self in (MemberState.ALIVE, MemberState.SUSPECT)
+
 
 @dataclass(frozen=True, slots=True)
 class Member:
@@ -38,3 +43,8 @@
     state: MemberState
     successor: str | None = None
     draining: bool = False
+
+    @property
+    def takes_work(self):
+        """Whether the member is reached and does not shut down."""
+        return self.state is MemberState.ALIVE and not self.draining
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -1,7 +1,6 @@
 """The platform's store as a part of a process."""
 
 from burdocklug.kernel import part
-from burdocklug.peers import MemberState
 from burdocklug.platform._budget import process_share
 from burdocklug.platform._budgeted import BudgetedStore
 from burdocklug.platform._http import HttpStore
@@ -9,7 +8,6 @@
 __all__ = ["build_platform"]
 
 FOLLOW_S = 1.0
-ENDED = (MemberState.DEAD, MemberState.LEFT)
 
 
 @part("platform", needs=("peers",))
@@ -22,7 +20,7 @@
     budgeted = BudgetedStore(store, calls_per_s=settings.calls_per_s, now=now)
 
     def follow_members():
-        known = 1 + sum(m.state not in ENDED for m in process["peers"].members())
+        known = 1 + sum(m.state.is_living for m in process["peers"].members())
         if max(names, known) > 1:
             share = process_share(settings.fleet_calls_per_s, names=names, known=known)
             budgeted.set_calls_per_s(share)
--- a/burdocklug/retries/_attempts.py
+++ b/burdocklug/retries/_attempts.py
@@ -65,7 +65,7 @@
     last_phase: str = ""
 
 
-def health_outcome(outcome, expected_s):
+def health_outcome(outcome, expected_s, *, job=""):
     """Return what an attempt's outcome shows of its endpoint, or None for nothing.
 
     Parameters
@@ -74,6 +74,8 @@
         The attempt's outcome; a cancelled attempt shows nothing and isn't to be passed.
     expected_s : float
         Expected run time of the task in seconds.
+    job : str, optional
+        Key of the task's job, by which failures are told apart.
 
     Returns
     -------
@@ -89,8 +91,9 @@
     """
     match outcome:
         case Finished(result):
-            kind = OutcomeKind.SUCCEEDED if result.ok else OutcomeKind.FAILED
-            return Outcome(kind, result.run_s, expected_s)
+            if not result.ok:
+                return Outcome(OutcomeKind.FAILED, job=job)
+            return Outcome(OutcomeKind.SUCCEEDED, result.run_s, expected_s)
         case NotRun(FailedPhase.REFUSED):
             return Outcome(OutcomeKind.REFUSED)
         case Unknown(FailedPhase.DEADLINE, FailedPhase.ASK_SILENT):
--- a/burdocklug/routing/_allocator.py
+++ b/burdocklug/routing/_allocator.py
@@ -56,6 +56,7 @@
         self.service = service
         self.policy = WEIGHTS[weight]
         self._endpoints = {}
+        self._capacity = 0  # slots of all of them
         self._leases = {}  # endpoint name to {lease id: GrantedLease}
         self._usable = UsableSlots()
         self._grants_from_s = {}
@@ -89,6 +90,7 @@
             self._leases[name] = {}
             self._grants_from_s[name] = now_s + TAKE_OVER_S
         self._endpoints = wanted
+        self._capacity = sum(endpoint.slots for endpoint in wanted.values())
         for holder in sorted((self._held.keys() | self._demands.keys()) - live):
             self._forget_holder(holder)
         return self._serve(now_s)
@@ -104,12 +106,11 @@
     def _drop(self, endpoint, lease_id):
         lease = self._leases.get(endpoint, {}).pop(lease_id, None)
         if lease is None:
-            return None
+            return
         self._held[lease.holder] -= 1
         if not self._held[lease.holder]:
             del self._held[lease.holder]
         self._recalls.note_returned(lease.holder)
-        return lease.holder
 
     def request(self, now_s, holder, message):
         """Take a holder's `SlotRequest`: grant what is free, queue the rest, recall for it."""
@@ -118,7 +119,6 @@
         self._sequences[holder] = message.sequence
         self._demands.pop(holder, None)
         if message.waiting or message.spare:
-            since_s = now_s - max(0.0, message.oldest_age_s)
             small = message.waiting < self.policy.chunk
             self._demands[holder] = HolderDemand(
                 message.sequence,
@@ -126,7 +126,6 @@
                 message.spare,
                 min(message.small, message.waiting),
                 small,
-                since_s,
                 now_s,
                 message.sent_s,
             )
@@ -247,7 +246,7 @@
 
     def _headroom(self):
         """Return the number of free slots that only small jobs get."""
-        return int(sum(endpoint.slots for endpoint in self._endpoints.values()) * HEADROOM_SHARE)
+        return int(self._capacity * HEADROOM_SHARE)
 
     def _grant_messages(self, granted, left):
         queued = sum(demand.waiting for demand in self._demands.values())
@@ -265,7 +264,7 @@
         left = sum(free.values())
         while left > keep:
             wanting = [
-                (self._held.get(holder, 0), self._demands[holder].since_s, holder)
+                (self._held.get(holder, 0), self._demands[holder].seen_s, holder)
                 for holder in holders
                 if getattr(self._demands[holder], kind) > 0
             ]
@@ -298,7 +297,7 @@
             return []
         planned = self._recalls.plan(
             now_s,
-            capacity=sum(endpoint.slots for endpoint in self._endpoints.values()),
+            capacity=self._capacity,
             held=self._held,
             wanted={holder: demand.waiting for holder, demand in self._demands.items()},
         )
--- a/burdocklug/routing/_allocator_state.py
+++ b/burdocklug/routing/_allocator_state.py
@@ -23,6 +23,5 @@
     spare: int
     urgent: int  # those of `waiting` that are for small jobs
     small: bool  # served at once; a large one waits for several slots together
-    since_s: float
     seen_s: float
     sent_s: float
--- a/burdocklug/routing/_demand.py
+++ b/burdocklug/routing/_demand.py
@@ -85,7 +85,7 @@
         queued = any(entry.queued for entry in self.allocators.values())
         return min(self.policy.spare, 1) if queued else self.policy.spare
 
-    def ask(self, now_s, short, *, busy, idle, reserve, small, oldest_age_s):
+    def ask(self, now_s, short, *, busy, idle, reserve, small):
         """Return the requests to send.
 
         Parameters
@@ -100,8 +100,6 @@
             Idle leases that the waiting tasks may not use.
         small : int
             Those of the missing leases that are for small jobs.
-        oldest_age_s : float
-            How long the oldest task has waited, in seconds.
         """
         self._small = small
         asked = sum(self._live_ask(now_s, entry) for entry in self.allocators.values())
@@ -112,7 +110,7 @@
         short = self._worth_asking(short, small, busy)
         short -= self._covered(now_s, short, asked)
         wants = self._share_out(now_s, short) if short > 0 else {}
-        return [self._request(now_s, name, want, 0, oldest_age_s) for name, want in wants.items()]
+        return [self._request(now_s, name, want, 0) for name, want in wants.items()]
 
     def _worth_asking(self, short, small, busy):
         """Return the missing leases that own ones, as their tasks end, don't make up for soon."""
@@ -146,7 +144,7 @@
         for name, entry in self.allocators.items():
             if entry.asked and now_s - entry.asked_s >= self.policy.ask_pause_s:
                 entry.asked = max(0, short) * entry.asked // asked
-                out.append(self._request(now_s, name, 0, 0, 0.0))
+                out.append(self._request(now_s, name, 0, 0))
         return out
 
     def _share_out(self, now_s, short):
@@ -199,10 +197,10 @@
         for name, entry in sorted(self.allocators.items(), key=lambda item: not item[1].local):
             if entry.free >= short and now_s - entry.spare_s >= ASK_MORE_S and not entry.asked:
                 entry.spare_s = now_s
-                return [self._request(now_s, name, 0, short, 0.0)]
+                return [self._request(now_s, name, 0, short)]
         return []
 
-    def _request(self, now_s, name, waiting, spare, oldest_age_s):
+    def _request(self, now_s, name, waiting, spare):
         entry = self.allocators[name]
         if waiting:
             entry.asked += waiting
@@ -212,7 +210,5 @@
         small = min(self._small, entry.asked)
         if small:
             entry.urgent_s = min(entry.urgent_s, now_s)
-        request = SlotRequest(
-            self.service, self._sequence, entry.asked, spare, oldest_age_s, now_s, small
-        )
+        request = SlotRequest(self.service, self._sequence, entry.asked, spare, now_s, small)
         return Outgoing(name, request)
--- a/burdocklug/routing/_holder.py
+++ b/burdocklug/routing/_holder.py
@@ -195,7 +195,7 @@
         else:
             self._put_idle(lease)
 
-    def pump(self, now_s, waiting, *, small=None, small_share=0.0, oldest_age_s=0.0):
+    def pump(self, now_s, waiting, *, small=None, small_share=0.0):
         """Return leases to start tasks on now, and messages to send.
 
         Parameters
@@ -208,8 +208,6 @@
             Those of them that belong to small jobs; the last idle leases are kept for such.
         small_share : float, optional
             Their share of the starts of late, from 0 to 1; the more, the more leases are kept.
-        oldest_age_s : float, optional
-            How long the oldest of them has waited.
 
         Returns
         -------
@@ -240,7 +238,6 @@
             idle=len(self._idle),
             reserve=reserve,
             small=small,
-            oldest_age_s=oldest_age_s,
         )
         self._give_back_unused(now_s)
         messages += self._returns.flush(now_s)
--- a/burdocklug/routing/_messages.py
+++ b/burdocklug/routing/_messages.py
@@ -38,7 +38,6 @@
     sequence: int
     waiting: int  # leases for tasks that wait now
     spare: int = 0  # further leases, out of free slots only
-    oldest_age_s: float = 0.0
     sent_s: float = 0.0  # the holder's clock, echoed by the grant
     small: int = 0  # those of `waiting` that are for jobs of a few tasks
 
--- a/burdocklug/routing/_router.py
+++ b/burdocklug/routing/_router.py
@@ -52,7 +52,7 @@
     >>> router.update(0.0, [RouteEndpoint("e1", "north", 2)], [RouteMember("p1", "north")])
     []
     >>> for index in range(3):
-    ...     queue.push(f"t{index}", team="a", job="j", cost_s=0.1, now_s=1.0)
+    ...     queue.push(f"t{index}", team="a", job="j", cost_s=0.1)
     >>> def dispatch(now_s):
     ...     leases, outgoing = router.pump(now_s, len(queue), small=queue.small_tasks())
     ...     return [(lease, queue.pop()) for lease in leases]
@@ -82,7 +82,8 @@
         endpoints : iterable of RouteEndpoint
             All endpoints of the service; `usable` is False for leaving and ejected ones.
         members : iterable of RouteMember
-            Live processes, this one included; dead ones are left out.
+            Live processes, this one included; dead ones are left out. Of those that are not
+            reachable no lease is asked.
 
         Returns
         -------
@@ -100,11 +101,9 @@
         ]
         live = {member.incarnation for member in members}
         out = self.allocator.update(now_s, mine, live=live)
-        return self._settle(now_s, out + self.holder.update(now_s, endpoints, allocator_of))
-
-    def set_unreachable(self, incarnations):
-        """Set the members that may not answer; no lease is asked of them."""
-        self.holder.set_unreachable(incarnations)
+        out += self.holder.update(now_s, endpoints, allocator_of)
+        self.holder.set_unreachable({m.incarnation for m in members if not m.reachable})
+        return self._settle(now_s, out)
 
     def receive(self, now_s, sender, message):
         """Take a `SlotMessage` of another process and return messages to send."""
@@ -141,7 +140,7 @@
                 rest.append(item)
         return rest
 
-    def pump(self, now_s, waiting, *, small=None, small_share=0.0, oldest_age_s=0.0):
+    def pump(self, now_s, waiting, *, small=None, small_share=0.0):
         """Return leases to start tasks on now, and messages to send.
 
         Parameters
@@ -154,8 +153,6 @@
             `FairQueue.small_tasks`; without it no lease is reserved for small jobs.
         small_share : float, optional
             `FairQueue.small_share`.
-        oldest_age_s : float, optional
-            How long the oldest of them has waited, in seconds.
 
         Returns
         -------
@@ -168,7 +165,7 @@
         if now_s >= self._tick_s:
             self._tick_s = now_s + TICK_S
             out = self._settle(now_s, self.allocator.tick(now_s))
-        pump = partial(self.holder.pump, small_share=small_share, oldest_age_s=oldest_age_s)
+        pump = partial(self.holder.pump, small_share=small_share)
         starts, asked = pump(now_s, waiting, small=small)
         idle_before = self.holder.counts()[1]
         out += self._settle(now_s, asked)
--- a/burdocklug/tickets/_wait.py
+++ b/burdocklug/tickets/_wait.py
@@ -5,7 +5,6 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError
-from burdocklug.peers import MemberState
 from burdocklug.tickets._decisions import live_members
 from burdocklug.tickets._exchange import probe
 from burdocklug.tickets._messages import TicketProbe
@@ -98,7 +97,7 @@
     states += [
         _to_state(m.name, m.incarnation, m.failure_domain, replies.get(m.incarnation), own)
         for m in members
-        if m.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        if m.state.is_living
     ]
     states.sort(key=lambda state: (state.failure_domain, state.name, state.incarnation))
     domains = {m.failure_domain for m in members} | configuration.failure_domains()
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -13,7 +13,6 @@
 log = structlog.get_logger(__name__)
 
 MAX_HEADER_LINE_BYTES = 8192
-MAX_HEADERS_BYTES = 16384
 
 
 class _BoundedHeaders(eventlet.wsgi.HttpProtocol):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -138,9 +138,13 @@
         path = self.directory / f"{name}.yaml"
         self.settings[name] = {**self.process_settings(name), **changes}
         path.write_text(yaml.safe_dump(self.settings[name]), encoding="utf-8")
-        self.children[name] = launch("burdocklug.daemon", str(path))
+        self.children[name] = launch(*self.program(name, path))
         return self.children[name]
 
+    def program(self, name, path):
+        """Return the module that runs the process of a name, and its arguments."""
+        return "burdocklug.daemon", str(path)
+
     def state(self, name):
         """Return the state dump of a process."""
         return call_json("GET", f"http://{self.operators(name)}/v1/state", token=OPERATOR_TOKEN)
--- a/tests/daemon/fleets.py
+++ b/tests/daemon/fleets.py
@@ -78,6 +78,11 @@
                 raise AssertionError(f"not within {timeout_s} s")
             time.sleep(0.05)
 
+    def has_as_dead(self, name, incarnation):
+        """Return whether the process under `name` has an incarnation as dead."""
+        members = self.fleet.state(name)["peers"]["members"]
+        return any(m["incarnation"] == incarnation and m["state"] == "dead" for m in members)
+
     def setUp(self):
         super().setUp()
         self.addOnException(lambda _exc_info: self.attach_logs())
--- a/tests/daemon/test_ownership.py
+++ b/tests/daemon/test_ownership.py
@@ -75,10 +75,6 @@
             self.fleet.children[self.owner].resume()
         self.assertThat({ran for _kind, ran in answers}, Equals({"unknown"}))
 
-    def has_as_dead(self, name, incarnation):
-        members = self.fleet.state(name)["peers"]["members"]
-        return any(m["incarnation"] == incarnation and m["state"] == "dead" for m in members)
-
     def completes(self, **job):
         return lambda: self.submit(self.far, self.key, **job)["state"] == "complete"
 
--- a/tests/daemon/test_rejoin.py
+++ b/tests/daemon/test_rejoin.py
@@ -39,13 +39,7 @@
         """Freeze a process until a peer has it as dead, and wake it."""
         self.fleet.children[name].pause()
         self.addCleanup(self.fleet.children[name].resume)
-        old = self.old
-
-        def declared_dead():
-            members = self.fleet.state("north-2")["peers"]["members"]
-            return any(m["incarnation"] == old and m["state"] == "dead" for m in members)
-
-        self.wait_for(declared_dead)
+        self.wait_for(lambda: self.has_as_dead("north-2", self.old))
         self.fleet.children[name].resume()
 
     def rejoined(self, name):
