A scheduler is lost and replaced sooner; jobs that may have begun are never refused as not run

(2) A scheduler that yields after a cut handed its jobs on with the age of its last exchange as a follower, 4.4 s, so that the other one started them beside the runs that still had leases (TWICE). A settled scheduler waits 1.2 s from the yield. (3) The claim after a loss came 0.9 s after the loss was noticed, since members still named the lost scheduler; they name only one that they heard within 0.5 s.

--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -25,8 +25,9 @@
 FOLLOW_S = 0.2  # period of the exchange with the scheduler
 LOST_S = 0.8  # four exchanges without an answer
 NOTICE_S = 1.0  # period in which a scheduler tells all members of its claim
-REACH_S = 0.25  # for an answer to a question; over the slowest exchange of healthy peers
-ASK_AGAIN_S = 0.3
+REACH_S = 0.2  # for an answer to a question; over the slowest exchange of healthy peers
+ASK_AGAIN_S = 0.1
+FRESH_S = 0.5  # a scheduler that was not heard for longer is not named to others
 
 log = structlog.get_logger(__name__)
 
@@ -109,7 +110,8 @@
             return
         before, self.claim = self.claim, claim
         if before is not None:
-            self.lost_heard_s[before.scheduler] = self.heard_s
+            own = before.scheduler == self.own
+            self.lost_heard_s[before.scheduler] = self._timers.now() if own else self.heard_s
         self._greatest = greater_claim(self._greatest, claim)
         self.heard_s = self._timers.now()
         self.heard_sequence = 0
@@ -203,7 +205,8 @@
             self._network.send(sender, ClaimNotice(self.claim))
 
     def _on_question(self, _sender, _message):
-        return ReachAnswer(self.claim)
+        fresh = self.leads or self._timers.now() - self.heard_s < FRESH_S
+        return ReachAnswer(self.claim if fresh else None)
 
     def _find_scheduler(self):
         """Follow the greatest claim that the reached members know, or make one."""
@@ -299,6 +302,11 @@
         heard = sum(now - self.last_heard.get(member, 0.0) < LOST_S for member in members)
         return heard, len(members)
 
+    def note_not_reached(self, scheduler):
+        """Note that a scheduler refuses connections or was replaced by a new process."""
+        if self.claim is not None and self.claim.scheduler == scheduler and not self.leads:
+            self._set_claim(None, "not_reached")
+
     def give_up(self, reason):
         """Schedule no more, as after a pause in which others may have taken over."""
         if self.leads:
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -15,7 +15,7 @@
 
 __all__ = ["Scheduler"]
 
-QUIET_S = 1.1  # by then an earlier scheduler has stopped the jobs of callers that it lost
+QUIET_S = 1.2  # by then what another scheduler had begun was stopped, or has lapsed
 KEEP_ENDED_S = 10.0  # outcomes are kept for callers that ask again after a broken connection
 ATTEMPT_STEP = 8  # raises the number of a start over those of earlier schedulers
 SLOWNESS_SHARE = 0.1  # weight of one run in the learnt slowness of an endpoint
@@ -83,7 +83,8 @@
         job = make_job(spec, received_s=received_s, wait_s=wait_s)
         if quiet_s is not None:
             job.unsettled = not self.settled
-            job.not_before_s = self._now() + max(0.0, QUIET_S - quiet_s)
+            if self.settled:
+                job.not_before_s = self._now() + max(0.0, QUIET_S - quiet_s)
         self.jobs[spec.job_id] = job
         self._waiting[spec.job_id] = job
         self.counts["jobs"] += 1
--- a/burdocklug/pools/_submitter.py
+++ b/burdocklug/pools/_submitter.py
@@ -103,6 +103,10 @@
                 continue
             if answer.outcome is not None:
                 return answer.outcome
+            if answer.refused and submission.maybe_begun:
+                raise BurdocklugError(
+                    ErrorKind.OUTCOME_UNKNOWN, f"lost with its scheduler, then {answer.refused}"
+                )
             if answer.refused:
                 raise BurdocklugError(
                     ErrorKind.WOULD_MISS_DEADLINE,
@@ -138,6 +142,7 @@
             return done.wait()
         except PeerNotReached as exc:
             log.info("scheduler_not_reached", job=submission.spec.job_id, error=str(exc)[:120])
+            self._following.note_not_reached(scheduler)
             eventlet.sleep(POLL_S)
             return None
         except (PeerSilent, _SchedulerLost) as exc:
--- /dev/null
+++ b/tests/pools/builders.py
@@ -0,0 +1,77 @@
+"""Entries, jobs and a scheduler in virtual time for tests of pools."""
+
+from burdocklug.pools._models import EndpointEntry, JobSpec, QueueRule, Room, RunEndKind, StepSpec
+from burdocklug.pools._scheduler import Scheduler
+
+RULE = QueueRule(
+    "checks",
+    "checks.example",
+    "/checks/",
+    "press",
+    max_attempts=2,
+    stretch_factor=1.6,
+    target_s=0.06,
+    timeout_s=1.5,
+)
+
+
+def entry(number, *, cpu=16000, service="press", domain="north", **changes):
+    """Return an endpoint's entry."""
+    return EndpointEntry(
+        f"e{number}", service, f"10.0.0.{number}:80", domain, Room(cpu, 32768, 0), **changes
+    )
+
+
+def step(count=1, *, cpu=6800, estimate_s=0.2, **changes):
+    """Return a step of tasks that are alike."""
+    return StepSpec(count, Room(cpu, 64, 0), estimate_s, **changes)
+
+
+def spec(job_id, *steps, rule=RULE):
+    """Return a job's submission."""
+    return JobSpec(job_id, rule, "payload", steps or (step(),))
+
+
+class OrderLog:
+    """Notes the orders that a scheduler gives."""
+
+    def __init__(self):
+        self.started = []
+        self.stopped = []
+
+    def start(self, task, room):
+        self.started.append((task, room))
+
+    def stop(self, task, room):
+        self.stopped.append((task, room))
+
+
+class VirtualPool:
+    """A scheduler, its orders and a clock that tests set."""
+
+    def __init__(self, *entries):
+        self.now_s = 100.0
+        self.orders = OrderLog()
+        self.scheduler = Scheduler(self.orders, now=lambda: self.now_s)
+        for one in entries:
+            self.scheduler.add_endpoint(one).usable = True
+
+    def submit(self, job_id, *steps, rule=RULE, wait_s=1.5, **options):
+        job = self.scheduler.submit(
+            spec(job_id, *steps, rule=rule), received_s=self.now_s, wait_s=wait_s, **options
+        )
+        self.scheduler.pump()
+        return job
+
+    def end(self, task, kind=RunEndKind.DONE):
+        """End the run of a task at its endpoint."""
+        self.scheduler.note_end(task, self.scheduler.rooms[task.endpoint_id], kind)
+        self.scheduler.pump()
+
+    def end_all(self, job, kind=RunEndKind.DONE):
+        for task in job.tasks:
+            if task.state.is_placed:
+                self.end(task, kind)
+
+    def names_started(self):
+        return [task.name for task, _room in self.orders.started]
--- /dev/null
+++ b/tests/pools/test_scheduler.py
@@ -0,0 +1,232 @@
+import msgspec
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from burdocklug.pools._jobs import TaskState, progress_of
+from burdocklug.pools._models import JobOutcome, RunEndKind
+from tests.pools.builders import RULE, VirtualPool, entry, spec, step
+
+
+class LifeOfAJobTest(TestCase):
+    def test_a_job_completes_once_all_its_tasks_are_done(self):
+        pool = VirtualPool(entry(1), entry(2))
+        woken = []
+        job = pool.submit("j1", step(3))
+        job.waiters.append(woken.append)
+        pool.end(job.tasks[0])
+        pool.end(job.tasks[1])
+        self.assertThat(job.outcome, Equals(None))
+        pool.end(job.tasks[2])
+        self.assertThat((job.outcome, woken), Equals((JobOutcome.COMPLETED, [job])))
+
+    def test_a_later_step_waits_for_the_one_before(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(2), step(1, after=(0,)))
+        self.assertThat(pool.names_started(), Equals(["j1.0.0.0", "j1.0.0.1"]))
+        pool.end(job.tasks[0])
+        self.assertThat(job.tasks[2].state, Equals(TaskState.BLOCKED))
+        pool.end(job.tasks[1])
+        self.assertThat(pool.names_started()[2:], Equals(["j1.0.1.0"]))
+
+    def test_the_same_id_again_attaches_and_starts_nothing(self):
+        pool = VirtualPool(entry(1))
+        first = pool.submit("j1")
+        again = pool.submit("j1")
+        self.assertIs(first, again)
+        self.assertThat(len(pool.orders.started), Equals(1))
+
+    def test_the_same_id_after_the_end_has_the_same_outcome(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1")
+        pool.end(job.tasks[0])
+        pool.now_s += 2.0
+        self.assertThat(pool.submit("j1").outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat(len(pool.orders.started), Equals(1))
+
+    def test_a_job_fails_when_one_task_has_used_up_its_attempts(self):
+        pool = VirtualPool(entry(1), entry(2), entry(3))
+        job = pool.submit("j1", step(2))
+        pool.end(job.tasks[0], RunEndKind.FAILED)
+        self.assertThat(job.outcome, Equals(None))
+        pool.end(job.tasks[0], RunEndKind.FAILED)
+        self.assertThat(job.outcome, Equals(JobOutcome.FAILED))
+        self.assertThat([t.name for t, _ in pool.orders.stopped], Equals(["j1.0.0.1"]))
+
+    def test_lapses_stops_and_refusals_are_no_failed_attempts(self):
+        pool = VirtualPool(entry(1), entry(2))
+        job = pool.submit("j1")
+        task = job.tasks[0]
+        for kind in (RunEndKind.LAPSED, RunEndKind.STOPPED, RunEndKind.LAPSED):
+            pool.end(task, kind)
+        room = pool.scheduler.rooms[task.endpoint_id]
+        pool.scheduler.note_refused(task, room, reason="room")
+        pool.scheduler.pump()
+        self.assertThat((job.outcome, task.failures), Equals((None, 0)))
+        self.assertThat(task.attempt, Equals(5))
+
+    def test_a_failed_task_goes_to_another_endpoint(self):
+        pool = VirtualPool(entry(1), entry(2))
+        job = pool.submit("j1")
+        first = job.tasks[0].endpoint_id
+        pool.end(job.tasks[0], RunEndKind.FAILED)
+        self.assertNotEqual(first, job.tasks[0].endpoint_id)
+
+    def test_a_cancelled_job_starts_nothing_more_and_its_runs_are_stopped(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(5))
+        pool.scheduler.end_job(job, JobOutcome.CANCELLED, reason="test")
+        pool.scheduler.pump()
+        self.assertThat(len(pool.orders.started), Equals(2))
+        self.assertThat(len(pool.orders.stopped), Equals(2))
+        pool.end_all(job, RunEndKind.STOPPED)
+        self.assertThat(len(pool.orders.started), Equals(2))
+
+    def test_room_is_free_only_when_the_end_of_a_stopped_run_is_known(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(2))
+        pool.scheduler.end_job(job, JobOutcome.CANCELLED, reason="test")
+        pool.submit("j2")
+        self.assertThat(len(pool.orders.started), Equals(2))
+        room = pool.scheduler.rooms["e1"]
+        pool.scheduler.note_end(job.tasks[0], room, RunEndKind.STOPPED)
+        pool.scheduler.pump()
+        self.assertThat(pool.names_started()[2:], Equals(["j2.0.0.0"]))
+
+
+class SuspendedJobTest(TestCase):
+    def test_nobody_waits_so_its_runs_stop_and_nothing_starts(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(3))
+        pool.scheduler.suspend(job)
+        pool.end_all(job, RunEndKind.STOPPED)
+        self.assertThat(len(pool.orders.started), Equals(2))
+        self.assertThat(len(pool.orders.stopped), Equals(2))
+
+    def test_it_goes_on_when_it_is_submitted_again(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(1))
+        pool.scheduler.suspend(job)
+        self.assertIs(pool.submit("j1", step(1)), job)
+        self.assertThat(len(pool.orders.started), Equals(1))  # its first run may still go on
+        pool.end(job.tasks[0], RunEndKind.STOPPED)
+        self.assertThat(len(pool.orders.started), Equals(2))
+        self.assertThat(job.tasks[0].attempt, Equals(2))
+
+
+class NewSchedulerTest(TestCase):
+    def test_a_job_that_may_have_begun_elsewhere_waits_until_endpoints_were_looked_at(self):
+        pool = VirtualPool(entry(1))
+        pool.scheduler.settled = False
+        pool.submit("old", quiet_s=5.0)
+        pool.submit("new")
+        self.assertThat(pool.names_started(), Equals(["new.0.0.0"]))
+        pool.scheduler.settle()
+        pool.scheduler.pump()
+        self.assertThat(pool.names_started()[1:], Equals(["old.0.0.0"]))
+
+    def test_a_settled_one_waits_until_another_scheduler_has_stopped_the_job(self):
+        pool = VirtualPool(entry(1))
+        pool.submit("j1", quiet_s=0.8)
+        self.assertThat(pool.names_started(), Equals([]))
+        pool.now_s += 0.45
+        pool.scheduler.pump()
+        self.assertThat(pool.names_started(), Equals(["j1.0.0.0"]))
+
+    def test_what_was_done_before_a_handover_is_not_done_again(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(3))
+        pool.end(job.tasks[0])
+        later = VirtualPool(entry(1))
+        later.submit("j1", step(3), quiet_s=5.0, progress=progress_of(job))
+        self.assertThat(later.names_started(), Equals(["j1.0.0.1", "j1.0.0.2"]))
+        self.assertThat([t.attempt for t, _ in later.orders.started], Equals([2, 2]))
+
+
+class OverloadTest(TestCase):
+    """A load above what the endpoints carry: two tasks run at a time, many jobs wait."""
+
+    def test_jobs_that_can_be_in_time_go_before_those_that_are_late(self):
+        pool = VirtualPool(entry(1))
+        busy = pool.submit("busy", step(2, estimate_s=0.5))
+        pool.submit("late", step(1, estimate_s=0.2), wait_s=9.0)
+        pool.now_s += 0.5
+        pool.submit("timely", step(1, estimate_s=0.2))
+        pool.end(busy.tasks[0])
+        self.assertThat(pool.names_started()[2:], Equals(["timely.0.0.0"]))
+
+    def test_a_job_that_has_begun_is_finished_first(self):
+        pool = VirtualPool(entry(1))
+        busy = pool.submit("busy", step(1, estimate_s=0.5))
+        pool.submit("begun", step(2, estimate_s=0.2), wait_s=9.0)
+        pool.submit("other", step(1, estimate_s=0.3))
+        pool.end(busy.tasks[0])
+        self.assertThat(pool.names_started()[2:], Equals(["begun.0.0.1"]))
+
+    def test_a_job_that_cant_be_answered_while_its_caller_waits_is_refused(self):
+        pool = VirtualPool(entry(1))
+        pool.submit("busy", step(2, estimate_s=5.0), wait_s=60.0)
+        woken = []
+        job = pool.submit("j1", step(1, estimate_s=0.2))
+        job.waiters.append(woken.append)
+        pool.now_s += 1.0
+        pool.scheduler.pump()
+        self.assertThat((woken, job.outcome, job.started), Equals(([job], None, False)))
+        self.assertNotIn("j1", pool.scheduler.jobs)
+
+    def test_a_wide_job_is_not_starved_by_small_ones(self):
+        pool = VirtualPool(entry(1), entry(2))
+        pool.submit("small0", step(4, estimate_s=0.1))
+        wide = pool.submit("wide", step(8, estimate_s=0.1), wait_s=9.0)
+        for number in range(1, 40):
+            pool.now_s += 0.05
+            pool.submit(f"small{number}", step(1, estimate_s=0.1))
+            for task, _room in list(pool.orders.started):
+                if task.state.is_placed and pool.now_s - task.started_s >= 0.1:
+                    pool.end(task)
+        self.assertThat(wide.outcome, Equals(JobOutcome.COMPLETED))
+
+
+class EndpointsTest(TestCase):
+    def test_a_job_that_no_endpoint_can_hold_is_named_impossible(self):
+        pool = VirtualPool(entry(1))
+        self.assertIs(pool.scheduler.impossible(spec("j1", step(1, cpu=16000))), None)
+        self.assertIn("step 0", pool.scheduler.impossible(spec("j1", step(1, cpu=16001))))
+        other = msgspec.structs.replace(RULE, service="other")
+        self.assertIn("'other'", pool.scheduler.impossible(spec("j1", rule=other)))
+
+    def test_an_endpoint_that_fails_everything_gets_single_trials(self):
+        pool = VirtualPool(entry(1), entry(2, cpu=24000))
+        spoiled = []
+        for number in range(20):
+            job = pool.submit(f"job{number}")
+            if job.tasks[0].endpoint_id == "e1":
+                spoiled.append(job.job_id)
+                pool.end(job.tasks[0], RunEndKind.FAILED)
+            pool.end_all(job)
+        self.assertThat(len(spoiled), Equals(3))
+        pool.now_s += 1.0
+        pool.submit("trial", step(3))
+        self.assertThat(len(pool.scheduler.rooms["e1"].runs), Equals(1))
+
+    def test_what_ran_at_an_endpoint_that_is_gone_starts_elsewhere(self):
+        pool = VirtualPool(entry(1), entry(2))
+        job = pool.submit("j1")
+        pool.scheduler.remove_endpoint(job.tasks[0].endpoint_id)
+        pool.scheduler.pump()
+        self.assertThat(len(pool.orders.started), Equals(2))
+        self.assertThat(job.tasks[0].attempt, Equals(2))
+
+    def test_a_label_and_a_bound_for_each_endpoint_are_kept(self):
+        pool = VirtualPool(entry(1, labels=("a",)), entry(2, labels=("b",)))
+        job = pool.submit("j1", step(3, cpu=100, required_label="b", max_per_endpoint=2))
+        placed = [task.endpoint_id for task in job.tasks]
+        self.assertThat(placed, Equals(["e2", "e2", None]))
+
+
+def test_outcomes_are_forgotten_after_a_while():
+    pool = VirtualPool(entry(1))
+    job = pool.submit("j1")
+    pool.end(job.tasks[0])
+    pool.now_s += 11.0
+    pool.scheduler.forget_ended()
+    assert pool.scheduler.jobs == {}
