--- /dev/null
+++ b/tests/pools/test_endpoint.py
@@ -0,0 +1,260 @@
+import eventlet
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from burdocklug.pools._endpoint import EndpointAgent
+from burdocklug.pools._jobs import TaskState
+from burdocklug.pools._models import JobOutcome
+from burdocklug.pools._orders import OrderFenced, OrderUnanswered, RefusalReason
+from burdocklug.pools._scheduler import Scheduler
+from tests.pools.builders import RULE, entry, spec, step
+from tests.pools.fake_endpoint import FakeEndpoint, Run
+from tests.scenarios import with_scenarios
+
+
+class AgentTestCase(TestCase):
+    """One endpoint and its agent; the test moves the clock and lets the agent report."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = [50.0]
+        self.endpoint = FakeEndpoint(self.clock)
+        self.scheduler = Scheduler(self, now=lambda: self.clock[0])
+        room = self.scheduler.add_endpoint(entry(1))
+        self.agent = self.make_agent(room, self.scheduler, digit=1)
+
+    def make_agent(self, room, scheduler, *, digit):
+        return EndpointAgent(
+            room,
+            scheduler,
+            self.endpoint,
+            now=lambda: self.clock[0],
+            lease_s=1.0,
+            digit=digit,
+            wake=lambda: None,
+        )
+
+    # Orders of the scheduler
+
+    def start(self, task, room):
+        self.agent.start(task)
+
+    def stop(self, task, room):
+        self.agent.stop(task)
+
+    # Steps of a test
+
+    def take_over(self):
+        self.agent._take_over()
+
+    def submit(self, job_id="j1", *steps):
+        job = self.scheduler.submit(
+            spec(job_id, *(steps or (step(estimate_s=0.1),))),
+            received_s=self.clock[0],
+            wait_s=60.0,
+        )
+        self.scheduler.pump()
+        self.settle()
+        return job
+
+    @staticmethod
+    def settle():
+        for _ in range(5):
+            eventlet.sleep(0)
+
+    def pass_time(self, seconds, *, report=True):
+        self.clock[0] += seconds
+        self.endpoint.advance()
+        if report:
+            self.report()
+
+    def report(self):
+        try:
+            self.agent._renew() if self.agent.token is not None else self.agent._take_over()
+        except OrderUnanswered as exc:
+            self.agent._note_silence(exc)
+        except OrderFenced as exc:
+            self.agent._note_fenced(exc)
+        self.settle()
+        self.scheduler.pump()
+        self.settle()
+
+
+class AgentTest(AgentTestCase):
+    def test_a_task_is_started_and_its_end_acknowledged(self):
+        self.take_over()
+        job = self.submit()
+        self.pass_time(0.2)
+        self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
+        self.pass_time(0.1)
+        self.assertThat(self.endpoint.ends, Equals([]))
+
+    def test_renewals_keep_a_long_run_alive(self):
+        self.endpoint.run_s = 3.0
+        self.take_over()
+        job = self.submit("j1", step(estimate_s=3.0))
+        for _ in range(10):
+            self.pass_time(0.4)
+        self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat(len(self.endpoint.log), Equals(1))
+
+    def test_a_drained_endpoint_gets_nothing_more(self):
+        self.take_over()
+        self.agent.note_entry(entry(1, draining=True))
+        self.submit()
+        self.pass_time(0.1)
+        self.assertThat(self.endpoint.log, Equals([]))
+
+    def test_a_start_that_lost_only_its_answer_goes_on(self):
+        self.take_over()
+        self.endpoint.unanswered.add("start")
+        job = self.submit()
+        self.endpoint.unanswered.clear()
+        self.pass_time(0.2)
+        self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat([attempt for _t, attempt, _s in self.endpoint.log], Equals([1]))
+
+    def test_a_start_that_was_not_carried_out_is_withdrawn_and_sent_anew(self):
+        self.take_over()
+        self.endpoint.lost.add("start")
+        job = self.submit()
+        self.endpoint.lost.clear()
+        self.pass_time(0.05)
+        self.pass_time(0.05)
+        self.assertThat([attempt for _t, attempt, _s in self.endpoint.log], Equals([2]))
+        self.assertThat(self.endpoint.deliver_late(), Equals(1))
+        self.assertThat((job.tasks[0].failures, len(self.endpoint.log)), Equals((0, 1)))
+
+    def test_a_start_that_comes_seconds_late_is_refused(self):
+        self.take_over()
+        self.endpoint.lost.update(("start", "stop", "renew"))
+        self.submit()
+        self.clock[0] += 3.0
+        self.assertThat(self.endpoint.deliver_late(), Equals(1))
+        self.assertThat(self.endpoint.log, Equals([]))
+
+    def test_a_run_without_progress_is_stopped_and_started_anew(self):
+        self.take_over()
+        self.endpoint.stall = True
+        job = self.submit()
+        self.endpoint.stall = False
+        for _ in range(8):
+            self.pass_time(0.1)
+        self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat([attempt for _t, attempt, _s in self.endpoint.log], Equals([1, 2]))
+
+    def test_a_number_that_is_too_low_is_raised(self):
+        self.take_over()
+        self.endpoint.highest["j1.0.0.0"] = 5
+        self.submit()
+        self.pass_time(0.01)
+        self.assertThat([attempt for _t, attempt, _s in self.endpoint.log], Equals([10]))
+
+    def test_an_endpoint_without_room_is_asked_again_after_its_next_report(self):
+        self.take_over()
+        self.endpoint.refusal = RefusalReason.ROOM
+        job = self.submit()
+        self.assertFalse(self.agent.room.usable)
+        self.endpoint.refusal = ""
+        self.pass_time(0.05)
+        self.assertThat((job.tasks[0].state, job.tasks[0].failures), Equals((TaskState.RUNNING, 0)))
+
+
+class LostRunsTest(AgentTestCase):
+    def test_runs_of_a_silent_endpoint_start_elsewhere_only_after_they_lapsed(self):
+        self.endpoint.run_s = 30.0
+        self.take_over()
+        job = self.submit("j1", step(estimate_s=30.0))
+        self.endpoint.lost.add("renew")
+        sent_s = self.clock[0]
+        while job.tasks[0].state is TaskState.RUNNING:
+            self.pass_time(0.05)
+            self.assertTrue(self.clock[0] < sent_s + 3.0)
+        self.assertThat(self.endpoint.runs, Equals({}))
+        self.assertThat(job.tasks[0].state, Equals(TaskState.WAITING))
+
+    def test_runs_of_an_endpoint_that_restarted_wait_again(self):
+        self.take_over()
+        job = self.submit()
+        self.endpoint.restart()
+        self.pass_time(0.01)
+        self.pass_time(0.01)
+        self.assertThat(job.tasks[0].attempt, Equals(2))
+
+    def test_a_run_that_vanished_waits_again(self):
+        self.take_over()
+        job = self.submit()
+        self.endpoint.runs.clear()
+        self.pass_time(0.01)
+        self.assertThat(job.tasks[0].attempt, Equals(2))
+
+    def test_a_stopped_job_frees_its_room_once_the_end_is_listed(self):
+        self.endpoint.run_s = 30.0
+        self.take_over()
+        job = self.submit("j1", step(2, estimate_s=30.0))
+        self.scheduler.end_job(job, JobOutcome.CANCELLED, reason="test")
+        self.settle()
+        self.assertThat(self.endpoint.runs, Equals({}))
+        self.pass_time(0.01)
+        self.assertThat(self.agent.room.runs, Equals({}))
+
+
+class TakeOverTest(AgentTestCase):
+    def run_of_another_holder(self, task="j1.0.0.0", attempt=3):
+        self.endpoint.token = 40
+        self.endpoint.run_s = 30.0
+        self.endpoint.lease_ms = self.endpoint.clock_ms + 600
+        self.endpoint.runs[task] = Run(task, attempt, self.clock[0])
+
+    def test_runs_of_unknown_jobs_are_stopped(self):
+        self.run_of_another_holder()
+        self.take_over()
+        self.settle()
+        self.assertThat(self.endpoint.runs, Equals({}))
+
+    def test_runs_of_known_jobs_are_adopted(self):
+        self.run_of_another_holder()
+        self.scheduler.settled = False
+        job = self.scheduler.submit(
+            spec("j1", step(estimate_s=30.0)), received_s=50.0, wait_s=90.0, quiet_s=0.5
+        )
+        self.take_over()
+        self.pass_time(0.5)
+        self.pass_time(0.5)
+        self.assertThat((job.tasks[0].state, job.tasks[0].attempt), Equals((TaskState.RUNNING, 3)))
+        self.assertThat(len(self.endpoint.runs), Equals(1))
+
+    def test_a_look_at_an_endpoint_renews_no_lease(self):
+        self.run_of_another_holder()
+        lease_ms = self.endpoint.lease_ms
+        self.take_over()
+        self.assertThat(self.endpoint.lease_ms, Equals(lease_ms))
+
+    def test_the_holder_before_is_fenced_off(self):
+        self.take_over()
+        self.clock[0] += 0.01
+        later = Scheduler(self, now=lambda: self.clock[0])
+        other = self.make_agent(later.add_endpoint(entry(1)), later, digit=2)
+        other._take_over()
+        self.submit()
+        self.report()
+        self.assertTrue(self.agent.fenced)
+        self.assertThat(self.endpoint.log, Equals([]))
+
+
+@with_scenarios
+class RefusalTest(AgentTestCase):
+    scenarios = [
+        ("unhealthy", {"reason": RefusalReason.UNHEALTHY}),
+        ("late", {"reason": RefusalReason.LATE}),
+        ("room", {"reason": RefusalReason.ROOM}),
+        ("invalid", {"reason": RefusalReason.INVALID}),
+    ]
+
+    def test_a_refused_start_is_no_failed_attempt(self):
+        self.take_over()
+        self.endpoint.refusal = self.reason
+        job = self.submit()
+        for _ in range(RULE.max_attempts + 3):
+            self.pass_time(0.05)
+        self.assertThat((job.outcome, job.tasks[0].failures), Equals((None, 0)))
