Jobs of a lost scheduler wait until it has stopped them, also in a new scheduler

The time since the lost scheduler was heard now counts for a new scheduler too. A scheduler that yields has 50 ms to say what it has done of a job. Red first: test_a_look_at_its_own_endpoints_does_not_clear_those_of_a_scheduler_cut_off.

--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -73,6 +73,7 @@
             job = self._add(spec, received_s, wait_s, quiet_s)
             if progress is not None:
                 apply_progress(job, progress)
+                job.not_before_s = 0.0 if job.unsettled else job.not_before_s
         elif job.outcome is None:
             job.expires_s = max(job.expires_s, received_s + wait_s)
             job.suspended = False
@@ -83,8 +84,7 @@
         job = make_job(spec, received_s=received_s, wait_s=wait_s)
         if quiet_s is not None:
             job.unsettled = not self.settled
-            if self.settled:
-                job.not_before_s = self._now() + max(0.0, QUIET_S - quiet_s)
+            job.not_before_s = self._now() + max(0.0, QUIET_S - quiet_s)
         self.jobs[spec.job_id] = job
         self._waiting[spec.job_id] = job
         self.counts["jobs"] += 1
--- a/burdocklug/pools/_submitter.py
+++ b/burdocklug/pools/_submitter.py
@@ -13,6 +13,7 @@
 __all__ = ["Submitter"]
 
 NO_SCHEDULER_WAIT_S = 0.5  # a job that nobody has waits so long for a scheduler to be there
+HANDOVER_S = 0.05  # for what a scheduler that yields has to say of its jobs
 POLL_S = 0.02
 CONTROL_CALL_S = 1.0  # cancellations and questions
 ANSWER_MARGIN_S = 0.3  # for the scheduler to answer a job whose caller stops waiting
@@ -62,8 +63,14 @@
     def follow_claim(self, claim):
         """End the waits for schedulers other than the one that is followed now."""
         scheduler = claim.scheduler if claim is not None else None
-        for event, called in list(self._calls.items()):
-            if called != scheduler and not event.ready():
+        left = [event for event, called in self._calls.items() if called != scheduler]
+        if left:
+            self._timers.after(HANDOVER_S, lambda: self._give_up(left))
+
+    @staticmethod
+    def _give_up(events):
+        for event in events:
+            if not event.ready():
                 event.send_exception(_SchedulerLost())
 
     def submit(self, spec, *, wait_s):
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -124,6 +124,18 @@
         pool.scheduler.pump()
         self.assertThat(pool.names_started()[1:], Equals(["old.0.0.0"]))
 
+    def test_a_look_at_its_own_endpoints_does_not_clear_those_of_a_scheduler_cut_off(self):
+        pool = VirtualPool(entry(1))
+        pool.scheduler.settled = False
+        pool.submit("j1", step(estimate_s=0.5), quiet_s=0.2)
+        pool.scheduler.settle()
+        pool.now_s += 0.9
+        pool.scheduler.pump()
+        self.assertThat(pool.names_started(), Equals([]))
+        pool.now_s += 0.2
+        pool.scheduler.pump()
+        self.assertThat(pool.names_started(), Equals(["j1.0.0.0"]))
+
     def test_a_settled_one_waits_until_another_scheduler_has_stopped_the_job(self):
         pool = VirtualPool(entry(1))
         pool.submit("j1", quiet_s=0.8)
