--- a/burdocklug/endpoints/__init__.py
+++ b/burdocklug/endpoints/__init__.py
@@ -1,6 +1,7 @@
 """The endpoint protocol: starting, asking after and cancelling attempts."""
 
 from burdocklug.endpoints._cancel import CancelBatcher
+from burdocklug.endpoints._connections import AddressConnections, exchange
 from burdocklug.endpoints._health import EndpointHealth, Outcome, OutcomeKind
 from burdocklug.endpoints._health_rules import Fault, Standing
 from burdocklug.endpoints._http import HttpEndpoints
@@ -17,6 +18,7 @@
 from burdocklug.endpoints._protocol import EndpointProtocol, endpoint_protocols
 
 __all__ = [
+    "AddressConnections",
     "Attempt",
     "AttemptPhase",
     "AttemptResult",
@@ -34,4 +36,5 @@
     "OutcomeKind",
     "Standing",
     "endpoint_protocols",
+    "exchange",
 ]
--- a/burdocklug/endpoints/_connections.py
+++ b/burdocklug/endpoints/_connections.py
@@ -13,7 +13,7 @@
 
 HEAD = (
     b"%b %b HTTP/1.1\r\nHost: %b\r\nContent-Type: application/json\r\n"
-    b"Content-Length: %d\r\n\r\n"
+    b"Content-Length: %d\r\n%b\r\n"
 )
 
 __all__ = ["AddressConnections", "exchange", "open_connection"]
@@ -42,7 +42,7 @@
     return WatchedConnection(conn)
 
 
-def request_head(address, method, path, body_bytes):
+def request_head(address, method, path, body_bytes, headers=b""):
     """Return the head of a request.
 
     Parameters
@@ -51,16 +51,18 @@
         Path with every reserved character quoted.
     body_bytes : int
         Length of the body.
+    headers : bytes, optional
+        Further header lines, each with its line end.
 
     Examples
     --------
     >>> request_head("127.0.0.1:80", "GET", "/v1/status", 0).splitlines()[0]
     b'GET /v1/status HTTP/1.1'
     """
-    return HEAD % (method.encode(), path.encode(), address.encode(), body_bytes)
+    return HEAD % (method.encode(), path.encode(), address.encode(), body_bytes, headers)
 
 
-def exchange(address, conn, method, path, body):
+def exchange(address, conn, method, path, body, *, headers=b""):
     """Send one request and return status, body and whether the connection can be used again.
 
     Raises
@@ -69,7 +71,7 @@
         If the connection fails before the whole answer is here.
     """
     try:
-        conn.send(request_head(address, method, path, len(body)) + body)
+        conn.send(request_head(address, method, path, len(body), headers) + body)
         return read_answer(conn, method)
     except EXCHANGE_ERRORS as exc:
         raise MaybeStarted("closed", f"connection to {address} failed: {exc!r}") from exc
--- a/burdocklug/platform/_calls.py
+++ b/burdocklug/platform/_calls.py
@@ -1,16 +1,15 @@
 """HTTP calls with JSON bodies, to the store and to workers."""
 
+import collections
 import time
 
+import eventlet
 import msgspec
-import urllib3
 
-from burdocklug.store import Connections
+from burdocklug.endpoints import AddressConnections, MaybeStarted, NotStarted, exchange
 
 __all__ = ["Caller", "NoAnswer"]
 
-CONNECT_ERRORS = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
-JSON_HEADERS = {"Content-Type": "application/json"}
 MAX_CONNECT_S = 0.5  # a healthy address accepts within two one-way trips
 
 encode_json = msgspec.json.Encoder().encode
@@ -24,55 +23,76 @@
         self.sent = sent
 
 
+class _TimeIsUp(Exception):
+    """Ends a call that had no answer in time."""
+
+
 class Caller:
     """Keeps connections by address.
 
     Parameters
     ----------
-    max_age_s : float
-        Age after which connections are replaced, in seconds.
+    idle_s : float
+        Seconds after which an unused connection is closed.
+    limit : int
+        Connections to one address at once, at most.
     now : callable, optional
         Returns monotonic seconds.
     """
 
-    def __init__(self, *, max_age_s, now=time.monotonic):
-        self._max_age_s = max_age_s
+    def __init__(self, *, idle_s, limit, now=time.monotonic):
+        self.counts = collections.Counter()
+        self._idle_s = idle_s
+        self._limit = limit
         self._now = now
-        self._connections = {}
+        self._addresses = {}
 
-    def call(self, address, method, path, body=None, *, timeout_s, headers=None):
+    def call(self, address, method, path, body=None, *, timeout_s, headers=b""):
         """Return the status and the body of an answer.
 
+        Parameters
+        ----------
+        headers : bytes, optional
+            Further header lines, each with its line end.
+
         Raises
         ------
         NoAnswer
             If none came within `timeout_s` seconds.
         """
-        connections = self._connections.get(address)
-        if connections is None:
-            connections = Connections(address, max_age_s=self._max_age_s)
-            self._connections[address] = connections
-        pool = connections.pool(self._now())
-        timeout = urllib3.Timeout(connect=min(timeout_s, MAX_CONNECT_S), read=timeout_s)
+        raw = b"" if body is None else encode_json(body)
+        connections = self._connections(address)
+        sent = False
+        timeout = eventlet.Timeout(timeout_s, _TimeIsUp(f"{address}: none in {timeout_s:.2f} s"))
         try:
-            answer = pool.urlopen(
-                method,
-                path,
-                body=None if body is None else encode_json(body),
-                headers={**JSON_HEADERS, **headers} if headers else JSON_HEADERS,
-                retries=False,
-                redirect=False,
-                timeout=timeout,
+            conn, generation = connections.acquire(self._now())
+            sent, reusable = True, False
+            try:
+                status, answer, reusable = exchange(
+                    address, conn, method, path, raw, headers=headers
+                )
+            finally:
+                connections.release(conn, generation, self._now(), reusable=reusable)
+        except (NotStarted, MaybeStarted, _TimeIsUp) as exc:
+            raise NoAnswer(f"{type(exc).__name__}: {exc}"[:120], sent=sent) from exc
+        finally:
+            timeout.cancel()
+        return status, answer
+
+    def _connections(self, address):
+        connections = self._addresses.get(address)
+        if connections is None:
+            connections = self._addresses[address] = AddressConnections(
+                address,
+                limit=self._limit,
+                connect_timeout_s=MAX_CONNECT_S,
+                idle_s=self._idle_s,
+                counts=self.counts,
             )
-        except CONNECT_ERRORS as exc:
-            raise NoAnswer(f"{address} not reached: {type(exc).__name__}", sent=False) from exc
-        except urllib3.exceptions.HTTPError as exc:
-            connections.retire(pool)
-            raise NoAnswer(f"{address}: {type(exc).__name__}", sent=True) from exc
-        return answer.status, answer.data
+        return connections
 
     def retire(self, address):
         """Use no open connection to an address again."""
-        connections = self._connections.pop(address, None)
+        connections = self._addresses.get(address)
         if connections is not None:
-            connections.close()
+            connections.retire()
--- a/burdocklug/platform/_orders.py
+++ b/burdocklug/platform/_orders.py
@@ -19,7 +19,8 @@
 
 __all__ = ["PlatformOrders"]
 
-WORKER_CONNECTION_S = 3600.0  # new channels are dear; a silent one is replaced at a timeout
+WORKER_IDLE_S = 60.0  # new channels are dear; a silent one is replaced at a timeout
+WORKER_CONNECTIONS = 16  # of the 64 that a worker takes; the scheduler before may hold as many
 REASONS = {
     "room": RefusalReason.ROOM,
     "old": RefusalReason.OLD_ATTEMPT,
@@ -51,7 +52,7 @@
     """
 
     def __init__(self, *, now):
-        self._caller = Caller(max_age_s=WORKER_CONNECTION_S, now=now)
+        self._caller = Caller(idle_s=WORKER_IDLE_S, limit=WORKER_CONNECTIONS, now=now)
 
     def start(self, entry, *, task, attempt, payload, lease_ms, token, timeout_s):
         """Start a run and return the worker's clock."""
@@ -92,7 +93,7 @@
         self._caller.retire(entry.address)
 
     def _call(self, entry, path, body, timeout_s):
-        headers = {"X-Expect-Instance": entry.endpoint_id}
+        headers = b"X-Expect-Instance: %b\r\n" % entry.endpoint_id.encode()
         try:
             status, raw = self._caller.call(
                 entry.address, "POST", path, body, timeout_s=timeout_s, headers=headers
--- a/burdocklug/platform/_store.py
+++ b/burdocklug/platform/_store.py
@@ -18,7 +18,8 @@
 
 __all__ = ["PlatformStore"]
 
-STORE_CONNECTION_S = 15.0  # something between the two ends may lose track of an older connection
+STORE_IDLE_S = 15.0  # something between the two ends may lose track of an older connection
+STORE_CONNECTIONS = 8  # three calls that wait for changes, and those of the registration
 NOTHING_DONE = frozenset({403, 404, 410, 412, 429, 503})  # statuses with which nothing was done
 
 
@@ -73,7 +74,7 @@
     def __init__(self, address, *, timeout_s, now):
         self._address = address
         self._timeout_s = timeout_s
-        self._caller = Caller(max_age_s=STORE_CONNECTION_S, now=now)
+        self._caller = Caller(idle_s=STORE_IDLE_S, limit=STORE_CONNECTIONS, now=now)
 
     def read(self, prefix):
         """Return the records under a prefix and the revision of the first page."""
@@ -150,6 +151,8 @@
                 self._address, method, path, body, timeout_s=self._timeout_s + wait_s
             )
         except NoAnswer as exc:
+            if exc.sent:
+                self._caller.retire(self._address)
             if method == "GET" or not exc.sent:
                 raise StoreUnavailable(str(exc)) from exc
             raise StoreUncertain(str(exc)) from exc
--- a/burdocklug/store/__init__.py
+++ b/burdocklug/store/__init__.py
@@ -3,7 +3,6 @@
 from burdocklug.store._breaker import BreakerState
 from burdocklug.store._budget import Priority
 from burdocklug.store._budgeted import DEFAULT_PRIORITIES, BudgetedStore
-from burdocklug.store._connections import Connections
 from burdocklug.store._follower import PrefixFollower
 from burdocklug.store._hosts import merge_host_lists
 from burdocklug.store._http import HttpStore
@@ -35,7 +34,6 @@
     "MAX_VALUE_BYTES",
     "BreakerState",
     "BudgetedStore",
-    "Connections",
     "Entry",
     "HistoryLost",
     "HostList",
--- a/burdocklug/store/_connections.py
+++ b/burdocklug/store/_connections.py
@@ -14,24 +14,21 @@
     Parameters
     ----------
     address : str
-        Address of the other end, ``IP:port``.
-    max_age_s : float, optional
-        Age after which the pool is replaced, in seconds.
+        Address of the store, ``IP:port``.
 
     Notes
     -----
     Calls under way on a replaced pool end as they would have; their connections are closed then.
     """
 
-    def __init__(self, address, *, max_age_s=MAX_AGE_S):
+    def __init__(self, address):
         self.address = address
-        self._max_age_s = max_age_s
         self._pool = None
         self._opened_s = 0.0
 
     def pool(self, now_s):
         """Return the pool for a call that starts now."""
-        if self._pool is None or now_s - self._opened_s >= self._max_age_s:
+        if self._pool is None or now_s - self._opened_s >= MAX_AGE_S:
             self.retire(self._pool)
             host, _, port = self.address.rpartition(":")
             self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=MAX_IDLE_CONNECTIONS)
