--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -82,6 +82,7 @@
         self._claim = None
         self._began_s = 0.0
         self._pump_due = False
+        self._latest_s = 0.0
         network.register(JobAnswer)
         network.register(JobCounted)
         network.register(JobKnown)
@@ -197,6 +198,7 @@
         if self.scheduler is None:
             return
         now = self._timers.now()
+        self._latest_s = max(self._latest_s, now % UPKEEP_S)
         if not self.scheduler.settled:
             looked = all(a.looked for a in self._agents.values()) and self._agents
             if (looked and now > self._began_s + GATHER_S) or now > self._began_s + SETTLE_S:
@@ -211,7 +213,8 @@
 
     def _log_load(self):
         if self.scheduler is not None:
-            log.info("pool_load", **self.scheduler.load())
+            late_ms, self._latest_s = round(1000 * self._latest_s), 0.0
+            log.info("pool_load", **self.scheduler.load(), loop_late_ms=late_ms)
 
     def _suspend_lost(self, now):
         heard = self._following.last_heard
@@ -234,7 +237,7 @@
             return JobAnswer(moved=True)
         now = self._timers.now()
         spec = message.spec
-        fault = scheduler.impossible(spec) if scheduler.settled else None
+        fault = scheduler.impossible(spec) if scheduler.settled and self._claim.whole else None
         if fault is not None:
             log.info("job_impossible", job=spec.job_id, reason=fault)
             return JobAnswer(JobOutcome.FAILED)
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -219,6 +219,7 @@
     COMPLETED = "completed"
     FAILED = "failed"
     CANCELLED = "cancelled"
+    EXPIRED = "expired"  # its caller has stopped waiting; no task has used up its attempts
 
 
 class RunEndKind(enum.StrEnum):
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -159,6 +159,7 @@
             reason=reason,
             age_s=round(now - job.received_s, 3),
             late_s=round(now - job.goal_s, 3),
+            waits_s=round(job.expires_s - job.received_s, 3),
         )
         for task in job.tasks:
             if task.state.is_placed:
@@ -297,7 +298,7 @@
 
     def _expire(self, job):
         if job.started:
-            self.end_job(job, JobOutcome.FAILED, reason="deadline")
+            self.end_job(job, JobOutcome.EXPIRED, reason="deadline")
         else:
             self._refuse(job, self._now())
 
--- a/burdocklug/pools/_submitter.py
+++ b/burdocklug/pools/_submitter.py
@@ -9,6 +9,7 @@
 from burdocklug.kernel import BurdocklugError, ErrorKind
 from burdocklug.peers import PeerNotReached, PeerSilent
 from burdocklug.pools._messages import AskJob, CancelJob, CountPending, SubmitJob
+from burdocklug.pools._models import JobOutcome
 
 __all__ = ["Submitter"]
 
@@ -92,7 +93,7 @@
         ------
         BurdocklugError
             Of kind ``would_miss_deadline``, ``no_scheduler`` if nothing ran, and of kind
-            ``outcome_unknown`` where something may have.
+            ``outcome_unknown`` or ``deadline_exceeded`` where something may have.
         """
         submission = _Submission(spec, self._timers.now(), wait_s)
         self.waiting += 1
@@ -108,6 +109,8 @@
             answer = self._call(claim.scheduler, submission, until_s)
             if answer is None:
                 continue
+            if answer.outcome is JobOutcome.EXPIRED:
+                raise BurdocklugError(ErrorKind.DEADLINE_EXCEEDED, "not done before the deadline")
             if answer.outcome is not None:
                 return answer.outcome
             if answer.refused and submission.maybe_begun:
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -197,6 +197,14 @@
         self.assertThat((woken, job.outcome, job.started), Equals(([job], None, False)))
         self.assertNotIn("j1", pool.scheduler.jobs)
 
+    def test_a_begun_job_whose_caller_stops_waiting_is_not_said_to_have_failed(self):
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(3, estimate_s=9.0))
+        pool.now_s += 1.6
+        pool.scheduler.pump()
+        self.assertThat(job.outcome, Equals(JobOutcome.EXPIRED))
+        self.assertThat(len(pool.orders.stopped), Equals(2))
+
     def test_a_wide_job_that_cant_be_in_time_does_not_take_room_from_timely_ones(self):
         pool = VirtualPool(*(entry(number) for number in range(1, 9)))
         for number in range(7):
