Missed answers are noticed within 40 to 100 ms, and reports are short while answers get lost

Orders in doubt are looked after within 40 ms, reports within 100 ms of their wait; for 3 s after a missed answer busy endpoints report each 60 ms; late reports teach nothing.

--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -18,15 +18,18 @@
 __all__ = ["EndpointAgent", "RunOrder"]
 
 RENEW_WAIT_S = 0.4  # an end ends the wait; leaves more than half of a lease of 1 s for retries
+CAREFUL_WAIT_S = 0.06  # while answers get lost, as the ends of runs stay unknown with a report
+CAREFUL_S = 3.0  # after a lost answer of any endpoint
 MIN_WAIT_S = 0.04  # between two reports that look after an overdue run
-ANSWER_S = 0.25  # over the slowest cross-domain answer of a healthy endpoint by far
-START_S = 0.12  # an order without an answer by then is looked after
-SILENT_RETRY_S = (0.05, 1.0)  # first and longest pause between reports of a silent endpoint
+ANSWER_S = 0.1  # tens of cross-domain trips; ends stay unknown as long as an answer is missed
+START_S = 0.04  # an order without an answer by then is looked after; ten cross-domain trips
+SILENT_RETRY_S = (0.02, 1.0)  # first and longest pause between reports of a silent endpoint
 FENCED_RETRY_S = 0.5  # lets another holder finish before the endpoint is taken back
 CLOCK_DRIFT = 1.021  # an endpoint's clock may be 2 % slow
 LAPSE_MARGIN_S = 0.05  # for the end of a lapsed run
-OVERDUE_FACTOR = 1.6  # times the expected run time, after which progress is looked at
-OVERDUE_SLACK_S = 0.05
+STOP_S = 0.1  # as for reports
+OVERDUE_FACTOR = 1.2  # times the expected run time, after which progress is looked at
+OVERDUE_SLACK_S = 0.03
 STALLED_S = 0.15  # an overdue run without progress for so long stands still
 TOKEN_HOLDERS = 64  # processes that take over in the same millisecond differ in the low digits
 STOP_TRIES = 20
@@ -108,6 +111,7 @@
         self._lapses_s = 0.0
         self._pause_s = SILENT_RETRY_S[0]
         self._loop = None
+        self._missed = 0  # reports in a row that did not come
 
     # Life
 
@@ -211,7 +215,8 @@
 
     def _wait_s(self, now):
         """Return how long the endpoint may wait for an end before it reports."""
-        wait_s = RENEW_WAIT_S
+        careful = self._orders and now - self._scheduler.missed_s < CAREFUL_S
+        wait_s = CAREFUL_WAIT_S if careful else RENEW_WAIT_S
         for order in self._orders.values():
             wait_s = min(wait_s, max(self._overdue_s(order) - now, MIN_WAIT_S))
         return wait_s
@@ -243,6 +248,7 @@
             if end.number > self._acked:
                 self._acked = end.number
                 self._take_end(end)
+        self._missed = 0
         active = {line.task: line for line in report.active}
         for order in list(self._orders.values()):
             self._compare(order, active.pop(order.task.name, None), sent_s)
@@ -281,7 +287,7 @@
         if order is None or order.attempt != end.attempt:
             return
         del self._orders[end.task]
-        self._scheduler.note_end(order.task, self.room, end.kind)
+        self._scheduler.note_end(order.task, self.room, end.kind, is_prompt=self._missed == 0)
 
     def _compare(self, order, line, sent_s):
         if line is not None and line.attempt == order.attempt:
@@ -348,7 +354,7 @@
         except OrderRefused as exc:
             self._note_refused(order, exc)
         except OrderUnanswered as exc:
-            order.doubted_s = self._now()
+            order.doubted_s = self._scheduler.missed_s = self._now()
             self._note_doubt(order, exc)
         except OrderFenced as exc:
             self._note_fenced(exc)
@@ -388,7 +394,6 @@
     def _note_doubt(self, order, exc):
         """Find out on a new connection whether an order was carried out; withdraw it if not."""
         self.room.usable = False
-        self._protocol.retire(self.room.entry)
         log.info(
             "start_unanswered",
             task=order.task.name,
@@ -401,6 +406,7 @@
             if order.confirmed_s is None and self._orders.get(order.task.name) is order:
                 self._begin_stop(order)
         except (OrderUnanswered, OrderFenced, OtherIncarnation) as look_exc:
+            self._protocol.retire(self.room.entry)
             log.info(
                 "endpoint_not_reached",
                 endpoint=self.room.entry.endpoint_id,
@@ -438,7 +444,7 @@
                 task=task,
                 attempt=attempt,
                 token=self.token or 0,
-                timeout_s=START_S,
+                timeout_s=STOP_S,
             )
         except (OrderUnanswered, OrderFenced, OrderRefused, OtherIncarnation) as exc:
             log.info("stop_failed", task=task, attempt=attempt, error=str(exc)[:120])
@@ -457,6 +463,9 @@
                 runs=len(self.room.runs),
             )
         self.room.usable = False
+        self._missed += 1
+        if self._missed == 1:
+            self._scheduler.missed_s = now
         self._protocol.retire(self.room.entry)
         if self.token is None or (self.answered_s and now - self.answered_s > self._lease_s):
             self.token = None  # what runs there is to lapse, a report renews it no more
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -27,6 +27,7 @@
 QUIET_S = 1.2  # by then what another scheduler had begun was stopped, or has lapsed
 KEEP_ENDED_S = 10.0  # outcomes are kept for callers that ask again after a broken connection
 ATTEMPT_STEP = 8  # raises the number of a start over those of earlier schedulers
+REPORT_S = 0.01  # for the order to arrive and the report to come back
 SLOWNESS_SHARE = 0.1  # weight of one run in the learnt slowness of an endpoint
 SLOWNESS_BOUNDS = (0.5, 10.0)
 WAVE_SHARE = 0.25  # of all places; a wider step can't expect to run at once beside other jobs
@@ -49,6 +50,17 @@
         Returns monotonic seconds.
     remote_factor : float
         Times as long a task takes away from the rack of its data.
+
+    Attributes
+    ----------
+    jobs, rooms : dict
+        Jobs by id and endpoints by id.
+    counts : Counter
+        What happened, by name.
+    settled : bool
+        Whether no endpoint has runs of an earlier scheduler that are not known here.
+    missed_s : float
+        Last time at which an endpoint's answer was missed.
     """
 
     def __init__(self, orders, *, now, remote_factor=1.5):
@@ -56,6 +68,7 @@
         self.rooms = {}
         self.counts = Counter()
         self.settled = True
+        self.missed_s = float("-inf")
         self._weighed_s = 0.0
         self._orders = orders
         self._now = now
@@ -388,14 +401,27 @@
         if not task.job.suspended:
             self._waiting[task.job.job_id] = task.job
 
-    def note_end(self, task, room, kind):
-        """Note the end of a run that the endpoint has listed."""
+    def note_end(self, task, room, kind, *, is_prompt=True):
+        """Note the end of a run that the endpoint has listed.
+
+        Parameters
+        ----------
+        task : Task
+            What ran.
+        room : EndpointRoom
+            Where.
+        kind : RunEndKind
+            How the run ended.
+        is_prompt : bool, optional
+            Whether the end was reported at once, so that it tells how fast the endpoint is.
+        """
         now = self._now()
         self.counts[f"ends_{kind}"] += 1
         is_placed = task.state.is_placed and room.runs.get(task.name) is task
         if kind is RunEndKind.DONE and is_placed:
-            self._learn_slowness(task, room, now)
             room.faults = 0
+            if is_prompt:
+                self._learn_slowness(task, room, now)
         room.remove(task)
         if not is_placed:
             return
@@ -410,7 +436,7 @@
         expected_s = expected_run_s(task, room, remote_factor=self._remote_factor)
         if expected_s <= 0 or not task.started_s:
             return
-        seen = room.slowness * (now - task.started_s) / expected_s
+        seen = room.slowness * (now - task.started_s - REPORT_S) / expected_s
         low, high = SLOWNESS_BOUNDS
         seen = min(max(seen, low), high)
         room.slowness += SLOWNESS_SHARE * (seen - room.slowness)
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -238,7 +238,7 @@
         pool = VirtualPool(entry(1), entry(2, cpu=24000))
         spoiled = []
         for number in range(20):
-            job = pool.submit(f"job{number}", step(estimate_s=0.02))
+            job = pool.submit(f"job{number}", step(estimate_s=0.01))
             if job.tasks[0].endpoint_id == "e1":
                 spoiled.append(job.job_id)
                 pool.end(job.tasks[0], RunEndKind.FAILED)
