Parts of the fleet schedule the failure domains that they reach

A process without a majority now schedules the failure domains that it reaches if those that it misses are cut off with their endpoints. Successors are never draining ones, the youngest first. The register is followed each 0.1 s.

--- a/burdocklug/pools/_fleet.py
+++ b/burdocklug/pools/_fleet.py
@@ -17,7 +17,7 @@
 MEMBERS_PREFIX = "burdocklug/members/"
 LEASE_S = 4.0  # a process that lost its power is not counted any more after this time
 RENEW_S = 1.2  # three tries within a lease
-PACE_S = 1.0  # between two calls for changes; processes come and go seldom
+PACE_S = 0.1  # between two calls for changes; processes come and go seldom
 
 log = structlog.get_logger(__name__)
 
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -1,9 +1,10 @@
 """Which scheduler this process follows, and when it claims to be it."""
 
 import eventlet
+import msgspec
 import structlog
 
-from burdocklug.peers import PeerNotReached, PeerSilent
+from burdocklug.peers import PeerNotReached, PeerSilent, started_ns
 from burdocklug.pools._leadership import (
     ClaimKind,
     claim_kind,
@@ -43,8 +44,8 @@
         Source of time.
     members : callable
         Returns failure domains by incarnation of the other processes that are thought to live.
-    others_reached : callable
-        Returns whether endpoints of other failure domains are reached; it may wait.
+    cut_domains : callable
+        Takes failure domains and returns those whose endpoints are not reached; it may wait.
     on_change : callable
         Takes the new claim, or None, after each change.
     version : callable
@@ -64,7 +65,7 @@
         When schedulers that are not followed any more were heard last.
     """
 
-    def __init__(self, network, timers, *, members, others_reached, on_change, version):
+    def __init__(self, network, timers, *, members, cut_domains, on_change, version):
         self.claim = None
         self.heard_sequence = 0
         self.heard_s = 0.0
@@ -74,7 +75,7 @@
         self._network = network
         self._timers = timers
         self._members = members
-        self._others_reached = others_reached
+        self._cut_domains = cut_domains
         self._on_change = on_change
         self._version = version
         self._sequence = 0
@@ -206,7 +207,7 @@
 
     def _on_question(self, _sender, _message):
         fresh = self.leads or self._timers.now() - self.heard_s < FRESH_S
-        return ReachAnswer(self.claim if fresh else None)
+        return ReachAnswer(self.claim if fresh else None, self.draining)
 
     def _find_scheduler(self):
         """Follow the greatest claim that the reached members know, or make one."""
@@ -236,19 +237,25 @@
         answers = {incarnation: thread.wait() for incarnation, thread in asked.items()}
         return {incarnation: answer for incarnation, answer in answers.items() if answer}
 
-    def _make_claim(self, members, answers):
-        kind = claim_kind(
-            self._network.failure_domain,
-            members,
-            set(answers),
-            other_domains_reached=len(answers) < len(members) and self._others_reached(),
+    def _weigh(self, members, answers):
+        """Return what this process may claim, and the claim."""
+        domains = {*members.values(), self._network.failure_domain}
+        cut = self._cut_domains(domains) if len(answers) < len(members) else set()
+        kind = claim_kind(members, set(answers), cut_domains=cut)
+        log.info(
+            "claim_weighed",
+            kind=kind.value,
+            members=len(members),
+            reached=len(answers),
+            cut=sorted(cut),
         )
-        log.info("claim_weighed", kind=kind.value, members=len(members), reached=len(answers))
-        if kind is ClaimKind.NOTHING or self.claim is not None:
-            return
-        claim = next_claim(kind, self.own, self._greatest)
-        self._set_claim(claim, "claimed")
-        self._tell_all(claim)
+        return kind, next_claim(kind, self.own, self._greatest, domains - cut)
+
+    def _make_claim(self, members, answers):
+        kind, claim = self._weigh(members, answers)
+        if kind is not ClaimKind.NOTHING and self.claim is None:
+            self._set_claim(claim, "claimed")
+            self._tell_all(claim)
 
     def hand_over(self):
         """Appoint another process before this one ends; return whether there is one."""
@@ -258,8 +265,11 @@
         answers = self._ask(self._members())
         if not answers or not self.leads:
             return False
-        successor = min(answers)
-        claim = Claim(self.claim.whole, self.claim.term + 1, successor)
+        successors = [i for i, answer in answers.items() if not answer.draining]
+        if not successors:
+            return False
+        successor = max(successors, key=started_ns)  # in a rolling restart, one that has had it
+        claim = Claim(self.claim.whole, self.claim.term + 1, successor, self.claim.domains)
         log.info("handing_over", successor=successor, term=claim.term)
         self._tell_all(claim)
         self._set_claim(claim, "handed_over")
@@ -282,17 +292,11 @@
             if greater:
                 self._set_claim(max(greater), reason)
                 return
-            kind = claim_kind(
-                self._network.failure_domain,
-                members,
-                set(answers),
-                other_domains_reached=len(answers) < len(members) and self._others_reached(),
-            )
-            log.info("own_claim_weighed", kind=kind.value, reached=len(answers), reason=reason)
+            kind, claim = self._weigh(members, answers)
             if kind is ClaimKind.NOTHING:
                 self._set_claim(None, reason)
-            elif kind is ClaimKind.OWN_DOMAIN and self.claim.whole:
-                self._set_claim(Claim(False, self.claim.term, self.own), reason)
+            elif kind is ClaimKind.PART and self.claim.whole:
+                self._set_claim(msgspec.structs.replace(claim, term=self.claim.term), reason)
         finally:
             self._asking = False
             self._asked_s = self._timers.now()
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -131,8 +131,7 @@
                 wake(job)
 
     def _serves(self, entry):
-        domain = self._network.failure_domain
-        return self._claim.whole or entry.failure_domain == domain
+        return self._claim.serves(entry.failure_domain)
 
     def _follow_directory(self):
         """Have an agent for each listed endpoint that this process schedules."""
--- a/burdocklug/pools/_leadership.py
+++ b/burdocklug/pools/_leadership.py
@@ -16,7 +16,7 @@
     """What a process may claim."""
 
     WHOLE = "whole"
-    OWN_DOMAIN = "own_domain"
+    PART = "part"
     NOTHING = "nothing"
 
 
@@ -46,41 +46,55 @@
     return all(key < (started_ns(other), other) for other in reached)
 
 
-def claim_kind(own_domain, domains, reached, *, other_domains_reached):
+def claim_kind(domains, reached, *, cut_domains):
     """Return what a process may claim that hears no scheduler.
 
     Parameters
     ----------
-    own_domain : str
-        The own failure domain.
     domains : dict
         Failure domains of all processes that are thought to live, by incarnation, without the
         own process.
     reached : set of str
         Those of them that answer.
-    other_domains_reached : bool
-        Whether endpoints of other failure domains are reached.
+    cut_domains : set of str
+        Failure domains whose endpoints are not reached.
 
     Notes
     -----
-    A process that reaches less than half of the others, yet endpoints of other failure domains,
-    is cut off alone: the others go on scheduling those endpoints.
+    A process that reaches less than half of the others schedules a part only where those that it
+    misses are cut off with their endpoints. Otherwise it is the one that is cut off, and the
+    others go on scheduling the endpoints that it sees.
 
     Examples
     --------
     >>> fleet = {"n2": "north", "s1": "south", "s2": "south", "s3": "south"}
-    >>> claim_kind("north", fleet, {"n2"}, other_domains_reached=False)
-    <ClaimKind.OWN_DOMAIN: 'own_domain'>
-    >>> claim_kind("north", fleet, {"n2", "s1", "s2"}, other_domains_reached=True)
+    >>> claim_kind(fleet, {"n2"}, cut_domains={"south"})
+    <ClaimKind.PART: 'part'>
+    >>> claim_kind(fleet, {"n2"}, cut_domains=set())
+    <ClaimKind.NOTHING: 'nothing'>
+    >>> claim_kind(fleet, {"n2", "s1", "s2"}, cut_domains=set())
     <ClaimKind.WHOLE: 'whole'>
     """
     if 2 * (1 + len(reached)) > 1 + len(domains):
         return ClaimKind.WHOLE
-    if other_domains_reached:
-        return ClaimKind.NOTHING
-    return ClaimKind.OWN_DOMAIN
+    missed = {domain for incarnation, domain in domains.items() if incarnation not in reached}
+    return ClaimKind.PART if missed <= cut_domains else ClaimKind.NOTHING
 
 
-def next_claim(kind, own, known):
-    """Return the claim to make, greater than every known one of its kind."""
-    return Claim(kind is ClaimKind.WHOLE, 1 + (known.term if known else 0), own)
+def next_claim(kind, own, known, served):
+    """Return the claim to make, greater than every known one of its kind.
+
+    Parameters
+    ----------
+    kind : ClaimKind
+        What may be claimed.
+    own : str
+        The own incarnation.
+    known : Claim or None
+        The greatest claim that was heard of.
+    served : iterable of str
+        Failure domains that are reached, for a part.
+    """
+    whole = kind is ClaimKind.WHOLE
+    domains = () if whole else tuple(sorted(served))
+    return Claim(whole, 1 + (known.term if known else 0), own, domains)
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -30,16 +30,23 @@
     Parameters
     ----------
     whole : bool
-        Whether its process reaches most of the fleet; otherwise it serves its failure domain only.
+        Whether its process reaches most of the fleet.
     term : int
         Higher than that of every claim known when it was made.
     scheduler : str
         Incarnation of the process.
+    domains : tuple of str
+        Failure domains that it serves, unless it serves all.
     """
 
     whole: bool
     term: int
     scheduler: str
+    domains: tuple[str, ...] = ()
+
+    def serves(self, domain):
+        """Return whether the endpoints of a failure domain are scheduled."""
+        return self.whole or domain in self.domains
 
 
 class ClaimNotice(msgspec.Struct, frozen=True, array_like=True, tag="claim_notice"):
@@ -72,6 +79,7 @@
     """Answer to `ReachQuestion`; `claim` is None where no scheduler is heard."""
 
     claim: Claim | None
+    draining: bool = False
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -52,7 +52,7 @@
             self._network,
             self._timers,
             members=lambda: self.register.others,
-            others_reached=self._others_reached,
+            cut_domains=self._cut_domains,
             on_change=self._follow_claim,
             version=lambda: self.directory.configuration.version,
         )
@@ -124,13 +124,15 @@
                 del self._gone[endpoint_id]
                 self.directory.remove(endpoint_id, reason="not listed any more")
 
-    def _others_reached(self):
-        """Return whether an endpoint of another failure domain accepts a connection."""
-        domain = self._network.failure_domain
-        others = [e for e in self.directory.entries.values() if e.failure_domain != domain]
-        sample = random.sample(others, min(PROBED_ENDPOINTS, len(others)))
-        probes = [eventlet.spawn(_accepts, entry.address) for entry in sample]
-        return any([probe.wait() for probe in probes])
+    def _cut_domains(self, domains):
+        """Return the failure domains in which no endpoint accepts a connection."""
+        probes = {domain: self._probe(domain) for domain in domains}
+        return {domain for domain, threads in probes.items() if not _any_accepts(threads)}
+
+    def _probe(self, domain):
+        there = [e for e in self.directory.entries.values() if e.failure_domain == domain]
+        sample = random.sample(there, min(PROBED_ENDPOINTS, len(there)))
+        return [eventlet.spawn(_accepts, entry.address) for entry in sample]
 
     # End
 
@@ -169,6 +171,10 @@
         return dict(scheduler.counts) if scheduler else {}
 
 
+def _any_accepts(threads):
+    return any([thread.wait() for thread in threads])
+
+
 def _accepts(address):
     host, _, port = address.rpartition(":")
     try:
