--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
 from burdocklug.platform._jobs import decode_job
 from burdocklug.web import Application, Request, Response, json_response
 
@@ -52,7 +52,8 @@
         host, path = environ.get("HTTP_HOST", ""), environ["PATH_INFO"]
         queue = configuration.find_queue(host.partition(":")[0], path)
         if queue is None:
-            raise BurdocklugError(ErrorKind.NOT_FOUND, f"no queue at {host[:80]}{path[:80]}")
+            message = f"no queue at {host[:80]}{path[:80]}"
+            raise BurdocklugError(ErrorKind.NOT_FOUND, message, ran=Ran.NO)
         req = Request(environ, {}, configuration.max_body_bytes, self._body_timeout_s)
         return self._answer(environ["REQUEST_METHOD"], queue, path[len(queue.prefix) :], req)
 
--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -175,7 +175,7 @@
         log.info(
             "endpoint_taken_over",
             endpoint=entry.endpoint_id,
-            token=token,
+            fence=token,
             active=len(report.active),
             ended=len(report.ended),
         )
@@ -475,7 +475,7 @@
             self._wake()
 
     def _note_fenced(self, exc):
-        log.warning("endpoint_fenced", endpoint=self.room.entry.endpoint_id, token=self.token)
+        log.warning("endpoint_fenced", endpoint=self.room.entry.endpoint_id, fence=self.token)
         self.room.usable = False
         self.token = None
         self.fenced = True
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -241,7 +241,7 @@
         """Return what this process may claim, and the claim."""
         domains = {*members.values(), self._network.failure_domain}
         cut = self._cut_domains(domains) if len(answers) < len(members) else set()
-        kind = claim_kind(members, set(answers), cut_domains=cut)
+        kind = claim_kind(self._network.failure_domain, members, set(answers), cut_domains=cut)
         log.info(
             "claim_weighed",
             kind=kind.value,
--- a/burdocklug/pools/_forecast.py
+++ b/burdocklug/pools/_forecast.py
@@ -2,6 +2,7 @@
 
 __all__ = ["RoomForecast", "expected_ends"]
 
+NO_PLACE_S = 0.3  # endpoints that miss a report are back by then, or are gone
 OVERDUE_S = 0.03  # a run that is over its expected time may end at any moment
 
 
@@ -41,7 +42,7 @@
         number = self._taken + count - 1
         places = len(self._ends_s)
         if not places:
-            return float("inf")
+            return self._now_s + NO_PLACE_S
         rounds, place = divmod(number, places)
         round_s = 2 * (sum(self._ends_s) / places - self._now_s)
         return self._ends_s[place] + rounds * round_s
--- a/burdocklug/pools/_leadership.py
+++ b/burdocklug/pools/_leadership.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections import Counter
 
 from burdocklug.peers import started_ns
 from burdocklug.pools._messages import Claim
@@ -46,11 +47,13 @@
     return all(key < (started_ns(other), other) for other in reached)
 
 
-def claim_kind(domains, reached, *, cut_domains):
+def claim_kind(own_domain, domains, reached, *, cut_domains):
     """Return what a process may claim that hears no scheduler.
 
     Parameters
     ----------
+    own_domain : str
+        The own failure domain.
     domains : dict
         Failure domains of all processes that are thought to live, by incarnation, without the
         own process.
@@ -62,23 +65,26 @@
     Notes
     -----
     A process that reaches less than half of the others schedules a part only where those that it
-    misses are cut off with their endpoints. Otherwise it is the one that is cut off, and the
-    others go on scheduling the endpoints that it sees.
+    misses are cut off with their endpoints, or are the smaller part of their failure domain.
+    Otherwise it is the one that is cut off, and the others go on scheduling the endpoints that it
+    sees.
 
     Examples
     --------
     >>> fleet = {"n2": "north", "s1": "south", "s2": "south", "s3": "south"}
-    >>> claim_kind(fleet, {"n2"}, cut_domains={"south"})
+    >>> claim_kind("north", fleet, {"n2"}, cut_domains={"south"})
     <ClaimKind.PART: 'part'>
-    >>> claim_kind(fleet, {"n2"}, cut_domains=set())
+    >>> claim_kind("north", fleet, {"n2"}, cut_domains=set())
     <ClaimKind.NOTHING: 'nothing'>
-    >>> claim_kind(fleet, {"n2", "s1", "s2"}, cut_domains=set())
+    >>> claim_kind("north", fleet, {"n2", "s1", "s2"}, cut_domains=set())
     <ClaimKind.WHOLE: 'whole'>
     """
     if 2 * (1 + len(reached)) > 1 + len(domains):
         return ClaimKind.WHOLE
-    missed = {domain for incarnation, domain in domains.items() if incarnation not in reached}
-    return ClaimKind.PART if missed <= cut_domains else ClaimKind.NOTHING
+    missed = Counter(d for incarnation, d in domains.items() if incarnation not in reached)
+    there = Counter([own_domain, *(domains[incarnation] for incarnation in reached)])
+    served = all(d in cut_domains or there[d] > missed[d] for d in missed)
+    return ClaimKind.PART if served else ClaimKind.NOTHING
 
 
 def next_claim(kind, own, known, served):
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -303,7 +303,7 @@
             places = count_places(job.waiting[0], rooms, now, most=need + reserve)
             if job.started or places >= need + reserve:
                 starts += self._start_tasks(job, rooms, forecast, now)
-            elif is_hopeless(job, forecast.begin_s(need)):
+            elif is_hopeless(job, forecast.begin_s(need) if self.settled else now):
                 self._refuse(job, now)
             else:
                 forecast.take(need)
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -124,6 +124,18 @@
         pool.scheduler.pump()
         self.assertThat(pool.names_started()[1:], Equals(["old.0.0.0"]))
 
+    def test_no_job_is_refused_for_endpoints_that_were_not_looked_at_yet(self):
+        pool = VirtualPool(entry(1))
+        room = pool.scheduler.rooms["e1"]
+        pool.scheduler.settled = room.usable = False
+        pool.submit("j1")
+        pool.now_s += 0.1
+        pool.scheduler.pump()
+        room.usable = True
+        pool.scheduler.settle()
+        pool.scheduler.pump()
+        self.assertThat(pool.names_started(), Equals(["j1.0.0.0"]))
+
     def test_a_look_at_its_own_endpoints_does_not_clear_those_of_a_scheduler_cut_off(self):
         pool = VirtualPool(entry(1))
         pool.scheduler.settled = False
