SIGHUP reads the settings again and ends nothing

Cause: the platform sends SIGHUP when the settings file has changed; the process ended by it, which cut its callers' requests. It reads and checks the file and logs the sections that differ; they take effect at the next start, since nothing that an installation changes while a process runs is read twice.

--- a/burdocklug/daemon/_main.py
+++ b/burdocklug/daemon/_main.py
@@ -39,7 +39,27 @@
     configure_logs(level=settings.process.log_level, process=settings.process.name)
     from burdocklug.daemon._process import run_process
 
-    return run_process(settings)
+    return run_process(settings, reread=lambda: _report_changes(options.settings, settings))
+
+
+def _report_changes(path, settings):
+    """Read the settings file again and log what differs; it takes effect at the next start."""
+    import structlog
+
+    from burdocklug.kernel import SettingsError, load_settings
+
+    log = structlog.get_logger(__name__)
+    try:
+        changed = load_settings(path)
+    except SettingsError as exc:
+        log.error("settings_have_faults", faults=exc.faults)
+        return
+    sections = [
+        name
+        for name in settings.__struct_fields__
+        if getattr(settings, name) != getattr(changed, name)
+    ]
+    log.info("settings_reread", changed=sections)
 
 
 def _parse_arguments(argv):
--- a/burdocklug/daemon/_process.py
+++ b/burdocklug/daemon/_process.py
@@ -15,6 +15,7 @@
 log = structlog.get_logger(__name__)
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS_READ = 64  # numbers of signals read at once
 
 
 class _EndRequests:
@@ -49,13 +50,15 @@
         self._end = Event()
 
 
-def run_process(settings):
+def run_process(settings, *, reread=None):
     """Serve until a stop signal or a drain request, then shut down gracefully.
 
     Parameters
     ----------
     settings : Settings
         The validated settings.
+    reread : callable, optional
+        Called at SIGHUP; without it the signal changes nothing.
 
     Returns
     -------
@@ -69,7 +72,7 @@
     """
     import_parts(settings.profile)
     requests = _EndRequests()
-    _watch_signals(requests.stop)
+    _watch_signals(requests.stop, reread or _ignore_reread)
     _run_incarnation(settings, requests)
     while not requests.stop_asked:
         log.info("beginning_anew")
@@ -95,8 +98,12 @@
     timers.kill()
 
 
-def _watch_signals(request_stop):
-    """Turn stop signals into a request; a second signal changes nothing.
+def _ignore_reread():
+    log.info("settings_not_reread")
+
+
+def _watch_signals(request_stop, reread):
+    """Turn stop signals into a request, of which a second one changes nothing, SIGHUP into a call.
 
     Notes
     -----
@@ -107,12 +114,17 @@
     os.set_blocking(reader, False)
     os.set_blocking(writer, False)
     signal.set_wakeup_fd(writer)
-    for number in STOP_SIGNALS:
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
         signal.signal(number, lambda _number, _frame: None)
 
     def wait():
-        eventlet.hubs.trampoline(reader, read=True)
-        request_stop()
+        while True:
+            eventlet.hubs.trampoline(reader, read=True)
+            for number in os.read(reader, SIGNALS_READ):
+                if number in STOP_SIGNALS:
+                    request_stop()
+                elif number == signal.SIGHUP:
+                    reread()
 
     eventlet.spawn(wait)
 
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -1,3 +1,4 @@
+import signal
 import time
 
 import eventlet
@@ -95,6 +96,15 @@
         for name in PROCESSES:
             self.assertThat(self.fleet.call(name, "GET", "/new/")[0], Equals(200))
 
+    def test_a_hangup_ends_no_request(self):
+        thread = eventlet.spawn(self.fleet.submit, "north-2", "f" * 16, spec="run 0.6")
+        eventlet.sleep(0.2)
+        for name in PROCESSES:
+            self.fleet.children[name].signal(signal.SIGHUP)
+        self.assertThat(thread.wait(), Equals((200, {"state": "completed"})))
+        self.assertThat(self.fleet.submit("north-1", "9" * 16)[0], Equals(200))
+        self.assertIn("settings_reread", self.fleet.children["north-1"].stderr_text())
+
     def test_an_unreadable_entry_changes_nothing(self):
         self.fleet.control("PUT", "/operator/servers/i-0000", {"service": 5})
         self.fleet.control("PUT", "/operator/servers/i-bad", ["what"])
