Pools: starts, endpoint health and order sending are modules of their own

What starts where is a generator of decisions over jobs that wait, carried out by the scheduler one by one; faults and slowness of endpoints are plain functions; an agent's orders and doubts are apart from its lease and reports.

--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -1,75 +1,32 @@
 """One endpoint of a pool: its lease, the orders sent to it, and what it reports."""
 
-from dataclasses import dataclass
-
 import eventlet
 import structlog
 
 from burdocklug.pools._jobs import TaskState
-from burdocklug.pools._orders import (
-    OrderFenced,
-    OrderRefused,
-    OrderUnanswered,
-    OtherIncarnation,
-    RefusalReason,
-)
+from burdocklug.pools._order_sender import OrderSender, RunOrder
+from burdocklug.pools._orders import OrderFenced, OrderUnanswered, OtherIncarnation
 from burdocklug.pools._placement import expected_run_s
 
-__all__ = ["EndpointAgent", "RunOrder"]
+__all__ = ["EndpointAgent"]
 
 RENEW_WAIT_S = 0.4  # an end ends the wait; leaves more than half of a lease of 1 s for retries
 CAREFUL_WAIT_S = 0.06  # while answers get lost, as the ends of runs stay unknown with a report
 CAREFUL_S = 3.0  # after a lost answer of any endpoint
 MIN_WAIT_S = 0.04  # between two reports that look after an overdue run
 ANSWER_S = 0.1  # tens of cross-domain trips; ends stay unknown as long as an answer is missed
-START_S = 0.04  # an order without an answer by then is looked after; ten cross-domain trips
 SILENT_RETRY_S = (0.02, 1.0)  # first and longest pause between reports of a silent endpoint
 FENCED_RETRY_S = 0.5  # lets another holder finish before the endpoint is taken back
 CLOCK_DRIFT = 1.021  # an endpoint's clock may be 2 % slow
 LAPSE_MARGIN_S = 0.05  # for the end of a lapsed run
-STOP_S = 0.1  # as for reports
 OVERDUE_FACTOR = 1.2  # times the expected run time, after which progress is looked at
 OVERDUE_SLACK_S = 0.03
 STALLED_S = 0.15  # an overdue run without progress for so long stands still
 TOKEN_HOLDERS = 64  # processes that take over in the same millisecond differ in the low digits
-STOP_TRIES = 20
 
 log = structlog.get_logger(__name__)
 
 
-@dataclass(slots=True, eq=False)
-class RunOrder:
-    """A start that was sent; times are of the own monotonic clock.
-
-    Parameters
-    ----------
-    task : Task
-        What is to run.
-    attempt : int
-        Its number.
-    sent_s : float
-        When it was sent.
-    confirmed_s : float or None
-        When the endpoint was known to have the run.
-    doubted_s : float or None
-        Since when it is not known whether the order was carried out.
-    stopped_s : float or None
-        When the endpoint acknowledged that the run is to end, or will not begin.
-    percent, progress_s
-        Last progress and since when it has been that.
-    """
-
-    task: object
-    attempt: int
-    sent_s: float
-    confirmed_s: float | None = None
-    doubted_s: float | None = None
-    stopped_s: float | None = None
-    stopping: bool = False
-    percent: int = -1
-    progress_s: float = 0.0
-
-
 class EndpointAgent:
     """Holds one endpoint for the scheduler of its pool.
 
@@ -97,13 +54,14 @@
         self.closed = False
         self.answered_s = None
         self.fenced = False
-        self._scheduler = scheduler
-        self._protocol = protocol
-        self._now = now
+        self.scheduler = scheduler
+        self.protocol = protocol
+        self.now = now
         self._lease_s = lease_s
         self._digit = digit
-        self._wake = wake
-        self._orders = {}
+        self.wake = wake
+        self.orders = {}
+        self._sender = OrderSender(self)
         self._acked = 0
         self._clock_ms = 0
         self._clock_s = 0.0
@@ -138,10 +96,10 @@
                 eventlet.sleep(self._pause_s)
                 self._pause_s = min(2 * self._pause_s, SILENT_RETRY_S[1])
             except OrderFenced as exc:
-                self._note_fenced(exc)
+                self.note_fenced(exc)
                 eventlet.sleep(FENCED_RETRY_S)
             except OtherIncarnation:
-                self._note_restarted("other_incarnation")
+                self.note_restarted("other_incarnation")
                 eventlet.sleep(SILENT_RETRY_S[1])
             except Exception:
                 log.exception("endpoint_agent_failed", endpoint=self.room.entry.endpoint_id)
@@ -150,25 +108,26 @@
     # Lease
 
     def _clock_now_ms(self):
-        return self._clock_ms + int((self._now() - self._clock_s) * 1000)
+        return self._clock_ms + int((self.now() - self._clock_s) * 1000)
 
-    def _lease_ms(self):
+    def lease_ms(self):
         """Return the end of a lease that begins now, and note until when runs may go on."""
-        self._lapses_s = self._now() + self._lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
+        self._lapses_s = self.now() + self._lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
         return self._clock_now_ms() + int(self._lease_s * 1000)
 
-    def _note_clock(self, clock_ms):
-        self._clock_ms, self._clock_s = clock_ms, self._now()
+    def note_clock(self, clock_ms):
+        """Take in the endpoint's clock, in milliseconds."""
+        self._clock_ms, self._clock_s = clock_ms, self.now()
 
     def _take_over(self):
         entry = self.room.entry
         try:
             report = self._ask(token=0, lease_ms=None, wait_s=0.0)
-            self._note_clock(report.clock_ms)
+            self.note_clock(report.clock_ms)
         except OrderFenced as exc:
-            self._note_clock(exc.clock_ms)
+            self.note_clock(exc.clock_ms)
         token = self._clock_ms * TOKEN_HOLDERS + self._digit
-        sent_s = self._now()
+        sent_s = self.now()
         report = self._ask(token=token, lease_ms=None, wait_s=0.0)
         self.token = token
         self.fenced = False
@@ -185,26 +144,27 @@
     def _adopt(self, report):
         """Take over runs of jobs that are known here; the others are stopped as strangers."""
         for line in report.active:
-            task = self._scheduler.find_task(line.task)
+            task = self.scheduler.find_task(line.task)
             if task is None or task.state is not TaskState.WAITING or task.job.outcome:
                 continue
-            self._scheduler.adopt(task, self.room, attempt=line.attempt)
-            order = RunOrder(task, line.attempt, self._now(), confirmed_s=self._now())
-            self._orders[task.name] = order
+            self.scheduler.adopt(task, self.room, attempt=line.attempt)
+            order = RunOrder(task, line.attempt, self.now(), confirmed_s=self.now())
+            self.orders[task.name] = order
 
     def _renew(self):
-        sent_s = self._now()
+        sent_s = self.now()
         wait_s = self._wait_s(sent_s)
-        report = self._ask(token=self.token, lease_ms=self._lease_ms(), wait_s=wait_s)
+        report = self._ask(token=self.token, lease_ms=self.lease_ms(), wait_s=wait_s)
         self._take_in(report, sent_s)
 
-    def _look(self):
-        sent_s = self._now()
-        report = self._ask(token=self.token, lease_ms=self._lease_ms(), wait_s=0.0)
+    def look(self):
+        """Have the endpoint report at once, and take the report in."""
+        sent_s = self.now()
+        report = self._ask(token=self.token, lease_ms=self.lease_ms(), wait_s=0.0)
         self._take_in(report, sent_s)
 
     def _ask(self, *, token, lease_ms, wait_s):
-        return self._protocol.renew(
+        return self.protocol.renew(
             self.room.entry,
             token=token,
             acked_through=self._acked,
@@ -215,9 +175,9 @@
 
     def _wait_s(self, now):
         """Return how long the endpoint may wait for an end before it reports."""
-        careful = self._orders and now - self._scheduler.missed_s < CAREFUL_S
+        careful = self.orders and now - self.scheduler.missed_s < CAREFUL_S
         wait_s = CAREFUL_WAIT_S if careful else RENEW_WAIT_S
-        for order in self._orders.values():
+        for order in self.orders.values():
             wait_s = min(wait_s, max(self._overdue_s(order) - now, MIN_WAIT_S))
         return wait_s
 
@@ -239,10 +199,10 @@
             When it was asked for; it says nothing of orders confirmed later.
         """
         if self._is_restarted(report):
-            self._note_restarted("new_start")
+            self.note_restarted("new_start")
             return
-        self._note_clock(report.clock_ms)
-        self.answered_s = self._now()
+        self.note_clock(report.clock_ms)
+        self.answered_s = self.now()
         self._pause_s = SILENT_RETRY_S[0]
         for end in report.ended:
             if end.number > self._acked:
@@ -250,7 +210,7 @@
                 self._take_end(end)
         self._missed = 0
         active = {line.task: line for line in report.active}
-        for order in list(self._orders.values()):
+        for order in list(self.orders.values()):
             self._compare(order, active.pop(order.task.name, None), sent_s)
         for line in active.values():
             self._stop_stranger(line)
@@ -261,7 +221,7 @@
             usable = False
         self.room.usable = usable
         if usable:
-            self._wake()
+            self.wake()
 
     def _is_restarted(self, report):
         if not report.started_ms:
@@ -270,7 +230,7 @@
             self._started_ms = report.started_ms
         return report.started_ms != self._started_ms
 
-    def _note_restarted(self, reason):
+    def note_restarted(self, reason):
         """Note that the endpoint began anew: it runs and knows nothing of before."""
         entry = self.room.entry
         log.info("endpoint_restarted", endpoint=entry.endpoint_id, reason=reason)
@@ -278,16 +238,16 @@
         self.token = None
         self._acked = 0
         self._started_ms = 0
-        self._orders.clear()
-        self._scheduler.lose_runs(self.room, reason=reason)
-        self._wake()
+        self.orders.clear()
+        self.scheduler.lose_runs(self.room, reason=reason)
+        self.wake()
 
     def _take_end(self, end):
-        order = self._orders.get(end.task)
+        order = self.orders.get(end.task)
         if order is None or order.attempt != end.attempt:
             return
-        del self._orders[end.task]
-        self._scheduler.note_end(order.task, self.room, end.kind, is_prompt=self._missed == 0)
+        del self.orders[end.task]
+        self.scheduler.note_end(order.task, self.room, end.kind, is_prompt=self._missed == 0)
 
     def _compare(self, order, line, sent_s):
         if line is not None and line.attempt == order.attempt:
@@ -303,10 +263,10 @@
         return self._lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
 
     def _note_active(self, order, line):
-        now = self._now()
+        now = self.now()
         if order.confirmed_s is None:
             order.confirmed_s, order.doubted_s = now, None
-            self._scheduler.note_started(order.task, self.room)
+            self.scheduler.note_started(order.task, self.room)
         if line.percent != order.percent:
             order.percent, order.progress_s = line.percent, now
         elif now >= self._overdue_s(order) and not order.stopping:
@@ -317,144 +277,33 @@
                 percent=line.percent,
                 age_s=round(now - order.sent_s, 3),
             )
-            self._scheduler.note_fault(order.task, self.room)
-            self._begin_stop(order)
+            self.scheduler.note_fault(order.task, self.room)
+            self._sender.begin_stop(order)
 
     def _drop(self, order, reason):
-        if self._orders.get(order.task.name) is order:
-            del self._orders[order.task.name]
-            self._scheduler.note_lost(order.task, self.room, reason=reason)
-            self._wake()
+        if self.orders.get(order.task.name) is order:
+            del self.orders[order.task.name]
+            self.scheduler.note_lost(order.task, self.room, reason=reason)
+            self.wake()
 
     def _stop_stranger(self, line):
         log.info("stranger_stopped", task=line.task, endpoint=self.room.entry.endpoint_id)
-        eventlet.spawn(self._try_stop, line.task, line.attempt)
+        eventlet.spawn(self._sender.try_stop, line.task, line.attempt)
 
     # Orders
 
     def start(self, task):
         """Send the order to start a task."""
-        order = RunOrder(task, task.attempt, self._now())
-        order.progress_s = order.sent_s
-        self._orders[task.name] = order
-        eventlet.spawn(self._send_start, order)
-
-    def _send_start(self, order):
-        task = order.task
-        try:
-            clock_ms = self._protocol.start(
-                self.room.entry,
-                task=task.name,
-                attempt=order.attempt,
-                payload=task.job.spec.payload,
-                lease_ms=self._lease_ms(),
-                token=self.token,
-                timeout_s=START_S,
-            )
-        except OrderRefused as exc:
-            self._note_refused(order, exc)
-        except OrderUnanswered as exc:
-            order.doubted_s = self._scheduler.missed_s = self._now()
-            self._note_doubt(order, exc)
-        except OrderFenced as exc:
-            self._note_fenced(exc)
-        except OtherIncarnation:
-            self._note_restarted("other_incarnation")
-        else:
-            self._note_clock(clock_ms)
-            if self._orders.get(task.name) is order:
-                order.confirmed_s = self._now()
-                self._scheduler.note_started(task, self.room)
-
-    def _note_refused(self, order, exc):
-        if self._orders.get(order.task.name) is not order:
-            return
-        del self._orders[order.task.name]
-        if exc.clock_ms is not None:
-            self._note_clock(exc.clock_ms)
-        log.info(
-            "start_refused",
-            task=order.task.name,
-            attempt=order.attempt,
-            endpoint=self.room.entry.endpoint_id,
-            reason=exc.reason,
-        )
-        if exc.reason == RefusalReason.UNHEALTHY:
-            self._scheduler.note_fault(order.task, self.room)
-        if exc.reason == RefusalReason.ROOM:
-            self.room.usable = False  # until the next report
-        self._scheduler.note_refused(
-            order.task,
-            self.room,
-            reason=exc.reason,
-            raise_attempt=exc.reason == RefusalReason.OLD_ATTEMPT,
-        )
-        self._wake()
-
-    def _note_doubt(self, order, exc):
-        """Find out on a new connection whether an order was carried out; withdraw it if not."""
-        self.room.usable = False
-        log.info(
-            "start_unanswered",
-            task=order.task.name,
-            attempt=order.attempt,
-            endpoint=self.room.entry.endpoint_id,
-            error=str(exc)[:120],
-        )
-        try:
-            self._look()
-            if order.confirmed_s is None and self._orders.get(order.task.name) is order:
-                self._begin_stop(order)
-        except (OrderUnanswered, OrderFenced, OtherIncarnation) as look_exc:
-            self._protocol.retire(self.room.entry)
-            log.info(
-                "endpoint_not_reached",
-                endpoint=self.room.entry.endpoint_id,
-                error=str(look_exc)[:120],
-            )
+        self._sender.start(task)
 
     def stop(self, task):
         """Stop what runs, or may run, of a task."""
-        order = self._orders.get(task.name)
-        if order is not None:
-            self._begin_stop(order)
-
-    def _begin_stop(self, order):
-        if not order.stopping:
-            order.stopping = True
-            eventlet.spawn(self._stop_order, order)
-
-    def _stop_order(self, order):
-        for _ in range(STOP_TRIES):
-            if self._orders.get(order.task.name) is not order or self.closed:
-                return
-            if self._try_stop(order.task.name, order.attempt):
-                order.stopped_s = self._now()
-                break
-            eventlet.sleep(SILENT_RETRY_S[0])
-        try:
-            self._look()
-        except (OrderUnanswered, OrderFenced, OtherIncarnation) as exc:
-            log.info("stop_not_seen", task=order.task.name, error=str(exc)[:120])
-
-    def _try_stop(self, task, attempt):
-        try:
-            self._protocol.stop(
-                self.room.entry,
-                task=task,
-                attempt=attempt,
-                token=self.token or 0,
-                timeout_s=STOP_S,
-            )
-        except (OrderUnanswered, OrderFenced, OrderRefused, OtherIncarnation) as exc:
-            log.info("stop_failed", task=task, attempt=attempt, error=str(exc)[:120])
-            return False
-        return True
+        self._sender.stop(task)
 
     # Faults
 
     def _note_silence(self, exc):
-        now = self._now()
+        now = self.now()
         if self.room.usable:
             log.info(
                 "endpoint_silent",
@@ -465,21 +314,22 @@
         self.room.usable = False
         self._missed += 1
         if self._missed == 1:
-            self._scheduler.missed_s = now
-        self._protocol.retire(self.room.entry)
+            self.scheduler.missed_s = now
+        self.protocol.retire(self.room.entry)
         if self.token is None or (self.answered_s and now - self.answered_s > self._lease_s):
             self.token = None  # what runs there is to lapse, a report renews it no more
-        if now > self._lapses_s and self._orders:
-            self._orders.clear()
-            self._scheduler.lose_runs(self.room, reason="lapsed")
-            self._wake()
+        if now > self._lapses_s and self.orders:
+            self.orders.clear()
+            self.scheduler.lose_runs(self.room, reason="lapsed")
+            self.wake()
 
-    def _note_fenced(self, exc):
+    def note_fenced(self, exc):
+        """Note that another holder has the endpoint; it is taken back after a pause."""
         log.warning("endpoint_fenced", endpoint=self.room.entry.endpoint_id, fence=self.token)
         self.room.usable = False
         self.token = None
         self.fenced = True
-        self._note_clock(exc.clock_ms)
+        self.note_clock(exc.clock_ms)
 
     def note_entry(self, entry):
         """Take in a new entry of the same endpoint."""
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -9,17 +9,11 @@
 import structlog
 
 from burdocklug.pools._forecast import RoomForecast, expected_ends
+from burdocklug.pools._health import add_fault, learn_slowness
 from burdocklug.pools._jobs import TaskState, apply_progress, make_job
 from burdocklug.pools._models import JobOutcome, RunEndKind
-from burdocklug.pools._order import is_hopeless, order_key, start_by_s
-from burdocklug.pools._placement import (
-    EndpointRoom,
-    allowed_at,
-    choose_endpoint,
-    count_places,
-    expected_run_s,
-    places_at,
-)
+from burdocklug.pools._placement import EndpointRoom, allowed_at, expected_run_s, places_at
+from burdocklug.pools._starts import Refuse, Start, decide, rooms_with_places
 
 __all__ = ["Scheduler"]
 
@@ -27,14 +21,8 @@
 QUIET_S = 1.2  # by then what another scheduler had begun was stopped, or has lapsed
 KEEP_ENDED_S = 10.0  # outcomes are kept for callers that ask again after a broken connection
 ATTEMPT_STEP = 8  # raises the number of a start over those of earlier schedulers
-REPORT_S = 0.01  # for the order to arrive and the report to come back
-SLOWNESS_SHARE = 0.1  # weight of one run in the learnt slowness of an endpoint
-SLOWNESS_BOUNDS = (0.5, 10.0)
 WAVE_SHARE = 0.25  # of all places; a wider step can't expect to run at once beside other jobs
 LATE_RESERVE = 0.15  # tasks an endpoint that late jobs leave free for timely ones
-FAULTS_TO_EJECT = 3  # in a row; a task's own faults rarely meet three times at one endpoint
-EJECT_S = 0.5  # before the first trial; doubles with each trial that fails
-MAX_EJECT_S = 5.0
 
 log = structlog.get_logger(__name__)
 
@@ -234,80 +222,44 @@
     # Starts
 
     def pump(self):
-        """Start what fits, the most urgent jobs first, and return the number of starts.
-
-        A job takes room only where all its tasks can begin in time, be it as others end. Jobs
-        that are late get what is left, but for a reserve for timely ones to come.
-        """
+        """Start what fits, the most urgent jobs first, and return the number of starts."""
         if not self._waiting:
             return 0
         now = self._now()
-        rooms = self._rooms_with_places(now)
+        rooms = rooms_with_places(self._waiting.values(), self.rooms.values(), now)
         if not rooms and now < self._weighed_s + WEIGH_S:
             return 0
         self._weighed_s = now
-        forecast = RoomForecast(now, expected_ends(self._runs(), now, self._expected_s))
-        starts, late = 0, []
-        for job in sorted(self._waiting.values(), key=lambda job: order_key(job, now)):
-            if not job.waiting:
-                self._waiting.pop(job.job_id)
-            elif job.expires_s < now:
-                self._expire(job)
-            elif job.unsettled or job.not_before_s > now:
-                if not job.started and is_hopeless(job, now):
-                    self._refuse(job, now)
-            elif self._begins_in_time(job, rooms, forecast, now):
-                starts += self._start_tasks(job, rooms, forecast, now)
-            else:
-                late.append(job)
-        return starts + self._serve_late(late, rooms, forecast, now)
-
-    def _rooms_with_places(self, now):
-        """Return the endpoints with room for the smallest task that waits."""
-        demands = (job.waiting[0].demand.cpu for job in self._waiting.values() if job.waiting)
-        least = min(demands, default=0)
-        return [r for r in self.rooms.values() if r.free.cpu >= least and r.is_open(now)]
-
-    def _runs(self):
-        return [(task, room) for room in self.rooms.values() for task in room.runs.values()]
+        starts = 0
+        for decision in decide(
+            list(self._waiting.values()),
+            rooms,
+            now,
+            forecast=self._forecast(now),
+            settled=self.settled,
+            reserve=int(LATE_RESERVE * len(self.rooms)),
+            remote_factor=self._remote_factor,
+        ):
+            starts += self._carry_out(decision, now)
+        return starts
+
+    def _forecast(self, now):
+        runs = [(task, room) for room in self.rooms.values() for task in room.runs.values()]
+        return RoomForecast(now, expected_ends(runs, now, self._expected_s))
 
     def _expected_s(self, task, room):
         return expected_run_s(task, room, remote_factor=self._remote_factor)
 
-    @staticmethod
-    def _begins_in_time(job, rooms, forecast, now):
-        need = job.next_wave()
-        places = count_places(job.waiting[0], rooms, now, most=need)
-        return forecast.begin_s(need - places) <= start_by_s(job)
-
-    def _start_tasks(self, job, rooms, forecast, now):
-        """Start the tasks of a job that find room, and reserve places for the next ones."""
-        starts = 0
-        for task in list(job.waiting):
-            room = choose_endpoint(task, rooms, now, remote_factor=self._remote_factor)
-            if room is None:
-                break
-            self._start(task, room, now)
-            starts += 1
-        forecast.take(job.next_wave())
-        if not job.waiting:
-            self._waiting.pop(job.job_id, None)
-        return starts
-
-    def _serve_late(self, jobs, rooms, forecast, now):
-        """Start late jobs in what room is left; refuse those that have no prospect."""
-        starts = 0
-        reserve = int(LATE_RESERVE * len(self.rooms))
-        for job in jobs:
-            need = job.next_wave()
-            places = count_places(job.waiting[0], rooms, now, most=need + reserve)
-            if job.started or places >= need + reserve:
-                starts += self._start_tasks(job, rooms, forecast, now)
-            elif is_hopeless(job, forecast.begin_s(need) if self.settled else now):
-                self._refuse(job, now)
-            else:
-                forecast.take(need)
-        return starts
+    def _carry_out(self, decision, now):
+        """Carry out a decision and return the number of starts."""
+        if isinstance(decision, Start):
+            self._start(decision.task, decision.room, now)
+            return 1
+        if isinstance(decision, Refuse):
+            self._refuse(decision.job, now)
+        else:
+            self._expire(decision.job)
+        return 0
 
     def _expire(self, job):
         if job.started:
@@ -333,6 +285,8 @@
 
     def _start(self, task, room, now):
         task.job.waiting.remove(task)
+        if not task.job.waiting:
+            self._waiting.pop(task.job.job_id, None)
         task.state = TaskState.STARTING
         task.attempt += 1
         task.endpoint_id = room.entry.endpoint_id
@@ -362,17 +316,8 @@
     def note_fault(self, task, room):
         """Count a fault of an endpoint, which gets single trials after several in a row."""
         task.avoided.add(room.entry.endpoint_id)
-        room.faults += 1
-        if room.faults >= FAULTS_TO_EJECT:
-            pause_s = min(EJECT_S * 2 ** (room.faults - FAULTS_TO_EJECT), MAX_EJECT_S)
-            room.ejected_until_s = self._now() + pause_s
+        if add_fault(room, self._now()):
             self.counts["ejected"] += 1
-            log.info(
-                "endpoint_ejected",
-                endpoint=room.entry.endpoint_id,
-                faults=room.faults,
-                pause_s=pause_s,
-            )
 
     def note_refused(self, task, room, *, reason, raise_attempt=False):
         """Note that a start was refused and nothing of it runs."""
@@ -421,7 +366,7 @@
         if kind is RunEndKind.DONE and is_placed:
             room.faults = 0
             if is_prompt:
-                self._learn_slowness(task, room, now)
+                learn_slowness(room, now - task.started_s, self._expected_s(task, room))
         room.remove(task)
         if not is_placed:
             return
@@ -432,15 +377,6 @@
         else:
             self._wait_again(task)
 
-    def _learn_slowness(self, task, room, now):
-        expected_s = expected_run_s(task, room, remote_factor=self._remote_factor)
-        if expected_s <= 0 or not task.started_s:
-            return
-        seen = room.slowness * (now - task.started_s - REPORT_S) / expected_s
-        low, high = SLOWNESS_BOUNDS
-        seen = min(max(seen, low), high)
-        room.slowness += SLOWNESS_SHARE * (seen - room.slowness)
-
     def _finish(self, task):
         task.state = TaskState.DONE
         job = task.job
--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/test_endpoint.py
@@ -74,7 +74,7 @@
         except OrderUnanswered as exc:
             self.agent._note_silence(exc)
         except OrderFenced as exc:
-            self.agent._note_fenced(exc)
+            self.agent.note_fenced(exc)
         self.settle()
         self.scheduler.pump()
         self.settle()
