Pool: state dump, metrics with latency counts, configuration over peers

The operators' listener serves the state dump, draining and, without a token, metrics to processes of a pool; jobs are counted by queue, outcome and time. A process that hears of a newer configuration from a peer takes it from there, for when the store turns it away alone.

--- a/burdocklug/daemon/_imports.py
+++ b/burdocklug/daemon/_imports.py
@@ -26,6 +26,7 @@
         "burdocklug.platform._store",
         "burdocklug.platform._orders",
         "burdocklug.platform._part",
+        "burdocklug.operators._part",
     ),
 }
 UNUSED_OPTIONS = ("rich",)  # structlog colours its console output with it where it is installed
--- a/burdocklug/operators/_part.py
+++ b/burdocklug/operators/_part.py
@@ -1,7 +1,7 @@
 """The operators' listener as a part of a process."""
 
 from burdocklug.kernel import part
-from burdocklug.operators._routes import operators_app
+from burdocklug.operators._routes import operators_app, pool_operators_app
 from burdocklug.web import HttpListener
 
 __all__ = ["OperatorsPart"]
@@ -17,13 +17,15 @@
     ----------
     process : Process
         The process with its parts.
+    app : callable
+        Takes the process and its `ListenSettings`, and returns the WSGI application.
     """
 
-    def __init__(self, process):
+    def __init__(self, process, app):
         listen = process.settings.listen
         self._listener = HttpListener(
             listen.operators,
-            operators_app(process, listen),
+            app(process, listen),
             max_connections=MAX_CONNECTIONS,
             header_timeout_s=listen.header_timeout_s,
         )
@@ -40,4 +42,10 @@
 @part("operators", needs=("tickets", "peers"))
 def build_operators(process):
     """Return the operators' listener of a process."""
-    return OperatorsPart(process)
+    return OperatorsPart(process, operators_app)
+
+
+@part("pool_operators", needs=("pool",), profile="pool")
+def build_pool_operators(process):
+    """Return the operators' listener of a process in a pool."""
+    return OperatorsPart(process, pool_operators_app)
--- a/burdocklug/operators/_routes.py
+++ b/burdocklug/operators/_routes.py
@@ -6,9 +6,10 @@
 from burdocklug.operators._guard import bearer_guard
 from burdocklug.web import Response, RouteTable, json_response
 
-__all__ = ["operators_app"]
+__all__ = ["operators_app", "pool_operators_app"]
 
 MAX_TICKET_BYTES = 1_000_000
+METRICS_PATH = "/metrics"
 
 
 class Accepted(msgspec.Struct, frozen=True):
@@ -45,6 +46,49 @@
     def show_configuration(_req):
         return json_response(200, process["tickets"].show())
 
+    add_process_routes(app, process)
+    return app
+
+
+def pool_operators_app(process, listen):
+    """Return the WSGI application of the operators' listener of a process in a pool.
+
+    Parameters
+    ----------
+    process : Process
+        The process with its parts.
+    listen : ListenSettings
+        Time bounds of bodies.
+
+    Notes
+    -----
+    Operators change the configuration in the store there; metrics are served without a token, as
+    the installation's collector has none.
+    """
+    check_token = bearer_guard(process.settings.operator_token)
+
+    def guard(req):
+        if req.environ["PATH_INFO"] != METRICS_PATH:
+            check_token(req)
+
+    app = RouteTable(
+        max_body_bytes=MAX_TICKET_BYTES, body_timeout_s=listen.body_timeout_s, guard=guard
+    )
+
+    @app.route("GET", METRICS_PATH)
+    def metrics(_req):
+        from burdocklug.callers._metrics import render_metrics
+
+        page, content_type = render_metrics(process)
+        return Response(200, page, content_type)
+
+    add_process_routes(app, process)
+    return app
+
+
+def add_process_routes(app, process):
+    """Add the state dump and draining to an application."""
+
     @app.route("GET", "/v1/state")
     def show_state(_req):
         return Response(200, msgspec.json.encode(state_dump(process), enc_hook=str))
@@ -54,8 +98,6 @@
         process.request_stop()
         return json_response(202, Accepted(True))
 
-    return app
-
 
 def _number(text):
     if not text.isdigit():
--- /dev/null
+++ b/burdocklug/pools/_latency.py
@@ -0,0 +1,40 @@
+"""Counts of answers by how long they took."""
+
+import bisect
+from collections import Counter
+
+__all__ = ["BOUNDS_S", "LatencyCounts"]
+
+BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)  # upper bounds of the buckets
+
+
+class LatencyCounts:
+    """A histogram with fixed bounds for each label.
+
+    Examples
+    --------
+    >>> latencies = LatencyCounts()
+    >>> for seconds in (0.07, 0.3, 9.0):
+    ...     latencies.add("checks", seconds)
+    >>> latencies.counts()["checks"]["le_0.4"], latencies.counts()["checks"]["count"]
+    (2, 3)
+    """
+
+    def __init__(self):
+        self._buckets = {}
+
+    def add(self, label, seconds):
+        """Count one answer."""
+        buckets = self._buckets.setdefault(label, Counter())
+        buckets[bisect.bisect_left(BOUNDS_S, seconds)] += 1
+
+    def counts(self):
+        """Return, by label, the answers up to each bound and the count of all, as plain data."""
+        shown = {}
+        for label, buckets in self._buckets.items():
+            up_to = {
+                f"le_{bound:g}": sum(buckets[n] for n in range(number + 1))
+                for number, bound in enumerate(BOUNDS_S)
+            }
+            shown[label] = {**up_to, "count": sum(buckets.values())}
+        return shown
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -8,10 +8,12 @@
 from eventlet.green import socket
 
 from burdocklug.kernel import part
+from burdocklug.peers import PeerNotReached, PeerSilent
 from burdocklug.pools._directory import Directory
 from burdocklug.pools._fleet import FleetRegister, MemberRecord
 from burdocklug.pools._following import Following
 from burdocklug.pools._leader import Leader
+from burdocklug.pools._messages import ConfigurationCopy, ConfigurationQuestion
 from burdocklug.pools._orders import order_protocols
 from burdocklug.pools._submitter import Submitter
 
@@ -25,6 +27,7 @@
 DRAIN_POLL_S = 0.05
 PROBED_ENDPOINTS = 3
 PROBE_S = 0.2
+FETCH_S = 0.5  # for a peer to answer with its configuration
 
 log = structlog.get_logger(__name__)
 
@@ -66,6 +69,10 @@
             lease_s=settings.pool.max_lease_ms / 1000,
             remote_factor=settings.pool.remote_factor,
         )
+        self._network.register(ConfigurationCopy)
+        self._network.register(ConfigurationQuestion, self._on_configuration_question, inline=True)
+        self.following.on_newer_version = self._fetch_configuration
+        self._fetching = False
         self._gone = {}
         self._checked_s = self._timers.now()
         self._boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -86,6 +93,26 @@
         has_configuration = self.directory.configuration.version > 0
         return has_configuration and self.following.claim is not None
 
+    # Configuration
+
+    def _on_configuration_question(self, _sender, _message):
+        return ConfigurationCopy(self.directory.configuration)
+
+    def _fetch_configuration(self, peer):
+        """Ask a peer for the newer configuration that it has; the store may not be reached here."""
+        if not self._fetching:
+            self._fetching = True
+            eventlet.spawn(self._take_configuration_of, peer)
+
+    def _take_configuration_of(self, peer):
+        try:
+            copy = self._network.call(peer, ConfigurationQuestion(), timeout_s=FETCH_S)
+            self.directory.take_configuration(copy.configuration, source=peer)
+        except (PeerNotReached, PeerSilent) as exc:
+            log.info("configuration_not_fetched", peer=peer, error=str(exc)[:120])
+        finally:
+            self._fetching = False
+
     # Time
 
     def _check_pause(self):
@@ -168,7 +195,14 @@
     def counts(self):
         """Return counters of the scheduler by name."""
         scheduler = self.leader.scheduler
-        return dict(scheduler.counts) if scheduler else {}
+        if scheduler is None:
+            return {"schedules": 0, "waiting": self.submitter.waiting}
+        return {
+            **scheduler.counts,
+            "latency_s": scheduler.latencies.counts(),
+            "schedules": 1,
+            "waiting": self.submitter.waiting,
+        }
 
 
 def _any_accepts(threads):
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -11,6 +11,7 @@
 from burdocklug.pools._forecast import RoomForecast, expected_ends
 from burdocklug.pools._health import add_fault, learn_slowness
 from burdocklug.pools._jobs import TaskState, apply_progress, make_job
+from burdocklug.pools._latency import LatencyCounts
 from burdocklug.pools._models import JobOutcome, RunEndKind
 from burdocklug.pools._placement import EndpointRoom, allowed_at, expected_run_s, places_at
 from burdocklug.pools._starts import Refuse, Start, decide, rooms_with_places
@@ -45,6 +46,8 @@
         Jobs by id and endpoints by id.
     counts : Counter
         What happened, by name.
+    latencies : LatencyCounts
+        How long jobs took from their arrival, by queue and outcome.
     settled : bool
         Whether no endpoint has runs of an earlier scheduler that are not known here.
     missed_s : float
@@ -55,6 +58,7 @@
         self.jobs = {}
         self.rooms = {}
         self.counts = Counter()
+        self.latencies = LatencyCounts()
         self.settled = True
         self.missed_s = float("-inf")
         self._weighed_s = 0.0
@@ -152,6 +156,7 @@
         self._waiting.pop(job.job_id, None)
         job.waiting.clear()
         self.counts[f"jobs_{outcome}"] += 1
+        self.latencies.add(f"{job.spec.queue.name}.{outcome}", now - job.received_s)
         log.info(
             "job_ended",
             job=job.job_id,
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import tempfile
+import urllib.request
 from pathlib import Path
 
 import yaml
@@ -51,6 +52,7 @@
         self.worker_addresses = [free_address() for _ in range(workers)]
         self.addresses = {name: free_address() for name in processes}
         self.ready_addresses = {name: free_address() for name in processes}
+        self.operators = {name: free_address() for name in processes}
         self.children = {}
 
     def start(self):
@@ -84,7 +86,7 @@
             "process": {"name": name, "failure_domain": self.processes[name]},
             "listen": {
                 "callers": self.addresses[name],
-                "operators": free_address(),
+                "operators": self.operators[name],
                 "peers": free_address(),
                 "header_timeout_s": 60,
             },
@@ -114,6 +116,16 @@
         body = {"spec": spec, "phases": phases, "best_effort": True, **job}
         return self.call(name, "POST", f"/checks/{job_id}", body)
 
+    def state(self, name, *, token=SECRET):
+        """Return status and state dump of a daemon."""
+        headers = {"Authorization": f"Bearer {token}"}
+        return _call(self.operators[name], "GET", "/v1/state", None, host="x", headers=headers)
+
+    def metrics(self, name):
+        """Return the metrics page of a daemon."""
+        with urllib.request.urlopen(f"http://{self.operators[name]}/metrics", timeout=5.0) as page:
+            return page.read().decode()
+
     def control(self, method, path, body=None):
         """Call the control interface of the stand-in and return its answer."""
         return _call(self.store, method, path, body, host="store", timeout_s=5.0)[1]
@@ -131,12 +143,12 @@
         self.children["platform"].kill()
 
 
-def _call(address, method, path, body, *, host, timeout_s):
+def _call(address, method, path, body, *, host, timeout_s=5.0, headers=None):
     ip, _, port = address.rpartition(":")
     conn = http.client.HTTPConnection(ip, int(port), timeout=timeout_s)
     raw = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
     try:
-        conn.request(method, path, body=raw, headers={"Host": host})
+        conn.request(method, path, body=raw, headers={"Host": host, **(headers or {})})
         answer = conn.getresponse()
         data = answer.read()
     except (OSError, http.client.HTTPException):
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -96,6 +96,15 @@
         for name in PROCESSES:
             self.assertThat(self.fleet.call(name, "GET", "/new/")[0], Equals(200))
 
+    def test_state_and_metrics_tell_who_schedules_and_how_long_jobs_took(self):
+        self.fleet.submit("north-1", "8" * 16)
+        states = [self.fleet.state(name)[1]["pool"] for name in PROCESSES]
+        self.assertThat(sum(state["following"]["leads"] for state in states), Equals(1))
+        self.assertThat(len({state["following"]["scheduler"] for state in states}), Equals(1))
+        pages = "".join(self.fleet.metrics(name) for name in PROCESSES)
+        self.assertIn("latency_s.r-checks.completed.count", pages)
+        self.assertThat(self.fleet.state("north-1", token="wrong")[0], Equals(401))
+
     def test_a_hangup_ends_no_request(self):
         thread = eventlet.spawn(self.fleet.submit, "north-2", "f" * 16, spec="run 0.6")
         eventlet.sleep(0.2)
