--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -125,9 +125,21 @@
             reason=reason,
         )
         self._on_change(claim)
+        if claim is not None and not self.leads:
+            self._send_follow()
+
+    @property
+    def reached_claim(self):
+        """The claim of a scheduler that has answered this process, or of itself; else None."""
+        return self.claim if self.leads or self.heard_sequence else None
 
     # Exchange
 
+    def _send_follow(self):
+        self._sequence += 1
+        follow = Follow(self._sequence, self.claim, self._version())
+        self._network.send(self.claim.scheduler, follow)
+
     def _tick(self):
         now = self._timers.now()
         if self.leads:
@@ -140,9 +152,7 @@
         if self.claim is not None and now - self.heard_s > LOST_S:
             self._set_claim(None, "silent")
         if self.claim is not None:
-            self._sequence += 1
-            follow = Follow(self._sequence, self.claim, self._version())
-            self._network.send(self.claim.scheduler, follow)
+            self._send_follow()
         elif self.ready and not self._asking and now - self._asked_s >= ASK_AGAIN_S:
             self._asking = True
             eventlet.spawn(self._find_scheduler)
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -268,7 +268,7 @@
         return JobAnswer(refused="overload", retry_after_s=self._retry_after_s())
 
     def _is_stale(self, sender, message):
-        if sender == self._network.incarnation or not message.heard_sequence:
+        if sender == self._network.incarnation:
             return False
         age_s = self._following.message_age_s(sender, message.heard_sequence)
         if age_s is not None and age_s < STALE_S:
--- a/burdocklug/pools/_submitter.py
+++ b/burdocklug/pools/_submitter.py
@@ -144,7 +144,7 @@
     def _wait_for_scheduler(self, submission, until_s):
         began_s = self._timers.now()
         while True:
-            now, claim = self._timers.now(), self._following.claim
+            now, claim = self._timers.now(), self._following.reached_claim
             if claim is not None and now < until_s:
                 return claim
             if submission.maybe_begun:
