Followers leave a scheduler that gave up; one with few followers goes on unless it is fenced

They took it for scheduling and handed it jobs, which it sent back, until another host failed. It had given up since a cut and a frozen host left it two of six followers. It answers with the claim that it follows now, and yields only to a greater claim, to a part, or when endpoints obey another process.

--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -28,6 +28,7 @@
 NOTICE_S = 1.0  # period in which a scheduler tells all members of its claim
 REACH_S = 0.2  # for an answer to a question; over the slowest exchange of healthy peers
 ASK_AGAIN_S = 0.1
+FENCED = "fenced"  # why a scheduler looks whether another one is in its place
 FRESH_S = 0.5  # a scheduler that was not heard for longer is not named to others
 
 log = structlog.get_logger(__name__)
@@ -168,8 +169,7 @@
         self._sent_answers[sender, message.sequence] = now
         for key in [k for k, sent_s in self._sent_answers.items() if now - sent_s > LOST_S]:
             del self._sent_answers[key]
-        claim = self.claim if self.leads else self._greatest
-        self._network.send(sender, Followed(message.sequence, claim, self._version()))
+        self._network.send(sender, Followed(message.sequence, self.claim, self._version()))
         self._note_version(sender, message.configuration_version)
 
     def _on_followed(self, sender, message):
@@ -303,7 +303,7 @@
                 self._set_claim(max(greater), reason)
                 return
             kind, claim = self._weigh(members, answers)
-            if kind is ClaimKind.NOTHING:
+            if kind is ClaimKind.NOTHING and reason == FENCED:
                 self._set_claim(None, reason)
             elif kind is ClaimKind.PART and self.claim.whole:
                 self._set_claim(msgspec.structs.replace(claim, term=self.claim.term), reason)
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -6,6 +6,7 @@
 from eventlet.event import Event
 
 from burdocklug.pools._endpoint import TOKEN_HOLDERS, EndpointAgent
+from burdocklug.pools._following import FENCED
 from burdocklug.pools._jobs import progress_of
 from burdocklug.pools._messages import (
     AskJob,
@@ -208,7 +209,7 @@
         self.scheduler.pump()
         fenced = sum(a.fenced for a in self._agents.values())
         if fenced and fenced >= FENCED_SHARE * len(self._agents):
-            self._following.weigh_claim("fenced")
+            self._following.weigh_claim(FENCED)
 
     def _log_load(self):
         if self.scheduler is not None:
