Product names for latency objective, data distance and acknowledged ends; pool settings in the table

The platform's stretch_factor, remote_factor and acked_through stood in the pools; they are objective_factor, distance_factor and acknowledged there, and translated in the adapter.

--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -86,7 +86,7 @@
 
     `readiness` is the address of the balancer's checks; `records` and `orders` name the registered
     clients of the store and of endpoints. A run goes on for `max_lease_ms` unless it is renewed.
-    Away from the rack of its data a task takes `remote_factor` times as long. A graceful end has
+    Away from the rack of its data a task takes `distance_factor` times as long. A graceful end has
     `grace_s` seconds.
     """
 
@@ -94,7 +94,7 @@
     records: str
     orders: str
     max_lease_ms: Count
-    remote_factor: float = 1.5
+    distance_factor: float = 1.5
     grace_s: Seconds = 6.0
 
 
@@ -173,7 +173,7 @@
 
 def _check_field(value, kind, path):
     if value is not None:
-        kind = _without_none(kind)
+        kind = without_none(kind)
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
         yield from check_settings(value, kind, path)
         return
@@ -184,7 +184,7 @@
         yield f"{path}{inner.rstrip('`')}: {fault}"
 
 
-def _without_none(kind):
+def without_none(kind):
     """Return the one model of an optional field, or the type as it is."""
     others = [option for option in typing.get_args(kind) if option is not types.NoneType]
     is_optional = isinstance(kind, types.UnionType) and len(others) == 1
--- a/burdocklug/platform/_entries.py
+++ b/burdocklug/platform/_entries.py
@@ -50,7 +50,7 @@
             self.service,
             priority=self.priority,
             max_attempts=self.max_attempts,
-            stretch_factor=self.stretch_factor,
+            objective_factor=self.stretch_factor,
             target_s=self.target_duration_ms / 1000,
             timeout_s=self.timeout_ms / 1000,
             needs_advice=bool(self.advice),
--- a/burdocklug/platform/_orders.py
+++ b/burdocklug/platform/_orders.py
@@ -70,9 +70,9 @@
         body = {"task": task, "attempt": attempt, "fencing_token": token}
         self._call(entry, "/run-stop", body, timeout_s)
 
-    def renew(self, entry, *, token, acked_through, lease_ms, wait_s, timeout_s):
+    def renew(self, entry, *, token, acknowledged, lease_ms, wait_s, timeout_s):
         """Hold what runs and return what the worker lists."""
-        body = {"fencing_token": token, "acked_through": acked_through}
+        body = {"fencing_token": token, "acked_through": acknowledged}
         if lease_ms is not None:
             body["deadline_ms"] = lease_ms
         if wait_s > 0:
--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -168,7 +168,7 @@
         return self.protocol.renew(
             self.room.entry,
             token=token,
-            acked_through=self._acked,
+            acknowledged=self._acked,
             lease_ms=lease_ms,
             wait_s=wait_s,
             timeout_s=wait_s + ANSWER_S,
--- a/burdocklug/pools/_jobs.py
+++ b/burdocklug/pools/_jobs.py
@@ -184,7 +184,7 @@
         Tasks of a step that may be expected to run at once.
     """
     rule = spec.queue
-    goal_s = received_s + rule.stretch_factor * longest_chain_s(spec.steps, wave) + rule.target_s
+    goal_s = received_s + rule.objective_factor * longest_chain_s(spec.steps, wave) + rule.target_s
     job = Job(spec, received_s, received_s + wait_s, goal_s, [], wave=wave)
     for number, step in enumerate(spec.steps):
         state = TaskState.BLOCKED if step.after else TaskState.WAITING
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -66,11 +66,13 @@
         Carries orders to endpoints.
     following : Following
         Tells which other processes were heard.
-    lease_s, remote_factor : float
+    lease_s, distance_factor : float
         Longest lease of a run in seconds; times as long a task takes far from its data.
     """
 
-    def __init__(self, network, timers, directory, protocol, following, *, lease_s, remote_factor):
+    def __init__(
+        self, network, timers, directory, protocol, following, *, lease_s, distance_factor
+    ):
         self.scheduler = None
         self._network = network
         self._timers = timers
@@ -78,7 +80,7 @@
         self._protocol = protocol
         self._following = following
         self._lease_s = lease_s
-        self._remote_factor = remote_factor
+        self._distance_factor = distance_factor
         self._agents = {}
         self._claim = None
         self._began_s = 0.0
@@ -112,7 +114,9 @@
         self._claim = claim
         self._began_s = self._timers.now()
         orders = _AgentOrders()
-        self.scheduler = Scheduler(orders, now=self._timers.now, remote_factor=self._remote_factor)
+        self.scheduler = Scheduler(
+            orders, now=self._timers.now, distance_factor=self._distance_factor
+        )
         self.scheduler.settled = False
         self._agents = orders.agents
         log.info("scheduling_begins", term=claim.term, whole=claim.whole)
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -114,7 +114,7 @@
         0 goes first.
     max_attempts : int
         Failed runs of one task after which its job has failed.
-    stretch_factor : float
+    objective_factor : float
         Times the longest chain of work that a job may take.
     target_s : float
         Seconds that it may take on top of that.
@@ -130,7 +130,7 @@
     service: str
     priority: int = 0
     max_attempts: int = 1
-    stretch_factor: float = 1.0
+    objective_factor: float = 1.0
     target_s: float = 0.0
     timeout_s: float = 30.0
     needs_advice: bool = False
--- a/burdocklug/pools/_orders.py
+++ b/burdocklug/pools/_orders.py
@@ -71,12 +71,12 @@
         """Stop a run, or make the endpoint refuse it should the start come later."""
 
     @abc.abstractmethod
-    def renew(self, entry, *, token, acked_through, lease_ms, wait_s, timeout_s):
+    def renew(self, entry, *, token, acknowledged, lease_ms, wait_s, timeout_s):
         """Renew the lease of all that runs and return a `RunReport`.
 
         Parameters
         ----------
-        acked_through : int
+        acknowledged : int
             Ends up to this number are forgotten by the endpoint.
         lease_ms : int or None
             Until when runs may go on; None renews nothing.
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -67,7 +67,7 @@
             order_protocols.get(settings.pool.orders)(now=self._timers.now),
             self.following,
             lease_s=settings.pool.max_lease_ms / 1000,
-            remote_factor=settings.pool.remote_factor,
+            distance_factor=settings.pool.distance_factor,
         )
         self._network.register(ConfigurationCopy)
         self._network.register(ConfigurationQuestion, self._on_configuration_question, inline=True)
--- a/burdocklug/pools/_placement.py
+++ b/burdocklug/pools/_placement.py
@@ -14,7 +14,7 @@
 ]
 
 MAX_PLACES = 1000  # of tasks that need nothing
-REMOTE_FACTOR = 1.5  # times as long on a rack without the data, where the settings name none
+DISTANCE_FACTOR = 1.5  # times as long on a rack without the data, where the settings name none
 
 
 @dataclass(slots=True)
@@ -94,10 +94,10 @@
     return here < limit
 
 
-def expected_run_s(task, room, *, remote_factor=REMOTE_FACTOR):
+def expected_run_s(task, room, *, distance_factor=DISTANCE_FACTOR):
     """Return how long a task is expected to run at an endpoint, in seconds."""
     rack = task.job.spec.steps[task.step].preferred_rack
-    far = remote_factor if rack and rack not in room.entry.labels else 1.0
+    far = distance_factor if rack and rack not in room.entry.labels else 1.0
     return task.estimate_s * room.slowness * far
 
 
@@ -130,7 +130,7 @@
     return places
 
 
-def choose_endpoint(task, rooms, now_s, *, remote_factor=REMOTE_FACTOR):
+def choose_endpoint(task, rooms, now_s, *, distance_factor=DISTANCE_FACTOR):
     """Return the endpoint on which a task ends first, or None where none has room.
 
     Parameters
@@ -141,7 +141,7 @@
         All endpoints.
     now_s : float
         The time.
-    remote_factor : float, optional
+    distance_factor : float, optional
         Times as long a task takes away from the rack of its data.
 
     Notes
@@ -153,7 +153,7 @@
     for room in rooms:
         if not room.is_open(now_s) or not _has_room(task, room) or not allowed_at(task, room):
             continue
-        run_s = expected_run_s(task, room, remote_factor=remote_factor)
+        run_s = expected_run_s(task, room, distance_factor=distance_factor)
         failed_here = room.entry.endpoint_id in task.avoided
         left = room.free.cpu - task.demand.cpu
         key = (failed_here, round(run_s / max(task.estimate_s, 0.001), 1), left)
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -37,7 +37,7 @@
         Its ``start(task, room)`` and ``stop(task, room)`` send orders to an endpoint.
     now : callable
         Returns monotonic seconds.
-    remote_factor : float
+    distance_factor : float
         Times as long a task takes away from the rack of its data.
 
     Attributes
@@ -54,7 +54,7 @@
         Last time at which an endpoint's answer was missed.
     """
 
-    def __init__(self, orders, *, now, remote_factor=1.5):
+    def __init__(self, orders, *, now, distance_factor=1.5):
         self.jobs = {}
         self.rooms = {}
         self.counts = Counter()
@@ -64,7 +64,7 @@
         self._weighed_s = 0.0
         self._orders = orders
         self._now = now
-        self._remote_factor = remote_factor
+        self._distance_factor = distance_factor
         self._waiting = {}  # jobs with tasks that wait, by id
 
     # Jobs
@@ -243,7 +243,7 @@
             forecast=self._forecast(now),
             settled=self.settled,
             reserve=int(LATE_RESERVE * len(self.rooms)),
-            remote_factor=self._remote_factor,
+            distance_factor=self._distance_factor,
         ):
             starts += self._carry_out(decision, now)
         return starts
@@ -253,7 +253,7 @@
         return RoomForecast(now, expected_ends(runs, now, self._expected_s))
 
     def _expected_s(self, task, room):
-        return expected_run_s(task, room, remote_factor=self._remote_factor)
+        return expected_run_s(task, room, distance_factor=self._distance_factor)
 
     def _carry_out(self, decision, now):
         """Carry out a decision and return the number of starts."""
--- a/burdocklug/pools/_starts.py
+++ b/burdocklug/pools/_starts.py
@@ -36,7 +36,7 @@
     return [room for room in rooms if room.free.cpu >= least and room.is_open(now_s)]
 
 
-def decide(jobs, rooms, now_s, *, forecast, settled, reserve, remote_factor):
+def decide(jobs, rooms, now_s, *, forecast, settled, reserve, distance_factor):
     """Yield decisions; each has to be carried out before the next one is asked for.
 
     A job takes room only where a wave of its tasks can begin in time, be it as others end. Jobs
@@ -56,7 +56,7 @@
         Whether all endpoints are known; nothing is refused for want of room before.
     reserve : int
         Places that late jobs leave free.
-    remote_factor : float
+    distance_factor : float
         Times as long a task takes away from the rack of its data.
 
     Yields
@@ -71,11 +71,11 @@
             if not job.started and is_hopeless(job, now_s):
                 yield Refuse(job)
         elif job.waiting and _begins_in_time(job, rooms, forecast, now_s):
-            yield from _starts(job, rooms, forecast, now_s, remote_factor)
+            yield from _starts(job, rooms, forecast, now_s, distance_factor)
         elif job.waiting:
             late.append(job)
     for job in late:
-        yield from _serve_late(job, rooms, forecast, now_s, settled, reserve, remote_factor)
+        yield from _serve_late(job, rooms, forecast, now_s, settled, reserve, distance_factor)
 
 
 def _begins_in_time(job, rooms, forecast, now_s):
@@ -84,22 +84,22 @@
     return forecast.begin_s(need - places) <= start_by_s(job)
 
 
-def _starts(job, rooms, forecast, now_s, remote_factor):
+def _starts(job, rooms, forecast, now_s, distance_factor):
     """Yield starts of the tasks that find room, and reserve places for the next ones."""
     for task in list(job.waiting):
-        room = choose_endpoint(task, rooms, now_s, remote_factor=remote_factor)
+        room = choose_endpoint(task, rooms, now_s, distance_factor=distance_factor)
         if room is None:
             break
         yield Start(task, room)
     forecast.take(job.next_wave())
 
 
-def _serve_late(job, rooms, forecast, now_s, settled, reserve, remote_factor):
+def _serve_late(job, rooms, forecast, now_s, settled, reserve, distance_factor):
     """Yield starts of a late job in what room is left, or its refusal if it has no prospect."""
     need = job.next_wave()
     places = count_places(job.waiting[0], rooms, now_s, most=need + reserve)
     if job.started or places >= need + reserve:
-        yield from _starts(job, rooms, forecast, now_s, remote_factor)
+        yield from _starts(job, rooms, forecast, now_s, distance_factor)
     elif is_hopeless(job, forecast.begin_s(need) if settled else now_s):
         yield Refuse(job)
     else:
--- a/tests/pools/builders.py
+++ b/tests/pools/builders.py
@@ -9,7 +9,7 @@
     "/checks/",
     "press",
     max_attempts=2,
-    stretch_factor=1.6,
+    objective_factor=1.6,
     target_s=0.06,
     timeout_s=1.5,
 )
--- a/tests/pools/fake_endpoint.py
+++ b/tests/pools/fake_endpoint.py
@@ -127,10 +127,10 @@
             self.end(run, RunEndKind.STOPPED)
         self._leave("stop")
 
-    def renew(self, entry, *, token, acked_through, lease_ms, wait_s, timeout_s):
+    def renew(self, entry, *, token, acknowledged, lease_ms, wait_s, timeout_s):
         self._enter("renew", token)
         self._renew_lease(lease_ms)
-        self.ends = [end for end in self.ends if end.number > acked_through]
+        self.ends = [end for end in self.ends if end.number > acknowledged]
         self._leave("renew")
         lines = tuple(RunLine(r.task, r.attempt, self._percent(r)) for r in self.runs.values())
         return RunReport(self.clock_ms, self.started_ms, lines, tuple(self.ends))
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from burdocklug.kernel import ANSWERS, ErrorKind, Settings
+from burdocklug.kernel._settings import without_none
 
 __all__ = ["ACTIONS", "PAGES", "error_rows", "message_rows", "replace_tables", "setting_rows"]
 
@@ -84,8 +85,9 @@
         yield "|---|---|---|"
     for field in msgspec.structs.fields(model):
         path = f"{prefix}{field.name}"
-        if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
-            yield from setting_rows(field.type, f"{path}.")
+        kind = without_none(field.type)
+        if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+            yield from setting_rows(kind, f"{path}.")
             continue
         yield f"| `{path}` | {_form(field.type)} | {_default(field)} |"
 
