A job that no endpoint can hold is refused, not shown as failed

Cause: shown as failed, a job that could be done breaks LOST, and a service whose endpoints all drain or are not listed for a moment looks as if nothing could ever hold its jobs. It is refused as no_endpoint, which stays true. Tests: test_a_job_that_no_endpoint_can_hold_is_refused_not_failed and one with real processes.

--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -241,10 +241,10 @@
             return JobAnswer(moved=True)
         now = self._timers.now()
         spec = message.spec
-        fault = scheduler.impossible(spec) if scheduler.settled and self._claim.whole else None
+        fault = scheduler.impossible(spec) if scheduler.settled else None
         if fault is not None:
             log.info("job_impossible", job=spec.job_id, reason=fault)
-            return JobAnswer(JobOutcome.FAILED)
+            return JobAnswer(refused=fault, impossible=True, retry_after_s=MAX_RETRY_S)
         job = scheduler.submit(
             spec,
             received_s=now - message.age_s,
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -142,6 +142,8 @@
         Why the job was refused; nothing of it ran.
     retry_after_s : float
         Seconds after which a refused job may come again.
+    impossible : bool
+        Whether it was refused since no endpoint could hold it, however little ran.
     """
 
     outcome: JobOutcome | None = None
@@ -150,6 +152,7 @@
     progress: JobProgress | None = None
     refused: str = ""
     retry_after_s: float = 0.0
+    impossible: bool = False
 
 
 class CancelJob(msgspec.Struct, frozen=True, array_like=True, tag="pool_cancel"):
--- a/burdocklug/pools/_submitter.py
+++ b/burdocklug/pools/_submitter.py
@@ -92,8 +92,8 @@
         Raises
         ------
         BurdocklugError
-            Of kind ``would_miss_deadline``, ``no_scheduler`` if nothing ran, and of kind
-            ``outcome_unknown`` or ``deadline_exceeded`` where something may have.
+            Of kind ``would_miss_deadline``, ``no_endpoint``, ``no_scheduler`` if nothing ran, of
+            kind ``outcome_unknown`` or ``deadline_exceeded`` where something may have.
         """
         submission = _Submission(spec, self._timers.now(), wait_s)
         self.waiting += 1
@@ -132,7 +132,7 @@
                 )
             if answer.refused:
                 raise BurdocklugError(
-                    ErrorKind.WOULD_MISS_DEADLINE,
+                    ErrorKind.NO_ENDPOINT if answer.impossible else ErrorKind.WOULD_MISS_DEADLINE,
                     f"refused: {answer.refused}",
                     retry_after_s=answer.retry_after_s,
                 )
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -70,6 +70,14 @@
         self.assertThat(answer, Equals((200, {"state": "failed"})))
         self.assertThat(len(self.attempts_of(job_id)), Equals(2))
 
+    def test_a_job_that_no_worker_can_hold_is_refused_at_once_and_not_failed(self):
+        began_s = time.monotonic()
+        phases = [{"count": 1, "cpu": 5000, "mem_mb": 64, "estimate_ms": 50}]
+        status, answer = self.fleet.submit("north-1", "1" * 16, phases=phases)
+        self.assertThat((status, answer["error"]["kind"]), Equals((503, "no_endpoint")))
+        self.assertThat(answer["error"]["ran"], Equals("no"))
+        self.assertTrue(time.monotonic() - began_s < 1.5)
+
     def test_a_cancelled_job_is_stopped_and_known(self):
         job_id = "cccccccccccccccc"
         thread = eventlet.spawn(self.fleet.submit, "north-1", job_id, spec="run 5")
--- a/tests/pools/test_submitter.py
+++ b/tests/pools/test_submitter.py
@@ -58,6 +58,10 @@
         exc = self.refusal(JobAnswer(refused="overload", retry_after_s=2.0))
         self.assertThat((exc.kind, exc.ran), Equals((ErrorKind.WOULD_MISS_DEADLINE, Ran.NO)))
 
+    def test_a_job_that_no_endpoint_can_hold_is_refused_not_failed(self):
+        exc = self.refusal(JobAnswer(refused="no room of that size", impossible=True))
+        self.assertThat((exc.kind, exc.ran), Equals((ErrorKind.NO_ENDPOINT, Ran.NO)))
+
     def test_a_refusal_after_a_lost_scheduler_says_that_something_may_have_run(self):
         exc = self.refusal(PeerSilent("first", "timeout"), JobAnswer(refused="overload"))
         self.assertThat((exc.kind, exc.ran), Equals((ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)))
