--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,6 +8,7 @@
 ``PUT /operator/KEY``      writes a key as the operator does
 ``GET /record``            starts of every worker, and calls at the store by path
 ``POST /faults``           any fields of `Faults` to change
+``POST /compact``          discards the store's history
 ``POST /worker/N/drain``   the worker N says that it leaves
 ``POST /worker/N/crash``   the worker N forgets everything and begins anew
 =========================  ===================================================================
@@ -176,6 +177,9 @@
             for name, value in body.items():
                 setattr(self.faults, name, value)
             return 200, {}
+        if path == "/compact":
+            self.store.forget_history()
+            return 200, {}
         if path == "/record":
             starts = {w.worker_id: w.starts for w in self.workers}
             return 200, {"starts": starts, "calls": dict(self.store.calls)}
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -10,7 +10,7 @@
 
 from standins.launch import Child, free_address, launch, wait_healthy
 
-__all__ = ["PlatformFleet"]
+__all__ = ["PlatformFleet", "call_json"]
 
 SECRET = "only-for-tests-of-pools"
 CONFIG = {
@@ -108,7 +108,7 @@
 
     def call(self, name, method, path, body=None, *, host="checks.example", timeout_s=12.0):
         """Return status and decoded body of a caller's request; None for a broken connection."""
-        return _call(self.addresses[name], method, path, body, host=host, timeout_s=timeout_s)
+        return call_json(self.addresses[name], method, path, body, host=host, timeout_s=timeout_s)
 
     def submit(self, name, job_id, *, count=2, spec="run 0.05", **job):
         """Submit a job of one step and return status and answer."""
@@ -119,7 +119,7 @@
     def state(self, name, *, token=SECRET):
         """Return status and state dump of a daemon."""
         headers = {"Authorization": f"Bearer {token}"}
-        return _call(self.operators[name], "GET", "/v1/state", None, host="x", headers=headers)
+        return call_json(self.operators[name], "GET", "/v1/state", None, host="x", headers=headers)
 
     def metrics(self, name):
         """Return the metrics page of a daemon."""
@@ -128,7 +128,7 @@
 
     def control(self, method, path, body=None):
         """Call the control interface of the stand-in and return its answer."""
-        return _call(self.store, method, path, body, host="store", timeout_s=5.0)[1]
+        return call_json(self.store, method, path, body, host="store", timeout_s=5.0)[1]
 
     def starts(self):
         """Return each start that a worker has carried out: worker, task, attempt, milliseconds."""
@@ -143,7 +143,8 @@
         self.children["platform"].kill()
 
 
-def _call(address, method, path, body, *, host, timeout_s=5.0, headers=None):
+def call_json(address, method, path, body, *, host="store", timeout_s=5.0, headers=None):
+    """Return status and decoded body of a request; None for a broken connection."""
     ip, _, port = address.rpartition(":")
     conn = http.client.HTTPConnection(ip, int(port), timeout=timeout_s)
     raw = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,84 @@
+"""The contract of `RecordStore`, by the platform's client against the stand-in."""
+
+import time
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from burdocklug.platform._store import PlatformStore
+from burdocklug.store import (
+    HistoryLost,
+    LeaseEnded,
+    Record,
+    Removal,
+    StoreUnavailable,
+    StoreUncertain,
+)
+from standins.launch import free_address, launch
+from standins.platform_fleet import call_json
+
+
+class PlatformStoreTest(TestCase):
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.address = free_address()
+        arguments = ("--listen", cls.address, "--workers", free_address())
+        cls.child = launch("standins.platform", *arguments, health=cls.address)
+        cls.addClassCleanup(cls.child.kill)
+
+    def setUp(self):
+        super().setUp()
+        self.store = PlatformStore(self.address, timeout_s=0.5, now=time.monotonic)
+        self.prefix = f"test/{self.id().rpartition('.')[2]}/"
+        self.addCleanup(self.faults, store_down=False, store_silent=False, lost_writes=0.0)
+
+    def faults(self, **changes):
+        call_json(self.address, "POST", "/faults", changes)
+
+    def test_what_was_put_is_read_and_followed(self):
+        self.store.put(self.prefix + "a", b"1")
+        records, revision = self.store.read(self.prefix)
+        self.assertThat([(r.key, r.value) for r in records], Equals([(self.prefix + "a", b"1")]))
+        self.store.put(self.prefix + "b", b"2")
+        changes, _revision = self.store.follow(self.prefix, revision, wait_s=1.0)
+        self.assertThat([type(c) for c in changes], Equals([Record]))
+
+    def test_following_waits_and_returns_nothing_after_the_time(self):
+        _records, revision = self.store.read(self.prefix)
+        changes, later = self.store.follow(self.prefix, revision, wait_s=0.1)
+        self.assertThat(changes, Equals([]))
+        self.assertTrue(later >= revision)
+
+    def test_a_lease_that_ends_removes_its_records(self):
+        lease, ttl_s = self.store.grant_lease(5.0)
+        self.assertThat(ttl_s, Equals(5.0))
+        self.store.put(self.prefix + "a", b"1", lease=lease)
+        self.store.keep_lease(lease)
+        _records, revision = self.store.read(self.prefix)
+        self.store.end_lease(lease)
+        changes, _revision = self.store.follow(self.prefix, revision, wait_s=1.0)
+        self.assertThat([type(c) for c in changes], Equals([Removal]))
+        for call in (self.store.keep_lease, self.store.end_lease):
+            self.assertRaises(LeaseEnded, call, lease)
+        self.assertRaises(LeaseEnded, self.store.put, self.prefix + "b", b"", lease=lease)
+
+    def test_discarded_history_is_told(self):
+        self.store.put(self.prefix + "a", b"1")
+        call_json(self.address, "POST", "/compact", {})
+        self.assertRaises(HistoryLost, self.store.follow, self.prefix, 1, wait_s=0.1)
+
+    def test_a_store_that_refuses_has_done_nothing(self):
+        self.faults(store_down=True)
+        self.assertRaises(StoreUnavailable, self.store.read, self.prefix)
+        self.assertRaises(StoreUnavailable, self.store.put, self.prefix + "a", b"1")
+
+    def test_a_write_without_an_answer_is_uncertain_and_a_read_is_not(self):
+        self.faults(lost_writes=1.0)
+        self.assertRaises(StoreUncertain, self.store.put, self.prefix + "a", b"1")
+        self.faults(lost_writes=0.0, store_silent=True)
+        self.assertRaises(StoreUnavailable, self.store.read, self.prefix)
+
+    def test_a_store_that_is_not_there_has_done_nothing(self):
+        store = PlatformStore(free_address(), timeout_s=0.5, now=time.monotonic)
+        self.assertRaises(StoreUnavailable, store.put, "a", b"1")
