--- /dev/null
+++ b/tests/platform/test_orders.py
@@ -0,0 +1,119 @@
+"""The contract of `EndpointOrders`, by the platform's client against the stand-in's workers."""
+
+import time
+
+import msgspec
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from burdocklug.platform._orders import PlatformOrders
+from burdocklug.pools import (
+    OrderFenced,
+    OrderRefused,
+    OrderUnanswered,
+    OtherIncarnation,
+    RefusalReason,
+    RunEndKind,
+)
+from standins.launch import free_address, launch
+from standins.platform_fleet import call_json
+from tests.pools.builders import entry
+
+TIMEOUT_S = 0.5
+
+
+class PlatformOrdersTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.address = free_address()
+        worker = free_address()
+        arguments = ("--listen", self.address, "--workers", worker)
+        child = launch("standins.platform", *arguments, health=worker)
+        self.addCleanup(child.kill)
+        self.entry = msgspec.structs.replace(entry(1), endpoint_id="i-0000", address=worker)
+        self.orders = PlatformOrders(now=time.monotonic)
+        self.clock_ms = self.renew(token=1, lease_ms=None).clock_ms
+
+    def renew(self, *, token=1, acknowledged=0, lease_ms=None, wait_s=0.0):
+        return self.orders.renew(
+            self.entry,
+            token=token,
+            acknowledged=acknowledged,
+            lease_ms=lease_ms,
+            wait_s=wait_s,
+            timeout_s=wait_s + TIMEOUT_S,
+        )
+
+    def start(self, task="j.0.0.0", *, attempt=1, token=1, payload="run 5", lease_s=0.9):
+        return self.orders.start(
+            self.entry,
+            task=task,
+            attempt=attempt,
+            payload=payload,
+            lease_ms=self.clock_ms + int(1000 * lease_s),
+            token=token,
+            timeout_s=TIMEOUT_S,
+        )
+
+    def stop(self, task="j.0.0.0", *, attempt=1, token=1):
+        self.orders.stop(self.entry, task=task, attempt=attempt, token=token, timeout_s=TIMEOUT_S)
+
+    def refusal(self, **options):
+        return self.assertRaises(OrderRefused, self.start, **options).reason
+
+    def test_a_run_is_listed_then_its_end_until_it_is_acknowledged(self):
+        self.start(payload="run 0.1")
+        self.assertThat(
+            [(r.task, r.attempt) for r in self.renew().active], Equals([("j.0.0.0", 1)])
+        )
+        ended = self.renew(lease_ms=self.clock_ms + 900, wait_s=0.4).ended
+        self.assertThat([(e.number, e.kind) for e in ended], Equals([(1, RunEndKind.DONE)]))
+        self.assertThat(len(self.renew().ended), Equals(1))
+        self.assertThat(self.renew(acknowledged=1).ended, Equals(()))
+
+    def test_the_same_start_again_is_no_second_run(self):
+        self.start()
+        self.start()
+        self.assertThat(len(self.renew().active), Equals(1))
+
+    def test_a_stopped_run_ends_and_its_number_is_refused(self):
+        self.start()
+        self.stop()
+        self.assertThat([e.kind for e in self.renew().ended], Equals([RunEndKind.STOPPED]))
+        self.assertThat(self.refusal(), Equals(RefusalReason.OLD_ATTEMPT))
+
+    def test_a_stop_before_the_start_refuses_it(self):
+        self.stop()
+        self.assertThat(self.refusal(), Equals(RefusalReason.OLD_ATTEMPT))
+
+    def test_a_start_after_its_lease_and_one_without_room_are_refused(self):
+        self.assertThat(self.refusal(lease_s=-0.1), Equals(RefusalReason.LATE))
+        self.start("a.0.0.0")
+        self.start("b.0.0.0")
+        self.assertThat(self.refusal(), Equals(RefusalReason.ROOM))
+
+    def test_a_lower_token_does_nothing_and_tells_the_clock(self):
+        self.renew(token=9)
+        for call in (self.start, self.stop, self.renew):
+            exc = self.assertRaises(OrderFenced, call, token=8)
+            self.assertTrue(exc.clock_ms >= self.clock_ms)
+
+    def test_a_run_without_renewal_lapses(self):
+        self.start(lease_s=0.2)
+        time.sleep(0.3)
+        self.assertThat([e.kind for e in self.renew().ended], Equals([RunEndKind.LAPSED]))
+
+    def test_another_incarnation_is_told_apart(self):
+        other = msgspec.structs.replace(self.entry, endpoint_id="i-ffff")
+        self.entry, own = other, self.entry
+        self.assertRaises(OtherIncarnation, self.start)
+        self.entry = own
+        before = self.renew().started_ms
+        call_json(self.address, "POST", "/worker/0/crash", {})
+        self.assertTrue(self.renew().started_ms > before)
+
+    def test_an_order_without_an_answer_is_told_so(self):
+        call_json(self.address, "POST", "/faults", {"lost_orders": 1.0})
+        self.assertRaises(OrderUnanswered, self.start)
+        self.entry = msgspec.structs.replace(self.entry, address=free_address())
+        self.assertRaises(OrderUnanswered, self.start)
