--- a/bench/_capacity_roles.py
+++ b/bench/_capacity_roles.py
@@ -21,7 +21,7 @@
     "caller listener": "callers/, web/_server.py",
     "quota shares": "limits/_quotas.py, limits/_part.py",
     "host watch": "hosts/_watch.py",
-    "platform's store": "platform/_budget.py, platform/_breaker.py",
+    "platform's store": "store/_budget.py, store/_breaker.py",
     "endpoints": "decisions/endpoints.md, endpoints/",
     "client": "client/_client.py",
 }
