--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -1,4 +1,5 @@
 import eventlet
+import greenlet
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -6,7 +7,7 @@
 
 
 class ScriptedStore:
-    """A record store whose answers are a list; exceptions in it are raised."""
+    """A record store whose answers are a list; exceptions in it are raised, also to end a loop."""
 
     def __init__(self, reads, follows):
         self.reads = list(reads)
@@ -23,7 +24,7 @@
     @staticmethod
     def _next(answers):
         answer = answers.pop(0)
-        if isinstance(answer, Exception):
+        if isinstance(answer, BaseException):
             raise answer
         return answer
 
@@ -84,7 +85,7 @@
         self.assertThat(store.asked_after, Equals([3, 3]))
 
     def test_it_goes_on_by_itself(self):
-        store = ScriptedStore([([], 1)], [([record("a/1", 2)], 2), StoreUnavailable("end")])
+        store = ScriptedStore([([], 1)], [([record("a/1", 2)], 2), greenlet.GreenletExit()])
         applied = []
         follower = PrefixFollower(
             store, "a/", replace=lambda _records: None, apply=applied.append, pace_s=0.0
