Read-through: refusals count waiting jobs alone; a dead method and three redundant statuses go

Cause: each refusal in an overload built the whole pool_load record to read one number of it. The scheduler has `waiting_jobs`. `PoolConfiguration.guards_capacity` had no caller, and 404, 410 and 412 were listed as "nothing done" after the branch that handles them.

No change of behaviour meant.

--- a/burdocklug/platform/_store.py
+++ b/burdocklug/platform/_store.py
@@ -20,7 +20,7 @@
 
 STORE_IDLE_S = 15.0  # something between the two ends may lose track of an older connection
 STORE_CONNECTIONS = 8  # three calls that wait for changes, and those of the registration
-NOTHING_DONE = frozenset({403, 404, 410, 412, 429, 503})  # statuses with which nothing was done
+NOTHING_DONE = frozenset({403, 429, 503})  # beside those that say why: 404, 410 and 412
 
 
 class _Item(msgspec.Struct, frozen=True):
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -283,8 +283,7 @@
 
     def _retry_after_s(self):
         """Return when a refused job may come again: later, the more jobs wait."""
-        waiting = self.scheduler.load()["waiting_jobs"]
-        return min(max(MIN_RETRY_S, waiting / 50), MAX_RETRY_S)
+        return min(max(MIN_RETRY_S, self.scheduler.waiting_jobs / 50), MAX_RETRY_S)
 
     def _on_cancel(self, _sender, message):
         job = self.scheduler.jobs.get(message.job_id) if self.scheduler else None
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -172,10 +172,6 @@
         matches = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
         return max(matches, key=lambda queue: len(queue.prefix), default=None)
 
-    def guards_capacity(self, service):
-        """Return whether the endpoints of a service refuse what does not fit."""
-        return all(rule.guards_capacity for rule in self.services if rule.name == service)
-
 
 class StepSpec(msgspec.Struct, frozen=True, array_like=True):
     """One step of a job: tasks that are alike.
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -416,12 +416,17 @@
             return None
         return next((task for task in job.tasks if task.name == name), None)
 
+    @property
+    def waiting_jobs(self):
+        """Number of jobs with tasks that wait."""
+        return len(self._waiting)
+
     def load(self):
         """Return how much runs and waits, as plain data."""
         now = self._now()
         rooms = self.rooms.values()
         return {
-            "waiting_jobs": len(self._waiting),
+            "waiting_jobs": self.waiting_jobs,
             "waiting_tasks": sum(len(job.waiting) for job in self._waiting.values()),
             "runs": sum(len(room.runs) for room in rooms),
             "endpoints": len(self.rooms),
@@ -435,7 +440,7 @@
         return {
             "counts": dict(self.counts),
             "jobs": len(self.jobs),
-            "waiting_jobs": len(self._waiting),
+            "waiting_jobs": self.waiting_jobs,
             "endpoints": [
                 {
                     "id": room.entry.endpoint_id,
