Peers: a link that redials has one writer, also when an item is put meanwhile

Cause: killing a writer gives the loop to other greenlets. An item that one of them put started a second writer, and redial a third; both waited on one socket. The next hang-up closed it under the one that nobody knew any more. Its wait then ended with IOClosed in the loop itself, which ended the main greenlet, or it read from whatever had the descriptor's number by then. Ruled out: noise of a loaded machine, as the new test shows it without load, each time; nng closing late, as the number was taken only after hang-up. Conclusion: redial takes the socket away before it kills the writer, and begins a writer only if there is none.

--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -276,19 +276,26 @@
 
     def redial(self):
         """Close the socket, so that what follows goes out on a new connection."""
-        writer, self._writer = self._writer, None
-        if writer is not None:
+        # Other greenlets run while a writer is killed: what they put goes to a new socket.
+        dialer, writer = self._take_dialer(), self._writer
+        if writer is not None and writer is not eventlet.getcurrent():
+            self._writer = None
             writer.kill()
-        self._hang_up()
-        if self._queue:
+        if dialer is not None:
+            dialer.close()
+        if self._queue and self._writer is None:
             self._writer = eventlet.spawn(self._drain)
 
     def _hang_up(self):
-        self.unacknowledged_since_s = self.untaken_since_s = None
-        dialer, self._dialer = self._dialer, None
+        dialer = self._take_dialer()
         if dialer is not None:
             dialer.close()
 
+    def _take_dialer(self):
+        self.unacknowledged_since_s = self.untaken_since_s = None
+        dialer, self._dialer = self._dialer, None
+        return dialer
+
     def close(self, reason="link closed"):
         """Close the link for good; queued items are dropped."""
         self._closed = True
