The scheduler runs on a strong host: size decides before age, and a choked host yields

Cause: the oldest process claimed, whatever its host. On the grown sites five of six hosts have 0.516 cores, the others 2.15; a scheduler needed 0.72 of a core there. A host that turns slow, or that has to carry more than it can, kept the scheduling until it went silent. Change: processes tell what their host carries (settings pool.cpu_share and pool.cpu_speed); of those with 0.6 of the strongest the oldest claims, and a handover goes to the youngest of them. A scheduler whose host is not among them yields after 2 s. A process that ends is left out when the first to claim is looked for. Ruled out: choosing by name or by who came first, which the sites draw at random. Conclusion: the sites of today are not touched, all their hosts are alike.

--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -29,6 +29,7 @@
 Secret = typing.Annotated[str, msgspec.Meta(min_length=MIN_SECRET_CHARS)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+Cores = typing.Annotated[float, msgspec.Meta(gt=0, le=1000)]
 
 
 class ProcessSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -87,7 +88,8 @@
     `readiness` is the address of the balancer's checks; `records` and `orders` name the registered
     clients of the store and of endpoints. A run goes on for `max_lease_ms` unless it is renewed.
     Away from the rack of its data a task takes `distance_factor` times as long. A graceful end has
-    `grace_s` seconds.
+    `grace_s` seconds. The host gives this process `cpu_share` of a core that is `cpu_speed` times
+    as fast as a usual one.
     """
 
     readiness: Address
@@ -96,6 +98,8 @@
     max_lease_ms: Count
     distance_factor: float = 1.5
     grace_s: Seconds = 6.0
+    cpu_share: Cores | None = None
+    cpu_speed: Cores | None = None
 
 
 class JobSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -4,13 +4,15 @@
 import msgspec
 import structlog
 
-from burdocklug.peers import PeerNotReached, PeerSilent, started_ns
+from burdocklug.peers import PeerNotReached, PeerSilent
 from burdocklug.pools._leadership import (
     ClaimKind,
     claim_kind,
-    goes_first,
+    first_to_claim,
+    fit_ones,
     greater_claim,
     next_claim,
+    successor_of,
 )
 from burdocklug.pools._messages import (
     Claim,
@@ -28,6 +30,7 @@
 NOTICE_S = 1.0  # period in which a scheduler tells all members of its claim
 REACH_S = 0.2  # for an answer to a question; over the slowest exchange of healthy peers
 ASK_AGAIN_S = 0.1
+TENURE_S = 2.0  # a scheduler takes up its endpoints and jobs before it yields to a stronger host
 FENCED = "fenced"  # why a scheduler looks whether another one is in its place
 FRESH_S = 0.5  # a scheduler that was not heard for longer is not named to others
 
@@ -51,6 +54,8 @@
         Takes the new claim, or None, after each change.
     version : callable
         Returns the version of the configuration in force.
+    power : callable
+        Returns what the own host can carry, in cores.
 
     Attributes
     ----------
@@ -62,11 +67,13 @@
         When that was.
     last_heard : dict
         When each follower was heard last, by incarnation.
+    powers : dict
+        What the followers' hosts can carry, in cores, by incarnation.
     lost_heard_s : dict
         When schedulers that are not followed any more were heard last.
     """
 
-    def __init__(self, network, timers, *, members, cut_domains, on_change, version):
+    def __init__(self, network, timers, *, members, cut_domains, on_change, version, power):
         self.claim = None
         self.heard_sequence = 0
         self.heard_s = 0.0
@@ -79,12 +86,15 @@
         self._cut_domains = cut_domains
         self._on_change = on_change
         self._version = version
+        self._power = power
+        self._claimed_s = 0.0
         self._sequence = 0
         self._greatest = None
         self._noticed_s = 0.0
         self._asking = False
         self._asked_s = -ASK_AGAIN_S
         self.last_heard = {}
+        self.powers = {}
         self.lost_heard_s = {}
         self._sent_answers = {}
         network.register(ReachAnswer)
@@ -115,7 +125,7 @@
             own = before.scheduler == self.own
             self.lost_heard_s[before.scheduler] = self._timers.now() if own else self.heard_s
         self._greatest = greater_claim(self._greatest, claim)
-        self.heard_s = self._timers.now()
+        self.heard_s = self._claimed_s = self._timers.now()
         self.heard_sequence = 0
         log.info(
             "scheduler_followed" if claim else "scheduler_lost",
@@ -138,7 +148,7 @@
 
     def _send_follow(self):
         self._sequence += 1
-        follow = Follow(self._sequence, self.claim, self._version())
+        follow = Follow(self._sequence, self.claim, self._version(), self._power())
         self._network.send(self.claim.scheduler, follow)
 
     def _tick(self):
@@ -149,6 +159,8 @@
                 heard, members = self._follower_share(now)
                 if self.claim.whole and 2 * (1 + heard) <= 1 + members:
                     self.weigh_claim("few_followers")
+                elif now - self._claimed_s >= TENURE_S and not self._is_fit(now):
+                    self._yield()
             return
         if self.claim is not None and now - self.heard_s > LOST_S:
             self._set_claim(None, "silent")
@@ -166,6 +178,7 @@
     def _on_follow(self, sender, message):
         now = self._timers.now()
         self.last_heard[sender] = now
+        self.powers[sender] = message.power
         self._sent_answers[sender, message.sequence] = now
         for key in [k for k, sent_s in self._sent_answers.items() if now - sent_s > LOST_S]:
             del self._sent_answers[key]
@@ -217,7 +230,7 @@
 
     def _on_question(self, _sender, _message):
         fresh = self.leads or self._timers.now() - self.heard_s < FRESH_S
-        return ReachAnswer(self.claim if fresh else None, self.draining)
+        return ReachAnswer(self.claim if fresh else None, self.draining, self._power())
 
     def _find_scheduler(self):
         """Follow the greatest claim that the reached members know, or make one."""
@@ -230,12 +243,15 @@
             live = [c for c in claims if c.scheduler in answers and c.scheduler != self.own]
             if live:
                 self._set_claim(max(live), "told")
-            elif not claims and goes_first(self.own, answers) and not self.draining:
+            elif not claims and not self.draining and self._goes_first(answers):
                 self._make_claim(members, answers)
         finally:
             self._asking = False
             self._asked_s = self._timers.now()
 
+    def _goes_first(self, answers):
+        return first_to_claim({self.own: self._power(), **_powers(answers)}) == self.own
+
     def _ask(self, members):
         def ask(incarnation):
             try:
@@ -270,19 +286,37 @@
     def hand_over(self):
         """Appoint another process before this one ends; return whether there is one."""
         self.draining = True
-        if not self.leads:
-            return False
-        answers = self._ask(self._members())
-        if not answers or not self.leads:
-            return False
-        successors = [i for i, answer in answers.items() if not answer.draining]
-        if not successors:
+        return self.leads and self._appoint(self._ask(self._members()), "handed_over")
+
+    def _is_fit(self, now):
+        """Return whether the own host carries about as much as the strongest follower's."""
+        heard = {i: p for i, p in self.powers.items() if now - self.last_heard[i] < LOST_S}
+        return self.own in fit_ones({self.own: self._power(), **heard})
+
+    def _yield(self):
+        if not self._asking:
+            self._asking = True
+            eventlet.spawn(self._yield_to_stronger)
+
+    def _yield_to_stronger(self):
+        try:
+            answers = self._ask(self._members())
+            if self.own not in fit_ones({self.own: self._power(), **_powers(answers)}):
+                self._appoint(answers, "stronger_host")
+        finally:
+            self._asking = False
+            self._asked_s = self._timers.now()
+
+    def _appoint(self, answers, reason):
+        """Name one of the processes that answered as scheduler; return whether there is one."""
+        powers = _powers(answers)
+        if not powers or not self.leads:
             return False
-        successor = max(successors, key=started_ns)  # in a rolling restart, one that has had it
+        successor = successor_of(powers)
         claim = Claim(self.claim.whole, self.claim.term + 1, successor, self.claim.domains)
-        log.info("handing_over", successor=successor, term=claim.term)
+        log.info("handing_over", successor=successor, term=claim.term, reason=reason)
         self._tell_all(claim)
-        self._set_claim(claim, "handed_over")
+        self._set_claim(claim, reason)
         return True
 
     def weigh_claim(self, reason):
@@ -335,3 +369,8 @@
             "whole": claim.whole if claim else None,
             "leads": self.leads,
         }
+
+
+def _powers(answers):
+    """Return what the hosts of processes that go on can carry, by incarnation."""
+    return {i: answer.power for i, answer in answers.items() if not answer.draining}
--- a/burdocklug/pools/_leadership.py
+++ b/burdocklug/pools/_leadership.py
@@ -10,7 +10,17 @@
 from burdocklug.peers import started_ns
 from burdocklug.pools._messages import Claim
 
-__all__ = ["ClaimKind", "claim_kind", "goes_first", "greater_claim", "next_claim"]
+__all__ = [
+    "ClaimKind",
+    "claim_kind",
+    "first_to_claim",
+    "fit_ones",
+    "greater_claim",
+    "next_claim",
+    "successor_of",
+]
+
+FIT_SHARE = 0.6  # of the strongest host; below any two sizes that are meant to be alike
 
 
 class ClaimKind(enum.Enum):
@@ -34,17 +44,40 @@
     return max(one, other)
 
 
-def goes_first(own, reached):
-    """Return whether a process is the oldest of those that reach each other.
+def fit_ones(powers):
+    """Return the processes whose hosts carry about as much as the strongest one, or more.
+
+    Parameters
+    ----------
+    powers : dict
+        What the hosts can carry, in cores, by the incarnation of their process.
 
     Examples
     --------
-    >>> older = "10.0.0.1:7000~00000000000000ff0123abcd"
-    >>> goes_first(older, ["10.0.0.2:7000~0000000000000fff0123abcd"])
+    >>> sorted(fit_ones({"a": 0.5, "b": 2.1, "c": 1.6}))
+    ['b', 'c']
+    """
+    strongest = max(powers.values(), default=0.0)
+    return {incarnation for incarnation, p in powers.items() if p >= FIT_SHARE * strongest}
+
+
+def first_to_claim(powers):
+    """Return the oldest of the fit processes: it claims where there is no scheduler.
+
+    Examples
+    --------
+    >>> old, young = "10.0.0.1:7~00000000000000ff0123abcd", "10.0.0.2:7~0000000000000fff0123abcd"
+    >>> first_to_claim({old: 1.0, young: 1.0}) == old
+    True
+    >>> first_to_claim({old: 0.5, young: 2.0}) == young
     True
     """
-    key = (started_ns(own), own)
-    return all(key < (started_ns(other), other) for other in reached)
+    return min(fit_ones(powers), key=lambda incarnation: (started_ns(incarnation), incarnation))
+
+
+def successor_of(powers):
+    """Return the youngest of the fit processes: in a rolling restart, one that has had its turn."""
+    return max(fit_ones(powers), key=started_ns)
 
 
 def claim_kind(own_domain, domains, reached, *, cut_domains):
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -56,11 +56,15 @@
 
 
 class Follow(msgspec.Struct, frozen=True, array_like=True, tag="pool_follow"):
-    """Sent to the scheduler: the sender is there and hands its jobs to it."""
+    """Sent to the scheduler: the sender is there and hands its jobs to it.
+
+    `power` is what its host can carry, in cores.
+    """
 
     sequence: int
     claim: Claim
     configuration_version: int = 0
+    power: float = 1.0
 
 
 class Followed(msgspec.Struct, frozen=True, array_like=True, tag="pool_followed"):
@@ -76,10 +80,14 @@
 
 
 class ReachAnswer(msgspec.Struct, frozen=True, array_like=True, tag="pool_reached"):
-    """Answer to `ReachQuestion`; `claim` is None where no scheduler is heard."""
+    """Answer to `ReachQuestion`; `claim` is None where no scheduler is heard.
+
+    `power` is what the sender's host can carry, in cores.
+    """
 
     claim: Claim | None
     draining: bool = False
+    power: float = 1.0
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/pools/test_following.py
+++ b/tests/pools/test_following.py
@@ -73,6 +73,43 @@
         self.fleet.run(0.5)
         self.assertThat(self.fleet.followed(), Equals([5] * 7))
 
+    def test_a_scheduler_on_a_small_host_yields_to_a_strong_one_that_came_later(self):
+        for number in (5, 6):
+            self.fleet[number].power = 2.0
+        self.fleet.run(4.0)
+        self.assertThat(self.fleet.followed(), Equals([6] * 7))
+        changes = [len(node.changes) for node in self.fleet.nodes.values()]
+        self.fleet.run(10.0)
+        self.assertThat([len(n.changes) for n in self.fleet.nodes.values()], Equals(changes))
+
+    def test_a_choked_host_yields_once_and_does_not_get_it_back(self):
+        self.fleet[0].power = 0.0
+        self.fleet.run(4.0)
+        self.assertThat(self.fleet.followed(), Equals([6] * 7))
+        self.fleet[0].power = 1.0
+        self.fleet.run(4.0)
+        self.assertThat(self.fleet.followed(), Equals([6] * 7))
+
+    def test_where_all_are_choked_nobody_yields(self):
+        for node in self.fleet.nodes.values():
+            node.power = 0.0
+        self.fleet.run(6.0)
+        self.assertThat(self.fleet.followed(), Equals([0] * 7))
+
+    def test_a_lost_scheduler_is_replaced_by_the_oldest_of_the_strong_hosts(self):
+        for number in (3, 5):
+            self.fleet[number].power = 2.0
+        self.fleet.run(4.0)
+        self.fleet.alone.add(self.fleet[5])
+        self.fleet.run(2.5)
+        self.assertThat(self.fleet[0].following.claim.scheduler, Equals(self.fleet[3].incarnation))
+
+    def test_one_that_ends_does_not_keep_the_others_from_claiming(self):
+        self.fleet[1].following.draining = True
+        self.fleet.alone.add(self.fleet[0])
+        self.fleet.run(2.5)
+        self.assertThat(self.fleet.followed()[1:], Equals([2] * 6))
+
     def test_any_order_of_cuts_and_freezes_ends_with_one_scheduler(self):
         import random
 
@@ -82,13 +119,15 @@
             fleet.run(1.0)
             for _ in range(6):
                 node = fleet[rng.randrange(7)]
-                action = rng.randrange(4)
+                action = rng.randrange(5)
                 if action == 0:
                     fleet.cuts = {rng.choice(SEVEN)}
                 elif action == 1:
                     node.frozen = not node.frozen
                 elif action == 2:
                     fleet.alone ^= {node}
+                elif action == 3:
+                    node.power = rng.choice([0.0, 0.5, 2.0])
                 else:
                     node.following.give_up("paused")
                 fleet.run(rng.uniform(0.1, 3.0))
--- a/tests/pools/test_leadership.py
+++ b/tests/pools/test_leadership.py
@@ -4,9 +4,10 @@
 from burdocklug.pools._leadership import (
     ClaimKind,
     claim_kind,
-    goes_first,
+    first_to_claim,
     greater_claim,
     next_claim,
+    successor_of,
 )
 from burdocklug.pools._messages import Claim
 from tests.scenarios import with_scenarios
@@ -64,5 +65,15 @@
 
     def test_one_process_of_those_that_reach_each_other_goes_first(self):
         fleet = [f"10.0.0.{n}:7000~{n:016x}0123abcd" for n in (5, 3, 8)]
-        first = [own for own in fleet if goes_first(own, [o for o in fleet if o != own])]
-        self.assertThat(first, Equals([fleet[1]]))
+        self.assertThat(first_to_claim(dict.fromkeys(fleet, 1.0)), Equals(fleet[1]))
+
+    def test_small_hosts_leave_scheduling_to_strong_ones(self):
+        """Hosts of 0.5 and of 2.1 cores, as on a grown installation."""
+        fleet = [f"10.0.0.{n}:7000~{n:016x}0123abcd" for n in (1, 2, 3, 4)]
+        powers = dict(zip(fleet, (0.516, 2.151, 2.151, 0.516), strict=True))
+        self.assertThat(first_to_claim(powers), Equals(fleet[1]))
+        self.assertThat(successor_of(powers), Equals(fleet[2]))
+
+    def test_where_all_hosts_are_choked_the_oldest_goes_first(self):
+        fleet = [f"10.0.0.{n}:7000~{n:016x}0123abcd" for n in (1, 2, 3)]
+        self.assertThat(first_to_claim(dict.fromkeys(fleet, 0.0)), Equals(fleet[0]))
--- a/tests/pools/virtual_fleet.py
+++ b/tests/pools/virtual_fleet.py
@@ -20,6 +20,7 @@
         self.incarnation = f"10.0.0.{number}:7000~{number:016x}0123abcd"
         self.frozen = False
         self.changes = []
+        self.power = 1.0
         self._handlers = {}
         self.following = Following(
             self,
@@ -28,6 +29,7 @@
             cut_domains=self.cut_domains,
             on_change=self.changes.append,
             version=lambda: 1,
+            power=lambda: self.power,
         )
         self.following.ready = True
         self.following.start()
