--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -5,6 +5,7 @@
 import structlog
 from eventlet.event import Event
 
+from burdocklug.pools._capacity import why_impossible
 from burdocklug.pools._endpoint import TOKEN_HOLDERS, EndpointAgent
 from burdocklug.pools._following import FENCED
 from burdocklug.pools._jobs import progress_of
@@ -241,7 +242,7 @@
             return JobAnswer(moved=True)
         now = self._timers.now()
         spec = message.spec
-        fault = scheduler.impossible(spec) if scheduler.settled else None
+        fault = why_impossible(spec, scheduler.rooms.values()) if scheduler.settled else None
         if fault is not None:
             log.info("job_impossible", job=spec.job_id, reason=fault)
             return JobAnswer(refused=fault, impossible=True, retry_after_s=MAX_RETRY_S)
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -2,6 +2,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.pools._capacity import why_impossible
 from burdocklug.pools._jobs import TaskState, progress_of
 from burdocklug.pools._models import JobOutcome, RunEndKind
 from tests.pools.builders import RULE, VirtualPool, entry, spec, step
@@ -240,11 +241,11 @@
 
 class EndpointsTest(TestCase):
     def test_a_job_that_no_endpoint_can_hold_is_named_impossible(self):
-        pool = VirtualPool(entry(1))
-        self.assertIs(pool.scheduler.impossible(spec("j1", step(1, cpu=16000))), None)
-        self.assertIn("step 0", pool.scheduler.impossible(spec("j1", step(1, cpu=16001))))
+        rooms = VirtualPool(entry(1)).scheduler.rooms.values()
+        self.assertIs(why_impossible(spec("j1", step(1, cpu=16000)), rooms), None)
+        self.assertIn("step 0", why_impossible(spec("j1", step(1, cpu=16001)), rooms))
         other = msgspec.structs.replace(RULE, service="other")
-        self.assertIn("'other'", pool.scheduler.impossible(spec("j1", rule=other)))
+        self.assertIn("'other'", why_impossible(spec("j1", rule=other), rooms))
 
     def test_an_endpoint_that_fails_everything_gets_single_trials(self):
         pool = VirtualPool(entry(1), entry(2, cpu=24000))
