--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,11 +2,12 @@
 
 ``python -m standins.platform --listen 127.0.0.1:9000 --workers 127.0.0.1:9100 --zones a,b`` serves
 the store at the first address and, for each address after ``--workers``, one worker of the service
-``press``, in the zones in turn. At the store's address there are also:
+``press``, in the zones in turn. Their entries name the addresses after ``--advertised`` where these
+are given. At the store's address there are also:
 
 =========================  ===================================================================
 ``PUT /operator/KEY``      writes a key as the operator does
-``GET /record``            starts of every worker, and calls at the store by path
+``GET /record``            starts and ends of every worker, and calls at the store by path
 ``POST /faults``           any fields of `Faults` to change
 ``POST /compact``          discards the store's history
 ``POST /worker/N/drain``   the worker N says that it leaves
@@ -36,6 +37,7 @@
 BEAT_S = 0.5
 HANG_S = 30.0
 POLL_S = 0.02
+LATE_S = (2.0, 4.0)  # bounds of the delay of a late order
 
 
 @dataclass
@@ -44,7 +46,8 @@
 
     `store_down` makes the store answer 503, `store_silent` never; `lost_writes` is the share of
     writes that are done and not answered; `lost_orders` the share of orders to workers that are
-    neither carried out nor answered; `lost_answers` the share that are carried out.
+    neither carried out nor answered; `lost_answers` the share that are carried out; `late_orders`
+    the share that are not answered and carried out `LATE_S` later.
     """
 
     store_down: bool = False
@@ -52,6 +55,7 @@
     lost_writes: float = 0.0
     lost_orders: float = 0.0
     lost_answers: float = 0.0
+    late_orders: float = 0.0
 
 
 class PlatformServer:
@@ -147,6 +151,9 @@
             return 421, {}
         if self._random.random() < self.faults.lost_orders:
             eventlet.sleep(HANG_S)
+        if self._random.random() < self.faults.late_orders:
+            eventlet.spawn_after(self._random.uniform(*LATE_S), self._order, worker, path, body)
+            eventlet.sleep(HANG_S)
         status, answer = self._order(worker, path, body)
         if self._random.random() < self.faults.lost_answers:
             eventlet.sleep(HANG_S)
@@ -181,16 +188,17 @@
             self.store.forget_history()
             return 200, {}
         if path == "/record":
+            for worker in self.workers:
+                worker.advance(_clock_ms())
             starts = {w.worker_id: w.starts for w in self.workers}
-            return 200, {"starts": starts, "calls": dict(self.store.calls)}
+            ends = {w.worker_id: w.ended for w in self.workers}
+            return 200, {"starts": starts, "ends": ends, "calls": dict(self.store.calls)}
         _, _, number, action = path.split("/")
         worker = self.workers[int(number)]
         if action == "drain":
             worker.draining = True
         else:
-            self.workers[int(number)] = Worker(
-                worker.worker_id, worker.capacity, born=worker.born + 1, starts=worker.starts
-            )
+            self.workers[int(number)] = worker.crash(_clock_ms())
         return 200, {}
 
 
@@ -244,11 +252,15 @@
     parser = argparse.ArgumentParser(prog="standins.platform", description=__doc__)
     parser.add_argument("--listen", required=True)
     parser.add_argument("--workers", nargs="+", required=True)
+    parser.add_argument("--advertised", nargs="*", default=[])
     parser.add_argument("--zones", default="north,south")
     args = parser.parse_args(argv)
     zones = args.zones.split(",")
     places = [(address, zones[n % len(zones)]) for n, address in enumerate(args.workers)]
-    server = PlatformServer(places)
+    advertised = args.advertised or args.workers
+    server = PlatformServer(
+        [(told, zone) for told, (_, zone) in zip(advertised, places, strict=True)]
+    )
 
     def at_store(method, path, query, _headers, body):
         if path.startswith("/kv-"):
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -57,11 +57,8 @@
 
     def start(self):
         """Start everything and wait until each daemon is ready."""
-        zones = ",".join(dict.fromkeys(self.processes.values()))
         self.children["platform"] = launch(
-            "standins.platform",
-            *("--listen", self.store, "--zones", zones, "--workers", *self.worker_addresses),
-            health=self.store,
+            "standins.platform", *self.platform_arguments(), health=self.store
         )
         self.control("PUT", "/operator/op/config", CONFIG)
         for name in self.processes:
@@ -70,6 +67,11 @@
             self.wait_ready(name)
         return self
 
+    def platform_arguments(self):
+        """Return the arguments of the stand-in."""
+        zones = ",".join(dict.fromkeys(self.processes.values()))
+        return ("--listen", self.store, "--zones", zones, "--workers", *self.worker_addresses)
+
     def start_process(self, name) -> Child:
         """Start one daemon."""
         path = self.directory / f"{name}.yaml"
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -141,17 +141,32 @@
     highest: dict = field(default_factory=dict)
     ends: list = field(default_factory=list)
     starts: list = field(default_factory=list)
+    ended: list = field(default_factory=list)  # task, attempt, how and when, for tests
 
     def advance(self, now_ms):
         """End the runs whose time, or whose lease, is over."""
         for name, run in list(self.runs.items()):
             if now_ms >= run["ends_ms"] and run["ends_ms"] <= self.lease_ms:
-                self._end(name, "failed" if run["fails"] else "done")
+                self._end(name, "failed" if run["fails"] else "done", run["ends_ms"])
             elif now_ms > self.lease_ms:
-                self._end(name, "lapsed")
+                self._end(name, "lapsed", self.lease_ms)
 
-    def _end(self, name, how):
+    def crash(self, now_ms):
+        """Return the next life of this worker, which knows nothing of what ran."""
+        self.advance(now_ms)
+        for name in list(self.runs):
+            self._end(name, "crashed", now_ms)
+        return Worker(
+            self.worker_id,
+            self.capacity,
+            born=self.born + 1,
+            starts=self.starts,
+            ended=self.ended,
+        )
+
+    def _end(self, name, how, at_ms):
         run = self.runs.pop(name)
+        self.ended.append([name, run["attempt"], how, at_ms])
         self.count += 1
         self.highest[name] = max(self.highest.get(name, 0), run["attempt"])
         self.ends.append([self.count, name, run["attempt"], how, ""])
@@ -203,7 +218,7 @@
         name, attempt = body["task"], body["attempt"]
         self.highest[name] = max(self.highest.get(name, 0), attempt)
         if name in self.runs and self.runs[name]["attempt"] <= attempt:
-            self._end(name, "stopped")
+            self._end(name, "stopped", now_ms)
         return 200, {}
 
     def begin_hold(self, body, now_ms):
