Only the scheduler looks at the list of endpoints each second, the others each four

Ruled out: reading it from the scheduler only, since a process that is cut off with its failure domain has to know the endpoints there by itself. Change: a follower looks at once when it becomes the scheduler, before it takes endpoints over 0.1 s later, so a drain is known as soon as before. The pace is the product's decision, the adapter only asks for it. Test first red: a follower that is hastened does not wait for its turn.

--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -16,7 +16,6 @@
 
 __all__ = ["CataloguePart", "ClientsPart"]
 
-SERVERS_PACE_S = 1.0  # workers report often; draining has to be known within 2 s
 CONFIG_PACE_S = 0.1  # a configuration is in force within 2 s
 STOP_S = 1.0  # for answers in flight, which the pool has waited for
 READY_CONNECTIONS = 16
@@ -47,15 +46,16 @@
             SERVERS_PREFIX,
             replace=self._replace_servers,
             apply=self._apply_server,
-            pace_s=SERVERS_PACE_S,
+            pace=self._pool.listing_pace_s,
         )
         self._config = PrefixFollower(
             store,
             CONFIG_KEY,
             replace=self._replace_config,
             apply=self._apply_config,
-            pace_s=CONFIG_PACE_S,
+            pace=lambda: CONFIG_PACE_S,
         )
+        self._pool.on_leading = self._servers.hasten
 
     def start(self):
         """Begin to follow both prefixes."""
--- a/burdocklug/pools/_fleet.py
+++ b/burdocklug/pools/_fleet.py
@@ -58,7 +58,7 @@
         self._members = {}
         self._stopped = False
         self._follower = PrefixFollower(
-            store, MEMBERS_PREFIX, replace=self._replace, apply=self._apply, pace_s=PACE_S
+            store, MEMBERS_PREFIX, replace=self._replace, apply=self._apply, pace=lambda: PACE_S
         )
 
     @property
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -28,6 +28,8 @@
 DRAIN_POLL_S = 0.05
 PROBED_ENDPOINTS = 3
 PROBE_S = 0.2
+LEADER_LISTING_S = 1.0  # from one look at the list of endpoints to the next; drains are due in 2 s
+FOLLOWER_LISTING_S = 4.0  # a follower looks at once when it becomes the scheduler
 FETCH_S = 0.5  # for a peer to answer with its configuration
 
 log = structlog.get_logger(__name__)
@@ -45,6 +47,7 @@
     def __init__(self, process):
         self.directory = Directory()
         self.refusing = False
+        self.on_leading = None
         self._process = process
         self._timers = process.timers
         self._network = process["peers"]
@@ -87,9 +90,15 @@
         self._timers.every(PAUSE_CHECK_S, self._check_pause)
 
     def _follow_claim(self, claim):
+        if self.following.leads and self.on_leading is not None:
+            self.on_leading()
         self.leader.follow_claim(claim)
         self.submitter.follow_claim(claim)
 
+    def listing_pace_s(self):
+        """Return the shortest time between two looks at the platform's list of endpoints."""
+        return LEADER_LISTING_S if self.following.leads else FOLLOWER_LISTING_S
+
     @property
     def is_ready(self):
         """Whether callers' jobs can be taken now."""
--- a/burdocklug/store/_follower.py
+++ b/burdocklug/store/_follower.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import structlog
+from eventlet.event import Event
 
 from burdocklug.store._records import HistoryLost
 from burdocklug.store._store import StoreUnavailable, StoreUncertain
@@ -29,9 +30,9 @@
         Takes the list of all records, after each whole read.
     apply : callable
         Takes one `Record` or `Removal`.
-    pace_s : float
-        Shortest time from one call to the next, in seconds; it bounds the calls where many
-        records change.
+    pace : callable
+        Returns the shortest time from one call to the next, in seconds; it bounds the calls where
+        many records change.
 
     Attributes
     ----------
@@ -41,14 +42,15 @@
         Whether the records were read once.
     """
 
-    def __init__(self, store, prefix, *, replace, apply, pace_s):
+    def __init__(self, store, prefix, *, replace, apply, pace):
         self.reached = False
         self.whole = False
         self._store = store
         self._prefix = prefix
         self._replace = replace
         self._apply = apply
-        self._pace_s = pace_s
+        self._pace = pace
+        self._hastened = Event()
         self._revision = None
         self._retry_s = RETRY_S[0]
 
@@ -72,7 +74,16 @@
                 eventlet.sleep(RETRY_S[1])
             else:
                 self._note_success()
-                eventlet.sleep(self._pace_s)
+                self._wait_for_turn()
+
+    def _wait_for_turn(self):
+        self._hastened.wait(timeout=self._pace())
+        self._hastened = Event()
+
+    def hasten(self):
+        """Look for changes at once, as the reader needs them fresh."""
+        if not self._hastened.ready():
+            self._hastened.send(None)
 
     def _note_failure(self, exc):
         if self.reached:
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -39,7 +39,7 @@
         store = ScriptedStore(reads, follows)
         replaced, applied = [], []
         follower = PrefixFollower(
-            store, "a/", replace=replaced.append, apply=applied.append, pace_s=0.0
+            store, "a/", replace=replaced.append, apply=applied.append, pace=lambda: 0.0
         )
         for _ in range(steps):
             try:
@@ -88,9 +88,25 @@
         store = ScriptedStore([([], 1)], [([record("a/1", 2)], 2), greenlet.GreenletExit()])
         applied = []
         follower = PrefixFollower(
-            store, "a/", replace=lambda _records: None, apply=applied.append, pace_s=0.0
+            store, "a/", replace=lambda _records: None, apply=applied.append, pace=lambda: 0.0
         )
         follower.start()
         for _ in range(10):
             eventlet.sleep(0)
         self.assertThat(applied, Equals([record("a/1", 2)]))
+
+    def test_one_that_is_hastened_does_not_wait_for_its_turn(self):
+        """A process that becomes the scheduler needs the list of endpoints as it is now."""
+        store = ScriptedStore(
+            [([], 1)], [([record("a/1", 2)], 2), ([record("a/2", 3)], 3), greenlet.GreenletExit()]
+        )
+        applied = []
+        follower = PrefixFollower(
+            store, "a/", replace=lambda _records: None, apply=applied.append, pace=lambda: 60.0
+        )
+        follower.start()
+        for hastened in range(3):
+            eventlet.sleep(0)
+            self.assertThat(len(applied), Equals(hastened))
+            follower.hasten()
+            eventlet.sleep(0)
