An order that reaches an endpoint's next life is known there; idle pools ask endpoints seldom

The new life carried them out; the scheduler took the first report of the new life as word that nothing ran there, and started the tasks elsewhere 22 ms later. Logs: endpoint_restarted, task_waits_again, then stranger_stopped for the same tasks 28 ms after. Change: orders stay until the report of the next take-over, which lists what was carried out; those without an answer are withdrawn by a stop, which also turns away a start that comes later. A start that a newer token of our own fences off is dropped at once, and does not count as another holder. With no job for 2 s an endpoint waits 1.9 s. A start in the middle of such a wait gets a report of its own, which holds its lease; the long one says nothing any more. Busy pools are asked as before, so a silent endpoint is noticed as fast.

--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -11,6 +11,8 @@
 __all__ = ["EndpointAgent"]
 
 RENEW_WAIT_S = 0.4  # an end ends the wait; leaves more than half of a lease of 1 s for retries
+IDLE_WAIT_S = 1.9  # while the pool has nothing to do; an endpoint waits 2 s at most
+IDLE_AFTER_S = 2.0  # since the last job; a pool of 600 endpoints is asked 300 times a second then
 CAREFUL_WAIT_S = 0.06  # while answers get lost, as the ends of runs stay unknown with a report
 CAREFUL_S = 3.0  # after a lost answer of any endpoint
 MIN_WAIT_S = 0.04  # between two reports that look after an overdue run
@@ -69,42 +71,57 @@
         self._started_ms = room.entry.started_ms
         self._lapses_s = 0.0
         self._pause_s = SILENT_RETRY_S[0]
-        self._loop = None
+        self._loops = []
+        self._turn = 0  # of the loop whose reports count
+        self._idle_until_s = 0.0
         self._missed = 0  # reports in a row that did not come
 
     # Life
 
     def begin(self):
-        """Take the endpoint over and hold it until `close`."""
-        self._loop = eventlet.spawn(self._serve)
+        """Take the endpoint over, or go on with it, and hold it until `close`."""
+        self._turn += 1
+        self._loops = [loop for loop in self._loops if not loop.dead]
+        self._loops.append(eventlet.spawn(self._serve, self._turn))
 
     def close(self):
         """Give no more orders; runs lapse unless another holder renews them."""
         self.closed = True
         self.room.usable = False
-        if self._loop is not None:
-            self._loop.kill()
+        for loop in self._loops:
+            loop.kill()
 
-    def _serve(self):
-        while not self.closed:
+    def _serve(self, turn):
+        while not self.closed and turn == self._turn:
             try:
                 if self.token is None:
                     self._take_over()
                 else:
                     self._renew()
-            except OrderUnanswered as exc:
+            except (OrderUnanswered, OrderFenced, OtherIncarnation) as exc:
+                if turn != self._turn:
+                    log.info(
+                        "idle_report_failed", endpoint=self.room.entry.endpoint_id, error=str(exc)
+                    )
+                    return
+                self._note_failure(exc)
+            except Exception:
+                log.exception("endpoint_agent_failed", endpoint=self.room.entry.endpoint_id)
+                eventlet.sleep(SILENT_RETRY_S[1])
+
+    def _note_failure(self, exc):
+        """Take in why a report did not come, and pause."""
+        match exc:
+            case OrderUnanswered():
                 self._note_silence(exc)
                 eventlet.sleep(self._pause_s)
                 self._pause_s = min(2 * self._pause_s, SILENT_RETRY_S[1])
-            except OrderFenced as exc:
+            case OrderFenced():
                 self.note_fenced(exc)
                 eventlet.sleep(FENCED_RETRY_S)
-            except OtherIncarnation:
+            case OtherIncarnation():
                 self.note_restarted("other_incarnation")
                 eventlet.sleep(SILENT_RETRY_S[1])
-            except Exception:
-                log.exception("endpoint_agent_failed", endpoint=self.room.entry.endpoint_id)
-                eventlet.sleep(SILENT_RETRY_S[1])
 
     # Lease
 
@@ -141,6 +158,9 @@
         )
         self._adopt(report)
         self._take_in(report, sent_s)
+        for order in list(self.orders.values()):
+            if order.confirmed_s is None and order.doubted_s is not None:
+                self._sender.begin_stop(order)
 
     def _adopt(self, report):
         """Take over runs of jobs that are known here; the others are stopped as strangers."""
@@ -153,10 +173,12 @@
             self.orders[task.name] = order
 
     def _renew(self):
-        sent_s = self.now()
+        sent_s, turn = self.now(), self._turn
         wait_s = self._wait_s(sent_s)
+        self._idle_until_s = sent_s + wait_s if wait_s > RENEW_WAIT_S else 0.0
         report = self._ask(token=self.token, lease_ms=self.lease_ms(), wait_s=wait_s)
-        self._take_in(report, sent_s)
+        if turn == self._turn:
+            self._take_in(report, sent_s)
 
     def look(self):
         """Have the endpoint report at once, and take the report in."""
@@ -176,6 +198,8 @@
 
     def _wait_s(self, now):
         """Return how long the endpoint may wait for an end before it reports."""
+        if not self.orders and now - self.scheduler.submitted_s > IDLE_AFTER_S:
+            return IDLE_WAIT_S
         careful = self.orders and now - self.scheduler.missed_s < CAREFUL_S
         wait_s = CAREFUL_WAIT_S if careful else RENEW_WAIT_S
         for order in self.orders.values():
@@ -202,7 +226,7 @@
             When it was asked for; it says nothing of orders confirmed later.
         """
         if self._is_restarted(report):
-            self.note_restarted("new_start")
+            self._note_new_life()
             return
         self.note_clock(report.clock_ms)
         self.answered_s = self.now()
@@ -234,16 +258,29 @@
         return report.started_ms != self._started_ms
 
     def note_restarted(self, reason):
-        """Note that the endpoint began anew: it runs and knows nothing of before."""
-        entry = self.room.entry
-        log.info("endpoint_restarted", endpoint=entry.endpoint_id, reason=reason)
+        """Note that another endpoint is at the address: no order of before is carried out there."""
+        self._begin_anew(reason)
+        self.orders.clear()
+        self.scheduler.lose_runs(self.room, reason=reason)
+        self.wake()
+
+    def _note_new_life(self):
+        """Note that the endpoint began anew under its name.
+
+        Orders that were on their way may have reached the new life, or may do so yet. The report
+        of the next take-over tells of those that were answered; the others are withdrawn then.
+        """
+        self._begin_anew("new_start")
+        for order in self.orders.values():
+            if order.confirmed_s is None and order.doubted_s is None:
+                order.doubted_s = self.now()
+
+    def _begin_anew(self, reason):
+        log.info("endpoint_restarted", endpoint=self.room.entry.endpoint_id, reason=reason)
         self.room.usable = False
         self.token = None
         self._acked = 0
         self._started_ms = 0
-        self.orders.clear()
-        self.scheduler.lose_runs(self.room, reason=reason)
-        self.wake()
 
     def _take_end(self, end):
         order = self.orders.get(end.task)
@@ -256,11 +293,11 @@
         if line is not None and line.attempt == order.attempt:
             self._note_active(order, line)
         elif order.stopped_s is not None and order.stopped_s < sent_s:
-            self._drop(order, "stopped")
+            self.drop(order, "stopped")
         elif order.confirmed_s is not None and order.confirmed_s < sent_s:
-            self._drop(order, "vanished")
+            self.drop(order, "vanished")
         elif order.doubted_s is not None and order.sent_s + self._order_life_s() < sent_s:
-            self._drop(order, "expired")
+            self.drop(order, "expired")
 
     def _order_life_s(self):
         return self._lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
@@ -284,7 +321,8 @@
             self.scheduler.note_fault(order.task, self.room)
             self._sender.begin_stop(order)
 
-    def _drop(self, order, reason):
+    def drop(self, order, reason):
+        """Note that an order is over and nothing of it runs; its task waits again."""
         if self.orders.get(order.task.name) is order:
             del self.orders[order.task.name]
             self.scheduler.note_lost(order.task, self.room, reason=reason)
@@ -299,6 +337,9 @@
     def start(self, task):
         """Send the order to start a task."""
         self._sender.start(task)
+        if self.now() < self._idle_until_s:
+            self._idle_until_s = 0.0
+            self.begin()  # the report under way waits for longer than the lease of a run lasts
 
     def stop(self, task):
         """Stop what runs, or may run, of a task."""
--- a/burdocklug/pools/_job_book.py
+++ b/burdocklug/pools/_job_book.py
@@ -37,6 +37,8 @@
         How long jobs took from their arrival, by queue and outcome.
     settled : bool
         Whether no endpoint has runs of an earlier scheduler that are not known here.
+    submitted_s : float
+        When the last job came.
     """
 
     def __init__(self, orders, *, now):
@@ -45,6 +47,7 @@
         self.counts = Counter()
         self.latencies = LatencyCounts()
         self.settled = True
+        self.submitted_s = now()
         self._orders = orders
         self._now = now
         self._places = PlaceCounts(self.rooms, now=now)
@@ -85,6 +88,7 @@
             job.unsettled = not self.settled
             job.not_before_s = self._now() + max(0.0, QUIET_S - quiet_s)
         self.jobs[spec.job_id] = job
+        self.submitted_s = self._now()
         self._waiting[spec.job_id] = job
         self.counts["jobs"] += 1
         return job
--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/_order_sender.py
@@ -41,6 +41,8 @@
         Since when it is not known whether the order was carried out.
     stopped_s : float or None
         When the endpoint acknowledged that the run is to end, or will not begin.
+    token : int or None
+        Fencing token that it was sent with; None for an adopted run.
     percent, progress_s
         Last progress and since when it has been that.
     """
@@ -52,6 +54,7 @@
     doubted_s: float | None = None
     stopped_s: float | None = None
     stopping: bool = False
+    token: int | None = None
     percent: int = -1
     progress_s: float = 0.0
 
@@ -70,7 +73,7 @@
 
     def start(self, task):
         """Send the order to start a task."""
-        order = RunOrder(task, task.attempt, self._agent.now())
+        order = RunOrder(task, task.attempt, self._agent.now(), token=self._agent.token)
         order.progress_s = order.sent_s
         self._agent.orders[task.name] = order
         eventlet.spawn(self._send_start, order)
@@ -84,7 +87,7 @@
                 attempt=order.attempt,
                 payload=task.job.spec.payload,
                 lease_ms=self._agent.lease_ms(),
-                token=self._agent.token,
+                token=order.token,
                 timeout_s=START_S,
             )
         except OrderRefused as exc:
@@ -93,9 +96,12 @@
             order.doubted_s = self._agent.scheduler.missed_s = self._agent.now()
             self._note_doubt(order, exc)
         except OrderFenced as exc:
-            self._agent.note_fenced(exc)
+            self._agent.drop(order, "fenced")
+            if order.token == self._agent.token:
+                self._agent.note_fenced(exc)
         except OtherIncarnation:
-            self._agent.note_restarted("other_incarnation")
+            if order.token == self._agent.token:
+                self._agent.note_restarted("other_incarnation")
         else:
             self._agent.note_clock(clock_ms)
             if self._agent.orders.get(task.name) is order:
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -91,7 +91,10 @@
         status, _ = fleet.call(name, "GET", f"/v{fleet.version}/")
         if fleet.version > 1 and status != 200:
             yield f"{name} has not version {fleet.version}: {status}"
-    states = [fleet.state(name)[1] for name in fleet.processes]
-    leaders = sum(bool(s and s["pool"]["following"]["leads"]) for s in states)
+    states = {name: fleet.state(name) for name in fleet.processes}
+    for name, (status, _) in states.items():
+        if status != 200:
+            yield f"{name} tells no state: {status} {_}"
+    leaders = sum(s["pool"]["following"]["leads"] for code, s in states.values() if code == 200)
     if leaders != 1:
         yield f"{leaders} processes schedule"
--- a/tests/pools/fake_endpoint.py
+++ b/tests/pools/fake_endpoint.py
@@ -48,6 +48,8 @@
     late: list = field(default_factory=list)
     count: int = 0
     retired: int = 0
+    waits_s: list = field(default_factory=list)
+    held: object = None  # an event that reports wait for, as long as there is one
 
     @property
     def clock_ms(self):
@@ -128,6 +130,9 @@
         self._leave("stop")
 
     def renew(self, entry, *, token, acknowledged, lease_ms, wait_s, timeout_s):
+        self.waits_s.append(wait_s)
+        if self.held is not None:
+            self.held.wait()
         self._enter("renew", token)
         self._renew_lease(lease_ms)
         self.ends = [end for end in self.ends if end.number > acknowledged]
--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/test_endpoint.py
@@ -1,7 +1,9 @@
 import eventlet
+import eventlet.event
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.pools import _order_sender
 from burdocklug.pools._endpoint import EndpointAgent
 from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._models import JobOutcome
@@ -199,6 +201,115 @@
         self.assertThat(self.agent.room.runs, Equals({}))
 
 
+class NewLifeTest(AgentTestCase):
+    """The endpoint begins anew under its name, and an order of before reaches the new life.
+
+    Found by the soak, seed 2: the run of the new life went on beside one elsewhere.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.take_over()
+        self.endpoint.run_s = 30.0
+
+    def assert_runs_once(self, job):
+        """Whatever the endpoint runs is known to run there, and nothing else is."""
+        here = set(self.endpoint.runs)
+        self.assertThat({t.name for t in job.tasks if t.state.is_placed}, Equals(here))
+
+    def never_free_while_it_runs(self, job):
+        for _ in range(8):
+            waiting = {task.name for task in job.waiting}
+            self.assertThat(waiting.intersection(self.endpoint.runs), Equals(set()))
+            self.pass_time(0.05)
+
+    def test_an_order_that_the_new_life_carried_out_is_not_given_elsewhere(self):
+        self.endpoint.restart()
+        job = self.submit("j1", step(estimate_s=30.0))
+        self.agent.room.free = self.agent.room.free - self.agent.room.entry.capacity
+        self.report()  # the first sign of the new life
+        self.never_free_while_it_runs(job)
+        self.assert_runs_once(job)
+
+    def test_an_order_without_an_answer_is_withdrawn_from_the_new_life(self):
+        self.addCleanup(setattr, _order_sender, "STOP_PAUSE_S", _order_sender.STOP_PAUSE_S)
+        _order_sender.STOP_PAUSE_S = 0.0
+        self.endpoint.restart()
+        self.endpoint.lost.add("start")
+        job = self.submit("j1", step(estimate_s=30.0))
+        self.endpoint.lost.clear()
+        self.report()
+        for _ in range(6):
+            self.pass_time(0.05)
+        far = 10**9  # the clock, and so the lease of the order, was that of the life before
+        self.endpoint.late = [(task, n, far, far) for task, n, _lease, _token in self.endpoint.late]
+        self.assertThat(self.endpoint.deliver_late(), Equals(1))
+        self.assertThat(job.tasks[0].attempt, Equals(2))
+
+    def test_runs_of_the_life_before_wait_again_after_one_report(self):
+        job = self.submit("j1", step(estimate_s=30.0))
+        self.pass_time(0.1)
+        self.endpoint.restart()
+        self.scheduler.rooms.clear()  # nothing starts again here
+        self.report()
+        self.report()
+        self.pass_time(0.01)
+        self.assertThat([task.state for task in job.tasks], Equals([TaskState.WAITING]))
+
+
+class IdleTest(AgentTestCase):
+    """Load: none for seconds, as at night, then a job."""
+
+    def setUp(self):
+        super().setUp()
+        self.take_over()
+        self.endpoint.waits_s.clear()
+
+    def test_an_idle_pool_is_asked_seldom_and_a_busy_one_often(self):
+        self.report()
+        self.clock[0] += 2.1
+        self.report()
+        self.endpoint.held = eventlet.event.Event()
+        self.submit("j1", step(estimate_s=30.0))
+        self.assertThat(self.endpoint.waits_s, Equals([0.4, 1.9, 0.4]))
+        self.agent.close()
+
+    def test_an_endpoint_without_runs_is_asked_often_while_jobs_come(self):
+        self.clock[0] += 2.1
+        self.scheduler.submit(spec("j1", step(cpu=99000)), received_s=self.clock[0], wait_s=9.0)
+        self.report()
+        self.assertThat(self.endpoint.waits_s, Equals([0.4]))
+
+    def test_a_start_in_a_long_report_is_held_by_another_one_and_the_long_one_says_nothing(self):
+        self.clock[0] += 2.1
+        long_report = self.endpoint.held = eventlet.event.Event()
+        self.agent.begin()
+        self.settle()
+        self.endpoint.held = eventlet.event.Event()  # of the reports from here on
+        job = self.submit("j1", step(estimate_s=30.0))
+        self.assertThat(self.endpoint.waits_s, Equals([1.9, 0.4]))
+        self.endpoint.runs.clear()  # which the long report would take for a vanished run
+        self.clock[0] += 0.2
+        long_report.send(None)
+        self.settle()
+        self.assertThat((job.tasks[0].state, job.outcome), Equals((TaskState.RUNNING, None)))
+        self.assertThat(self.endpoint.waits_s, Equals([1.9, 0.4]))
+        self.agent.close()
+
+    def test_a_long_report_that_fails_does_not_spoil_the_next_one(self):
+        self.clock[0] += 2.1
+        long_report = self.endpoint.held = eventlet.event.Event()
+        self.agent.begin()
+        self.settle()
+        self.endpoint.held = eventlet.event.Event()
+        self.submit("j1", step(estimate_s=30.0))
+        usable = self.agent.room.usable
+        long_report.send_exception(OrderUnanswered("silent"))
+        self.settle()
+        self.assertThat((usable, self.agent.room.usable), Equals((True, True)))
+        self.agent.close()
+
+
 class TakeOverTest(AgentTestCase):
     def run_of_another_holder(self, task="j1.0.0.0", attempt=3):
         self.endpoint.token = 40
