Pools: what reports say of orders is a module of its own

No change of behaviour but one guard: an endpoint that is to be taken over is not looked at with the token of before.

--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -6,7 +6,7 @@
 from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._order_sender import OrderSender, RunOrder
 from burdocklug.pools._orders import OrderFenced, OrderUnanswered, OtherIncarnation
-from burdocklug.pools._placement import expected_run_s
+from burdocklug.pools._reports import ReportIntake, order_life_s
 
 __all__ = ["EndpointAgent"]
 
@@ -14,17 +14,10 @@
 IDLE_WAIT_S = 1.9  # while the pool has nothing to do; an endpoint waits 2 s at most
 IDLE_AFTER_S = 2.0  # since the last job; a pool of 600 endpoints is asked 300 times a second then
 CAREFUL_WAIT_S = 0.06  # while answers get lost, as the ends of runs stay unknown with a report
-CAREFUL_S = 3.0  # after a lost answer of any endpoint
 MIN_WAIT_S = 0.04  # between two reports that look after an overdue run
 ANSWER_S = 0.1  # tens of cross-domain trips; ends stay unknown as long as an answer is missed
 SILENT_RETRY_S = (0.02, 1.0)  # first and longest pause between reports of a silent endpoint
 FENCED_RETRY_S = 0.5  # lets another holder finish before the endpoint is taken back
-CLOCK_DRIFT = 1.021  # an endpoint's clock may be 2 % slow
-LAPSE_MARGIN_S = 0.05  # for the end of a lapsed run
-OVERDUE_FACTOR = 1.6  # times the expected run time, after which progress is looked at
-CAREFUL_FACTOR = 1.2  # the same while answers get lost or runs stand still
-OVERDUE_SLACK_S = 0.03
-STALLED_S = 0.15  # an overdue run without progress for so long stands still
 TOKEN_HOLDERS = 64  # processes that take over in the same millisecond differ in the low digits
 
 log = structlog.get_logger(__name__)
@@ -60,21 +53,19 @@
         self.scheduler = scheduler
         self.protocol = protocol
         self.now = now
-        self._lease_s = lease_s
+        self.lease_s = lease_s
         self._digit = digit
         self.wake = wake
         self.orders = {}
-        self._sender = OrderSender(self)
-        self._acked = 0
+        self.sender = OrderSender(self)
+        self.reports = ReportIntake(self)
         self._clock_ms = 0
         self._clock_s = 0.0
-        self._started_ms = room.entry.started_ms
         self._lapses_s = 0.0
         self._pause_s = SILENT_RETRY_S[0]
         self._loops = []
         self._turn = 0  # of the loop whose reports count
         self._idle_until_s = 0.0
-        self._missed = 0  # reports in a row that did not come
 
     # Life
 
@@ -130,8 +121,8 @@
 
     def lease_ms(self):
         """Return the end of a lease that begins now, and note until when runs may go on."""
-        self._lapses_s = self.now() + self._lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
-        return self._clock_now_ms() + int(self._lease_s * 1000)
+        self._lapses_s = self.now() + order_life_s(self.lease_s)
+        return self._clock_now_ms() + int(self.lease_s * 1000)
 
     def note_clock(self, clock_ms):
         """Take in the endpoint's clock, in milliseconds."""
@@ -157,10 +148,10 @@
             ended=len(report.ended),
         )
         self._adopt(report)
-        self._take_in(report, sent_s)
+        self.reports.take_in(report, sent_s)
         for order in list(self.orders.values()):
             if order.confirmed_s is None and order.doubted_s is not None:
-                self._sender.begin_stop(order)
+                self.sender.begin_stop(order)
 
     def _adopt(self, report):
         """Take over runs of jobs that are known here; the others are stopped as strangers."""
@@ -178,19 +169,21 @@
         self._idle_until_s = sent_s + wait_s if wait_s > RENEW_WAIT_S else 0.0
         report = self._ask(token=self.token, lease_ms=self.lease_ms(), wait_s=wait_s)
         if turn == self._turn:
-            self._take_in(report, sent_s)
+            self.reports.take_in(report, sent_s)
 
     def look(self):
         """Have the endpoint report at once, and take the report in."""
+        if self.token is None:
+            return  # the take-over tells
         sent_s = self.now()
         report = self._ask(token=self.token, lease_ms=self.lease_ms(), wait_s=0.0)
-        self._take_in(report, sent_s)
+        self.reports.take_in(report, sent_s)
 
     def _ask(self, *, token, lease_ms, wait_s):
         return self.protocol.renew(
             self.room.entry,
             token=token,
-            acknowledged=self._acked,
+            acknowledged=self.reports.acked,
             lease_ms=lease_ms,
             wait_s=wait_s,
             timeout_s=wait_s + ANSWER_S,
@@ -200,127 +193,33 @@
         """Return how long the endpoint may wait for an end before it reports."""
         if not self.orders and now - self.scheduler.submitted_s > IDLE_AFTER_S:
             return IDLE_WAIT_S
-        careful = self.orders and now - self.scheduler.missed_s < CAREFUL_S
-        wait_s = CAREFUL_WAIT_S if careful else RENEW_WAIT_S
+        wait_s = CAREFUL_WAIT_S if self.orders and self.reports.is_careful else RENEW_WAIT_S
         for order in self.orders.values():
-            wait_s = min(wait_s, max(self._overdue_s(order) - now, MIN_WAIT_S))
+            wait_s = min(wait_s, max(self.reports.overdue_s(order) - now, MIN_WAIT_S))
         return wait_s
 
-    def _overdue_s(self, order):
-        expected_s = expected_run_s(order.task, self.room)
-        careful = self.now() - self.scheduler.missed_s < CAREFUL_S
-        factor = CAREFUL_FACTOR if careful else OVERDUE_FACTOR
-        due_s = order.sent_s + factor * expected_s + OVERDUE_SLACK_S
-        return max(due_s, order.progress_s + STALLED_S)
-
     # Reports
 
-    def _take_in(self, report, sent_s):
-        """Bring orders and the scheduler's record in line with a report.
-
-        Parameters
-        ----------
-        report : RunReport
-            The report.
-        sent_s : float
-            When it was asked for; it says nothing of orders confirmed later.
-        """
-        if self._is_restarted(report):
-            self._note_new_life()
-            return
-        self.note_clock(report.clock_ms)
+    def note_answered(self):
+        """Note that the endpoint has answered now."""
         self.answered_s = self.now()
         self._pause_s = SILENT_RETRY_S[0]
-        for end in report.ended:
-            if end.number > self._acked:
-                self._acked = end.number
-                self._take_end(end)
-        self._missed = 0
-        active = {line.task: line for line in report.active}
-        for order in list(self.orders.values()):
-            self._compare(order, active.pop(order.task.name, None), sent_s)
-        for line in active.values():
-            self._stop_stranger(line)
-        self._set_usable(not active)
 
-    def _set_usable(self, usable):
+    def set_usable(self, usable):
+        """Let the endpoint get work, or not; one that drains gets none."""
         if self.closed or self.room.entry.draining:
             usable = False
         self.room.usable = usable
         if usable:
             self.wake()
 
-    def _is_restarted(self, report):
-        if not report.started_ms:
-            return False
-        if not self._started_ms:
-            self._started_ms = report.started_ms
-        return report.started_ms != self._started_ms
-
     def note_restarted(self, reason):
         """Note that another endpoint is at the address: no order of before is carried out there."""
-        self._begin_anew(reason)
+        self.reports.begin_anew(reason)
         self.orders.clear()
         self.scheduler.lose_runs(self.room, reason=reason)
         self.wake()
 
-    def _note_new_life(self):
-        """Note that the endpoint began anew under its name.
-
-        Orders that were on their way may have reached the new life, or may do so yet. The report
-        of the next take-over tells of those that were answered; the others are withdrawn then.
-        """
-        self._begin_anew("new_start")
-        for order in self.orders.values():
-            if order.confirmed_s is None and order.doubted_s is None:
-                order.doubted_s = self.now()
-
-    def _begin_anew(self, reason):
-        log.info("endpoint_restarted", endpoint=self.room.entry.endpoint_id, reason=reason)
-        self.room.usable = False
-        self.token = None
-        self._acked = 0
-        self._started_ms = 0
-
-    def _take_end(self, end):
-        order = self.orders.get(end.task)
-        if order is None or order.attempt != end.attempt:
-            return
-        del self.orders[end.task]
-        self.scheduler.note_end(order.task, self.room, end.kind, is_prompt=self._missed == 0)
-
-    def _compare(self, order, line, sent_s):
-        if line is not None and line.attempt == order.attempt:
-            self._note_active(order, line)
-        elif order.stopped_s is not None and order.stopped_s < sent_s:
-            self.drop(order, "stopped")
-        elif order.confirmed_s is not None and order.confirmed_s < sent_s:
-            self.drop(order, "vanished")
-        elif order.doubted_s is not None and order.sent_s + self._order_life_s() < sent_s:
-            self.drop(order, "expired")
-
-    def _order_life_s(self):
-        return self._lease_s * CLOCK_DRIFT + LAPSE_MARGIN_S
-
-    def _note_active(self, order, line):
-        now = self.now()
-        if order.confirmed_s is None:
-            order.confirmed_s, order.doubted_s = now, None
-            self.scheduler.note_started(order.task, self.room)
-        if line.percent != order.percent:
-            order.percent, order.progress_s = line.percent, now
-        elif now >= self._overdue_s(order) and not order.stopping:
-            log.info(
-                "run_stands_still",
-                task=order.task.name,
-                endpoint=self.room.entry.endpoint_id,
-                percent=line.percent,
-                age_s=round(now - order.sent_s, 3),
-            )
-            self.scheduler.missed_s = now
-            self.scheduler.note_fault(order.task, self.room)
-            self._sender.begin_stop(order)
-
     def drop(self, order, reason):
         """Note that an order is over and nothing of it runs; its task waits again."""
         if self.orders.get(order.task.name) is order:
@@ -328,22 +227,18 @@
             self.scheduler.note_lost(order.task, self.room, reason=reason)
             self.wake()
 
-    def _stop_stranger(self, line):
-        log.info("stranger_stopped", task=line.task, endpoint=self.room.entry.endpoint_id)
-        eventlet.spawn(self._sender.try_stop, line.task, line.attempt)
-
     # Orders
 
     def start(self, task):
         """Send the order to start a task."""
-        self._sender.start(task)
+        self.sender.start(task)
         if self.now() < self._idle_until_s:
             self._idle_until_s = 0.0
             self.begin()  # the report under way waits for longer than the lease of a run lasts
 
     def stop(self, task):
         """Stop what runs, or may run, of a task."""
-        self._sender.stop(task)
+        self.sender.stop(task)
 
     # Faults
 
@@ -357,11 +252,11 @@
                 runs=len(self.room.runs),
             )
         self.room.usable = False
-        self._missed += 1
-        if self._missed == 1:
+        self.reports.missed += 1
+        if self.reports.missed == 1:
             self.scheduler.missed_s = now
         self.protocol.retire(self.room.entry)
-        if self.token is None or (self.answered_s and now - self.answered_s > self._lease_s):
+        if self.token is None or (self.answered_s and now - self.answered_s > self.lease_s):
             self.token = None  # what runs there is to lapse, a report renews it no more
         if now > self._lapses_s and self.orders:
             self.orders.clear()
