--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -4,10 +4,9 @@
 import msgspec
 import structlog
 
-from burdocklug.peers import PeerNotReached, PeerSilent
+from burdocklug.pools._followers import Followers
 from burdocklug.pools._leadership import (
     ClaimKind,
-    claim_kind,
     first_to_claim,
     fit_ones,
     greater_claim,
@@ -22,13 +21,13 @@
     ReachAnswer,
     ReachQuestion,
 )
+from burdocklug.pools._reach import ask_members, powers_of, weigh_reach
 
 __all__ = ["Following"]
 
 FOLLOW_S = 0.2  # period of the exchange with the scheduler
 LOST_S = 0.8  # four exchanges without an answer
 NOTICE_S = 1.0  # period in which a scheduler tells all members of its claim
-REACH_S = 0.2  # for an answer to a question; over the slowest exchange of healthy peers
 ASK_AGAIN_S = 0.1
 TENURE_S = 2.0  # a scheduler takes up its endpoints and jobs before it yields to a stronger host
 FENCED = "fenced"  # why a scheduler looks whether another one is in its place
@@ -65,10 +64,8 @@
         Last answer of that scheduler.
     heard_s : float
         When that was.
-    last_heard : dict
-        When each follower was heard last, by incarnation.
-    powers : dict
-        What the followers' hosts can carry, in cores, by incarnation.
+    followers : Followers
+        The processes that follow this one.
     lost_heard_s : dict
         When schedulers that are not followed any more were heard last.
     """
@@ -93,10 +90,8 @@
         self._noticed_s = 0.0
         self._asking = False
         self._asked_s = -ASK_AGAIN_S
-        self.last_heard = {}
-        self.powers = {}
+        self.followers = Followers(keep_s=LOST_S)
         self.lost_heard_s = {}
-        self._sent_answers = {}
         network.register(ReachAnswer)
         network.register(ReachQuestion, self._on_question, inline=True)
         network.register(ClaimNotice, self._on_notice, inline=True)
@@ -156,8 +151,9 @@
         if self.leads:
             if now - self._noticed_s >= NOTICE_S:
                 self._tell_all(self.claim)
-                heard, members = self._follower_share(now)
-                if self.claim.whole and 2 * (1 + heard) <= 1 + members:
+                members = self._members()
+                heard = self.followers.count(members, now)
+                if self.claim.whole and 2 * (1 + heard) <= 1 + len(members):
                     self.weigh_claim("few_followers")
                 elif now - self._claimed_s >= TENURE_S and not self._is_fit(now):
                     self._yield()
@@ -176,12 +172,7 @@
             self._network.send(incarnation, ClaimNotice(claim))
 
     def _on_follow(self, sender, message):
-        now = self._timers.now()
-        self.last_heard[sender] = now
-        self.powers[sender] = message.power
-        self._sent_answers[sender, message.sequence] = now
-        for key in [k for k, sent_s in self._sent_answers.items() if now - sent_s > LOST_S]:
-            del self._sent_answers[key]
+        self.followers.note(sender, message, self._timers.now())
         self._network.send(sender, Followed(message.sequence, self.claim, self._version()))
         self._note_version(sender, message.configuration_version)
 
@@ -200,17 +191,6 @@
         if version > self._version() and self.on_newer_version is not None:
             self.on_newer_version(sender)
 
-    def message_age_s(self, sender, heard_sequence):
-        """Return an upper bound of the age of a message, by the last answer its sender had.
-
-        Returns
-        -------
-        float or None
-            None where the answer is too long ago to be remembered.
-        """
-        sent_s = self._sent_answers.get((sender, heard_sequence))
-        return None if sent_s is None else self._timers.now() - sent_s
-
     # Claims
 
     def _on_notice(self, sender, message):
@@ -236,7 +216,7 @@
         """Follow the greatest claim that the reached members know, or make one."""
         try:
             members = self._members()
-            answers = self._ask(members)
+            answers = ask_members(self._network, members)
             if self.claim is not None:
                 return
             claims = [a.claim for a in answers.values() if a.claim is not None]
@@ -250,32 +230,13 @@
             self._asked_s = self._timers.now()
 
     def _goes_first(self, answers):
-        return first_to_claim({self.own: self._power(), **_powers(answers)}) == self.own
-
-    def _ask(self, members):
-        def ask(incarnation):
-            try:
-                return self._network.call(incarnation, ReachQuestion(), timeout_s=REACH_S)
-            except (PeerNotReached, PeerSilent):
-                return None  # counted as not reached, which the claim's log line shows
-
-        asked = {incarnation: eventlet.spawn(ask, incarnation) for incarnation in members}
-        answers = {incarnation: thread.wait() for incarnation, thread in asked.items()}
-        return {incarnation: answer for incarnation, answer in answers.items() if answer}
+        return first_to_claim({self.own: self._power(), **powers_of(answers)}) == self.own
 
     def _weigh(self, members, answers):
         """Return what this process may claim, and the claim."""
-        domains = {*members.values(), self._network.failure_domain}
-        cut = self._cut_domains(domains) if len(answers) < len(members) else set()
-        kind = claim_kind(self._network.failure_domain, members, set(answers), cut_domains=cut)
-        log.info(
-            "claim_weighed",
-            kind=kind.value,
-            members=len(members),
-            reached=len(answers),
-            cut=sorted(cut),
-        )
-        return kind, next_claim(kind, self.own, self._greatest, domains - cut)
+        own_domain = self._network.failure_domain
+        kind, served = weigh_reach(own_domain, members, answers, self._cut_domains)
+        return kind, next_claim(kind, self.own, self._greatest, served)
 
     def _make_claim(self, members, answers):
         kind, claim = self._weigh(members, answers)
@@ -286,12 +247,13 @@
     def hand_over(self):
         """Appoint another process before this one ends; return whether there is one."""
         self.draining = True
-        return self.leads and self._appoint(self._ask(self._members()), "handed_over")
+        return self.leads and self._appoint(
+            ask_members(self._network, self._members()), "handed_over"
+        )
 
     def _is_fit(self, now):
         """Return whether the own host carries about as much as the strongest follower's."""
-        heard = {i: p for i, p in self.powers.items() if now - self.last_heard[i] < LOST_S}
-        return self.own in fit_ones({self.own: self._power(), **heard})
+        return self.own in fit_ones({self.own: self._power(), **self.followers.powers(now)})
 
     def _yield(self):
         if not self._asking:
@@ -300,8 +262,8 @@
 
     def _yield_to_stronger(self):
         try:
-            answers = self._ask(self._members())
-            if self.own not in fit_ones({self.own: self._power(), **_powers(answers)}):
+            answers = ask_members(self._network, self._members())
+            if self.own not in fit_ones({self.own: self._power(), **powers_of(answers)}):
                 self._appoint(answers, "stronger_host")
         finally:
             self._asking = False
@@ -309,7 +271,7 @@
 
     def _appoint(self, answers, reason):
         """Name one of the processes that answered as scheduler; return whether there is one."""
-        powers = _powers(answers)
+        powers = powers_of(answers)
         if not powers or not self.leads:
             return False
         successor = successor_of(powers)
@@ -329,7 +291,7 @@
     def _weigh_own(self, reason):
         try:
             members = self._members()
-            answers = self._ask(members)
+            answers = ask_members(self._network, members)
             if not self.leads:
                 return
             greater = [a.claim for a in answers.values() if a.claim and a.claim > self.claim]
@@ -345,11 +307,6 @@
             self._asking = False
             self._asked_s = self._timers.now()
 
-    def _follower_share(self, now):
-        members = self._members()
-        heard = sum(now - self.last_heard.get(member, 0.0) < LOST_S for member in members)
-        return heard, len(members)
-
     def note_not_reached(self, scheduler):
         """Note that a scheduler refuses connections or was replaced by a new process."""
         if self.claim is not None and self.claim.scheduler == scheduler and not self.leads:
@@ -369,8 +326,3 @@
             "whole": claim.whole if claim else None,
             "leads": self.leads,
         }
-
-
-def _powers(answers):
-    """Return what the hosts of processes that go on can carry, by incarnation."""
-    return {i: answer.power for i, answer in answers.items() if not answer.draining}
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -5,6 +5,7 @@
 import structlog
 from eventlet.event import Event
 
+from burdocklug.pools._agent_orders import AgentOrders
 from burdocklug.pools._capacity import why_impossible
 from burdocklug.pools._endpoint import TOKEN_HOLDERS, EndpointAgent
 from burdocklug.pools._following import FENCED
@@ -35,23 +36,6 @@
 log = structlog.get_logger(__name__)
 
 
-class _AgentOrders:
-    """Hands the scheduler's orders to the agents of endpoints."""
-
-    def __init__(self):
-        self.agents = {}
-
-    def start(self, task, room):
-        """Start a task."""
-        self.agents[room.entry.endpoint_id].start(task)
-
-    def stop(self, task, room):
-        """Stop a task."""
-        agent = self.agents.get(room.entry.endpoint_id)
-        if agent is not None:
-            agent.stop(task)
-
-
 class Leader:
     """Schedules while this process is the scheduler; idle otherwise.
 
@@ -114,7 +98,7 @@
     def _begin(self, claim):
         self._claim = claim
         self._began_s = self._timers.now()
-        orders = _AgentOrders()
+        orders = AgentOrders()
         self.scheduler = Scheduler(
             orders, now=self._timers.now, distance_factor=self._distance_factor
         )
@@ -222,7 +206,7 @@
             log.info("pool_load", **self.scheduler.load(), loop_late_ms=late_ms)
 
     def _suspend_lost(self, now):
-        heard = self._following.last_heard
+        heard = self._following.followers.last_heard
         for job in list(self.scheduler.jobs.values()):
             if job.outcome is not None or job.suspended or not job.callers:
                 continue
@@ -276,7 +260,8 @@
     def _is_stale(self, sender, message):
         if sender == self._network.incarnation:
             return False
-        age_s = self._following.message_age_s(sender, message.heard_sequence)
+        followers, now = self._following.followers, self._timers.now()
+        age_s = followers.message_age_s(sender, message.heard_sequence, now)
         if age_s is not None and age_s < STALE_S:
             return False
         log.info("submission_stale", job=message.spec.job_id, sender=sender, age_s=age_s)
