--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -1,4 +1,4 @@
-"""Short runs of the soak: each seed that ever found something, with its cause."""
+"""Short runs of the soak: each seed that ever found something, with its cause, and two kinds."""
 
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -13,11 +13,14 @@
 class SeedTest(TestCase):
     scenarios = [
         # Orders that reached the next life of a worker were started elsewhere beside it.
-        ("2, workers begin anew", {"seed": 2}),
+        ("2, workers begin anew", {"seed": 2, "kinds": None}),
+        # Kinds that nothing else plays with real processes.
+        ("all killed", {"seed": 1, "kinds": ["kill_all"]}),
+        ("silent between processes", {"seed": 1, "kinds": ["peers_link_silent"]}),
     ]
 
     def test_every_promise_is_kept(self):
         lines = []
-        evidence = run_seed(self.seed, duration_s=DURATION_S, say=lines.append)
+        evidence = run_seed(self.seed, duration_s=DURATION_S, kinds=self.kinds, say=lines.append)
         self.assertThat(list(find_violations(evidence)), Equals([]), "\n".join(lines))
         self.assertThat(len(evidence.jobs) > 0, Equals(True))
