--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 eventlet.monkey_patch()
 
 from soak import find_violations, run_seed  # noqa: E402
+from standins.launch import LaunchError  # noqa: E402
 
 __all__ = ["main"]
 
@@ -28,15 +29,20 @@
     bad = 0
     for seed in range(first, first + args.seeds):
         print(f"seed {seed}", flush=True)
-        evidence = run_seed(
-            seed,
-            duration_s=args.duration_s,
-            processes=args.processes,
-            workers=args.workers,
-            callers=args.callers,
-            kinds=args.kinds,
-            say=lambda line: print(f"  {line}", flush=True),
-        )
+        try:
+            evidence = run_seed(
+                seed,
+                duration_s=args.duration_s,
+                processes=args.processes,
+                workers=args.workers,
+                callers=args.callers,
+                kinds=args.kinds,
+                say=lambda line: print(f"  {line}", flush=True),
+            )
+        except LaunchError as exc:
+            bad += 1
+            print(f"  NOT PLAYED, a program did not start: {str(exc)[-300:]}", flush=True)
+            continue
         broken = list(find_violations(evidence))
         bad += bool(broken)
         told = [job.attempts[-1].status for job in evidence.jobs if job.attempts]
