The test of a second process under one name waits until that process listens

Ruled out: the product, which had not begun to listen. The condition is as strict: status 503, then all that follows; only a refused connection counts as not yet.

--- a/tests/daemon/test_names.py
+++ b/tests/daemon/test_names.py
@@ -3,6 +3,7 @@
 import dataclasses
 import time
 
+import urllib3
 from testtools.matchers import Equals
 
 from standins.fleet import free_ports
@@ -34,12 +35,19 @@
         self.addCleanup(fleet.ports.pop, key)
         return key
 
+    def health_status(self, name):
+        """Return the status of a health check, None for a process that does not listen yet."""
+        try:
+            return self.http("GET", name, "/v1/health").status
+        except urllib3.exceptions.HTTPError:
+            return None
+
     def share(self, name):
         return self.fleet.state(name)["limits"].get("vat", {}).get("share", 0)
 
     def test_a_second_process_takes_no_share_and_says_why(self):
         twin = self.start_twin("north-1")
-        self.wait_for(lambda: self.http("GET", twin, "/v1/health").status == 503)
+        self.wait_for(lambda: self.health_status(twin) == 503)
         until = time.monotonic() + RESTED_S
         shares = set()
         while time.monotonic() < until:
