--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,5 +1,7 @@
 """Faults from outside: each is a generator that harms the fleet, waits, and makes it good."""
 
+import signal
+
 from burdocklug.kernel import Registry
 from standins.platform_fleet import CONFIG
 
@@ -7,7 +9,6 @@
 
 fault_kinds = Registry("soak fault")
 PLANNED = frozenset({"configuration", "hangup", "stop", "worker_drain"})
-NO_FAULT = 0.0
 SHARE = 0.3  # of the calls that a fault of a share hits
 DELAY_S = 0.15  # over what peers usually take, under their timeouts
 
@@ -61,8 +62,6 @@
 @fault_kinds.register("hangup")
 def hangup(fleet, rng):
     """Have processes read their settings again."""
-    import signal
-
     for name in _processes(fleet, rng, 3):
         fleet.children[name].signal(signal.SIGHUP)
     yield
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -22,6 +22,8 @@
         Address of the forwarder before the store, and before a process, by the process's name.
     worker_links : list of str
         Addresses of the forwarders before workers.
+    version : int
+        Of the newest configuration.
     """
 
     def __init__(self, processes, *, workers):
@@ -30,6 +32,7 @@
         self.peer_links = {name: free_address() for name in processes}
         self.store_links = {name: free_address() for name in processes}
         self.worker_links = [free_address() for _ in self.worker_addresses]
+        self.version = 1  # of the configuration
         self._link_control = free_address()
 
     def start(self):
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -10,12 +10,12 @@
 from soak._faults import fault_kinds
 from soak._fleet import SoakFleet
 from soak._plan import make_plan
+from standins.launch import LaunchError
 
 __all__ = ["run_seed"]
 
 DOMAINS = ("north", "south")
 SETTLE_S = 8.0  # after the last fault; restarted processes are ready by then
-READY_S = 15.0
 
 
 def run_seed(seed, *, duration_s, processes=4, workers=6, callers=6, kinds=None, say=print):
@@ -36,7 +36,6 @@
     """
     names = {f"p{n}": DOMAINS[n % len(DOMAINS)] for n in range(processes)}
     fleet = SoakFleet(names, workers=workers)
-    fleet.version = 1
     try:
         fleet.start()
         return _play(fleet, make_plan(seed, duration_s, kinds=kinds), seed, callers, say)
@@ -79,22 +78,28 @@
 
 def _look_at_the_end(fleet):
     """Yield what is not as it should be: each process serves, one schedules."""
+    for number, name in enumerate(sorted(fleet.processes)):
+        yield from _look_at(fleet, name, f"ffff{number:012x}")
+    leaders = 0
     for name in fleet.processes:
-        try:
-            fleet.wait_ready(name)
-        except Exception as exc:  # the look goes on, and the line says what was wrong
-            yield f"{name} is not ready: {type(exc).__name__}"
-            continue
-        status, answer = fleet.submit(name, f"ffff{sorted(fleet.processes).index(name):012x}")
-        if (status, answer) != (200, {"state": "completed"}):
-            yield f"{name} answers {status} {answer}"
-        status, _ = fleet.call(name, "GET", f"/v{fleet.version}/")
-        if fleet.version > 1 and status != 200:
-            yield f"{name} has not version {fleet.version}: {status}"
-    states = {name: fleet.state(name) for name in fleet.processes}
-    for name, (status, _) in states.items():
-        if status != 200:
-            yield f"{name} tells no state: {status} {_}"
-    leaders = sum(s["pool"]["following"]["leads"] for code, s in states.values() if code == 200)
+        status, state = fleet.state(name)
+        if status == 200:
+            leaders += state["pool"]["following"]["leads"]
+        else:
+            yield f"{name} tells no state: {status} {state}"
     if leaders != 1:
         yield f"{leaders} processes schedule"
+
+
+def _look_at(fleet, name, job_id):
+    try:
+        fleet.wait_ready(name)
+    except LaunchError as exc:
+        yield f"{name} is not ready: {str(exc)[-200:]}"
+        return
+    status, answer = fleet.submit(name, job_id)
+    if (status, answer) != (200, {"state": "completed"}):
+        yield f"{name} answers {status} {answer}"
+    status, _answer = fleet.call(name, "GET", f"/v{fleet.version}/")
+    if fleet.version > 1 and status != 200:
+        yield f"{name} has not version {fleet.version}: {status}"
