Ports of test programs come from a share of the process, under the kernel's range for dialling

After: each process marks a share of 2,000 ports under 32000 as its own by a bound socket and goes round in it, so neither the kernel nor another process can hand one out. `free_ports` had the range, not the share; both are one module now, and the copy in tests/peers/support.py is gone.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -1,7 +1,8 @@
 """A fleet whose every connection but callers' goes through a forwarder that can harm it."""
 
-from standins.launch import free_address, launch
+from standins.launch import launch
 from standins.platform_fleet import PlatformFleet, call_json
+from standins.ports import free_address
 
 __all__ = ["SoakFleet"]
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -1,17 +1,13 @@
 """Shape of a deployment on loopback: addresses, settings of its processes, its change ticket."""
 
-import contextlib
-import os
-import socket
 from dataclasses import dataclass, field
 
-__all__ = ["HOST", "OPERATOR_TOKEN", "SHARED_KEY", "Deployment", "Layout", "free_ports"]
+from standins.ports import HOST, free_ports
+
+__all__ = ["OPERATOR_TOKEN", "SHARED_KEY", "Deployment", "Layout"]
 
-HOST = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token-for-stand-ins"
 SHARED_KEY = "shared-key-for-stand-ins"
-PORTS = range(10000, 32000)  # under the range that the kernel gives to dialling sockets
-PORT_STEP = 100
 PORTS_PER_PROCESS = 6  # callers, operators, peers, peer link, store link, control of the links
 MAX_TASKS = 1700
 MAX_CONNECTIONS = 64
@@ -58,23 +54,6 @@
     task_timeout_s: float = 20.0
 
 
-def free_ports(count):
-    """Return `count` TCP ports that are free now, in one run of consecutive numbers."""
-    bases = list(range(PORTS.start, PORTS.stop - count, PORT_STEP))
-    first = os.getpid() * 7 % len(bases)  # fleets of other programs start elsewhere
-    for base in bases[first:] + bases[:first]:
-        with contextlib.ExitStack() as stack:
-            try:
-                for port in range(base, base + count):
-                    sock = stack.enter_context(socket.socket())
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    sock.bind((HOST, port))
-            except OSError:
-                continue
-            return list(range(base, base + count))
-    raise OSError(f"no {count} free ports in a row")
-
-
 class Layout:
     """Addresses of every program of a deployment, and what follows from them as plain data.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,17 +11,11 @@
 
 import yaml
 
-from standins.deployment import (
-    HOST,
-    OPERATOR_TOKEN,
-    SHARED_KEY,
-    Deployment,
-    Layout,
-    free_ports,
-)
+from standins.deployment import OPERATOR_TOKEN, SHARED_KEY, Deployment, Layout
 from standins.launch import launch, wait_healthy
+from standins.ports import HOST
 
-__all__ = ["Deployment", "Fleet", "OPERATOR_TOKEN", "SHARED_KEY", "call_json", "free_ports"]
+__all__ = ["Deployment", "Fleet", "OPERATOR_TOKEN", "SHARED_KEY", "call_json"]
 
 CONTROL_TIMEOUT_S = 5.0
 
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -11,7 +11,7 @@
 import urllib.request
 from pathlib import Path
 
-__all__ = ["Child", "LaunchError", "free_address", "launch", "wait_healthy"]
+__all__ = ["Child", "LaunchError", "launch", "wait_healthy"]
 
 ROOT = Path(__file__).resolve().parent.parent
 POLL_S = 0.02
@@ -26,13 +26,6 @@
     """A program ended, or did not answer in time; the message holds its standard error."""
 
 
-def free_address(ip="127.0.0.1"):
-    """Return ``IP:port`` with a TCP port that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return f"{ip}:{sock.getsockname()[1]}"
-
-
 class Child:
     """One started program.
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -8,7 +8,8 @@
 
 import yaml
 
-from standins.launch import Child, free_address, launch, wait_healthy
+from standins.launch import Child, launch, wait_healthy
+from standins.ports import free_address
 
 __all__ = ["PlatformFleet", "call_json"]
 
--- a/tests/callers/test_border.py
+++ b/tests/callers/test_border.py
@@ -11,7 +11,7 @@
 from burdocklug.callers import callers_app
 from burdocklug.kernel import ListenSettings
 from burdocklug.web import HttpListener
-from standins.fleet import free_ports
+from standins.ports import free_ports
 from tests.fakes import FakeClock, FakeHub
 from tests.jobs.nodes import Node, body
 from tests.scenarios import with_scenarios
--- a/tests/daemon/test_imports.py
+++ b/tests/daemon/test_imports.py
@@ -8,7 +8,8 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from standins.launch import free_address, launch
+from standins.launch import launch
+from standins.ports import free_address
 
 TIMEOUT_S = 10.0
 IMPORTED = re.compile(r"^import '([^']+)' #", re.MULTILINE)  # successful imports only
--- a/tests/daemon/test_names.py
+++ b/tests/daemon/test_names.py
@@ -6,7 +6,7 @@
 import urllib3
 from testtools.matchers import Equals
 
-from standins.fleet import free_ports
+from standins.ports import free_ports
 from tests.daemon.fleets import FleetTestCase
 from tests.daemon.test_quotas import QUOTAS
 
--- a/tests/docs/test_readme.py
+++ b/tests/docs/test_readme.py
@@ -10,8 +10,8 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals
 
-from standins.deployment import free_ports
 from standins.launch import launch
+from standins.ports import free_ports
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 FILE = re.compile(r"```yaml\n# (\S+)\n(.*?)```", re.DOTALL)
--- a/tests/peers/support.py
+++ b/tests/peers/support.py
@@ -12,6 +12,7 @@
 
 from burdocklug.kernel import PeerSettings, TimerService
 from burdocklug.peers import PeerNetwork
+from standins.ports import free_address
 
 KEY = "0123456789abcdef"
 PERIODS = {"heartbeat_s": 0.1, "suspect_after_s": 0.6, "dead_after_s": 1.2}
@@ -41,12 +42,6 @@
     successor: str
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def make_network(name, *, address=None, domain="perg", seeds=(), key=KEY, options=None, **more):
     settings = PeerSettings(shared_key=key, seeds=list(seeds), **{**PERIODS, **(options or {})})
     timers = TimerService()
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -23,6 +23,7 @@
     Request,
 )
 from burdocklug.peers._incarnation import mint_incarnation, short_form  # noqa: E402
+from standins.ports import free_address  # noqa: E402
 from tests.peers.support import (  # noqa: E402
     KEY,
     Echo,
@@ -30,7 +31,6 @@
     Leave,
     NetworkCase,
     Slow,
-    free_address,
     living,
     states,
 )
--- a/tests/peers/test_sockets.py
+++ b/tests/peers/test_sockets.py
@@ -11,7 +11,7 @@
 from testtools.matchers import Equals  # noqa: E402
 
 from burdocklug.peers._sockets import PullListener, PushDialer, is_refused  # noqa: E402
-from tests.peers.support import free_address  # noqa: E402
+from standins.ports import free_address  # noqa: E402
 
 CLOSE_LIMIT_S = 1.0  # far above what it takes, far below the time-outs of nng
 
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -15,8 +15,9 @@
     RefusalReason,
     RunEndKind,
 )
-from standins.launch import free_address, launch
+from standins.launch import launch
 from standins.platform_fleet import call_json
+from standins.ports import free_address
 from tests.pools.builders import entry
 
 TIMEOUT_S = 0.5
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,8 +14,9 @@
     StoreUnavailable,
     StoreUncertain,
 )
-from standins.launch import free_address, launch
+from standins.launch import launch
 from standins.platform_fleet import call_json
+from standins.ports import free_address
 
 
 class PlatformStoreTest(TestCase):
--- a/tests/retries/test_faults.py
+++ b/tests/retries/test_faults.py
@@ -15,7 +15,8 @@
 
 from burdocklug.endpoints import HttpEndpoints  # noqa: E402
 from burdocklug.retries import Finished, NotRun, Unknown, run_attempt  # noqa: E402
-from standins.launch import free_address, launch  # noqa: E402
+from standins.launch import launch  # noqa: E402
+from standins.ports import free_address  # noqa: E402
 from tests.endpoints.support import (  # noqa: E402
     RemoteEndpoint,
     attempt,
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -8,7 +8,8 @@
 from testtools import TestCase  # noqa: E402
 from testtools.matchers import Equals, GreaterThan, LessThan  # noqa: E402
 
-from standins.launch import free_address, launch  # noqa: E402
+from standins.launch import launch  # noqa: E402
+from standins.ports import free_address  # noqa: E402
 
 QUIET_S = 0.3
 
--- a/tests/store/test_cost.py
+++ b/tests/store/test_cost.py
@@ -6,7 +6,8 @@
 from testtools.matchers import LessThan
 
 from burdocklug.store import BudgetedStore, HttpStore
-from standins.launch import free_address, launch
+from standins.launch import launch
+from standins.ports import free_address
 
 CONTROL_SHARE = 0.018  # of a core that a process may spend on control
 CALLS_PER_S = 20.0  # a process's share of the default budget among 50
--- a/tests/store/test_http.py
+++ b/tests/store/test_http.py
@@ -7,7 +7,8 @@
 from testtools.matchers import Equals, Is  # noqa: E402
 
 from burdocklug.store import HttpStore, StoreUnavailable, StoreUncertain  # noqa: E402
-from standins.launch import free_address, launch  # noqa: E402
+from standins.launch import launch  # noqa: E402
+from standins.ports import free_address  # noqa: E402
 from tests.store.store_contract import P, StoreContract  # noqa: E402
 
 TIMEOUT_S = 0.5
--- a/tests/tickets/test_silent_link.py
+++ b/tests/tickets/test_silent_link.py
@@ -17,8 +17,9 @@
 from burdocklug.tickets import _follow as follow  # noqa: E402
 from burdocklug.tickets._decisions import Role  # noqa: E402
 from burdocklug.tickets._loop import eventlet_loop  # noqa: E402
-from standins.launch import free_address, launch  # noqa: E402
+from standins.launch import launch  # noqa: E402
 from standins.link import Link  # noqa: E402
+from standins.ports import free_address  # noqa: E402
 
 WAIT_S = 20
 
