Processes refuse what the scheduler would not come to read

Under three times the load it carries, nearly all it read was stale, was sent again after 20 ms, and was stale again: 5,445 submissions turned away, 30 to 60 jobs a second done, 2,667 callers held to their deadline.

Ruled out: a choked loop (late by 10 to 42 ms, no `host_choked`), too few free endpoints (50 runs on 176), followers that lose the scheduler (none did).

Now a process sends no more jobs than the scheduler was seen to read, by the exchange that it has with it anyway: an answered question tells that the jobs before it were read. It limits itself only while that scheduler says that its own loop is late, so a slow link is no congestion. More urgent queues may overdraw. A submission that was turned away for its age waits for a later answer before it is sent again. The lateness of the loop is measured once (it was in two places).

--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -33,6 +33,10 @@
         for callback in self._subscribers:
             callback()
 
+    def priorities(self):
+        """Return the priorities of the queues in force, as a set."""
+        return {queue.priority for queue in self.configuration.queues}
+
     def take_configuration(self, configuration, *, source):
         """Put a configuration in force, unless its version is not higher than the present one."""
         if configuration.version <= self.configuration.version:
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -4,6 +4,7 @@
 import msgspec
 import structlog
 
+from burdocklug.pools._congestion import Congestion
 from burdocklug.pools._followers import Followers
 from burdocklug.pools._leadership import (
     ClaimKind,
@@ -55,6 +56,8 @@
         Returns the version of the configuration in force.
     power : callable
         Returns what the own host can carry, in cores.
+    late_s : callable
+        Returns by how much the own loop was late lately, in seconds.
 
     Attributes
     ----------
@@ -66,11 +69,13 @@
         When that was.
     followers : Followers
         The processes that follow this one.
+    congestion : Congestion
+        Whether the scheduler keeps up with what this process sends it.
     lost_heard_s : dict
         When schedulers that are not followed any more were heard last.
     """
 
-    def __init__(self, network, timers, *, members, cut_domains, on_change, version, power):
+    def __init__(self, network, timers, *, members, cut_domains, on_change, version, power, late_s):
         self.claim = None
         self.heard_sequence = 0
         self.heard_s = 0.0
@@ -84,6 +89,7 @@
         self._on_change = on_change
         self._version = version
         self._power = power
+        self._late_s = late_s
         self._claimed_s = 0.0
         self._sequence = 0
         self._greatest = None
@@ -91,6 +97,7 @@
         self._asking = False
         self._asked_s = -ASK_AGAIN_S
         self.followers = Followers(keep_s=LOST_S)
+        self.congestion = Congestion(timers.now)
         self.lost_heard_s = {}
         network.register(ReachAnswer)
         network.register(ReachQuestion, self._on_question, inline=True)
@@ -122,6 +129,7 @@
         self._greatest = greater_claim(self._greatest, claim)
         self.heard_s = self._claimed_s = self._timers.now()
         self.heard_sequence = 0
+        self.congestion.reset()
         log.info(
             "scheduler_followed" if claim else "scheduler_lost",
             scheduler=claim.scheduler if claim else None,
@@ -144,6 +152,7 @@
     def _send_follow(self):
         self._sequence += 1
         follow = Follow(self._sequence, self.claim, self._version(), self._power())
+        self.congestion.note_sent(self._sequence)
         self._network.send(self.claim.scheduler, follow)
 
     def _tick(self):
@@ -173,7 +182,8 @@
 
     def _on_follow(self, sender, message):
         self.followers.note(sender, message, self._timers.now())
-        self._network.send(sender, Followed(message.sequence, self.claim, self._version()))
+        followed = Followed(message.sequence, self.claim, self._version(), self._late_s())
+        self._network.send(sender, followed)
         self._note_version(sender, message.configuration_version)
 
     def _on_followed(self, sender, message):
@@ -186,6 +196,7 @@
         self.claim = message.claim
         self.heard_s = self._timers.now()
         self.heard_sequence = max(self.heard_sequence, message.sequence)
+        self.congestion.note_answered(message.sequence, message.late_s)
 
     def _note_version(self, sender, version):
         if version > self._version() and self.on_newer_version is not None:
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -51,12 +51,14 @@
         Carries orders to endpoints.
     following : Following
         Tells which other processes were heard.
+    host : HostPower
+        Tells by how much the loop was late.
     lease_s, distance_factor : float
         Longest lease of a run in seconds; times as long a task takes far from its data.
     """
 
     def __init__(
-        self, network, timers, directory, protocol, following, *, lease_s, distance_factor
+        self, network, timers, directory, protocol, following, host, *, lease_s, distance_factor
     ):
         self.scheduler = None
         self._network = network
@@ -64,13 +66,13 @@
         self._directory = directory
         self._protocol = protocol
         self._following = following
+        self._host = host
         self._lease_s = lease_s
         self._distance_factor = distance_factor
         self._agents = {}
         self._claim = None
         self._began_s = 0.0
         self._pump_due = False
-        self._latest_s = 0.0
         network.register(JobAnswer)
         network.register(JobCounted)
         network.register(JobKnown)
@@ -187,7 +189,6 @@
         if self.scheduler is None:
             return
         now = self._timers.now()
-        self._latest_s = max(self._latest_s, now % UPKEEP_S)
         if not self.scheduler.settled:
             looked = all(a.looked for a in self._agents.values()) and self._agents
             if (looked and now > self._began_s + GATHER_S) or now > self._began_s + SETTLE_S:
@@ -202,7 +203,7 @@
 
     def _log_load(self):
         if self.scheduler is not None:
-            late_ms, self._latest_s = round(1000 * self._latest_s), 0.0
+            late_ms = round(1000 * self._host.take_latest_s())
             log.info("pool_load", **self.scheduler.load(), loop_late_ms=late_ms)
 
     def _suspend_lost(self, now):
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -68,11 +68,15 @@
 
 
 class Followed(msgspec.Struct, frozen=True, array_like=True, tag="pool_followed"):
-    """Answer to `Follow`: the claim that the receiver holds for the greatest one."""
+    """Answer to `Follow`: the claim that the receiver holds for the greatest one.
+
+    `late_s` is by how much the receiver's loop was late lately, in seconds.
+    """
 
     sequence: int
     claim: Claim | None
     configuration_version: int = 0
+    late_s: float = 0.0
 
 
 class ReachQuestion(msgspec.Struct, frozen=True, array_like=True, tag="pool_reach"):
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -64,14 +64,18 @@
             on_change=self._follow_claim,
             version=lambda: self.directory.configuration.version,
             power=lambda: self._host.power(self._timers.now()),
+            late_s=lambda: self._host.recent_late_s,
+        )
+        self.submitter = Submitter(
+            self._network, self.following, self._timers, priorities=self.directory.priorities
         )
-        self.submitter = Submitter(self._network, self.following, self._timers)
         self.leader = Leader(
             self._network,
             self._timers,
             self.directory,
             order_protocols.get(settings.pool.orders)(now=self._timers.now),
             self.following,
+            self._host,
             lease_s=settings.pool.max_lease_ms / 1000,
             distance_factor=settings.pool.distance_factor,
         )
--- a/burdocklug/pools/_submitter.py
+++ b/burdocklug/pools/_submitter.py
@@ -52,13 +52,16 @@
         Tells the scheduler.
     timers : TimerService
         Source of time.
+    priorities : callable
+        Returns the priorities of the queues in force, as a set; the lowest is the most urgent.
     """
 
-    def __init__(self, network, following, timers):
+    def __init__(self, network, following, timers, *, priorities):
         self.waiting = 0
         self._network = network
         self._following = following
         self._timers = timers
+        self._priorities = priorities
         self._calls = {}
 
     def follow_claim(self, claim):
@@ -119,6 +122,8 @@
         until_s = submission.received_s + submission.wait_s + ANSWER_MARGIN_S
         while True:
             claim = self._wait_for_scheduler(submission, until_s)
+            self._admit(submission)
+            sequence = self._following.heard_sequence
             answer = self._call(claim.scheduler, submission, until_s)
             if answer is None:
                 continue
@@ -139,7 +144,35 @@
             if answer.begun:
                 submission.heard_s = self._timers.now()
                 submission.progress = answer.progress
+            self._wait_for_news(claim, sequence)
+
+    def _admit(self, submission):
+        """Refuse a job that the scheduler would not come to read; one that may run goes on."""
+        congestion = self._following.congestion
+        is_admitted = congestion.admits(self._urgency(submission.spec.queue))
+        if not is_admitted and not submission.maybe_begun:
+            raise BurdocklugError(
+                ErrorKind.WOULD_MISS_DEADLINE,
+                "refused: the scheduler is behind",
+                retry_after_s=congestion.retry_after_s(),
+            )
+
+    def _urgency(self, queue):
+        """Return how many less urgent priorities the queues in force have."""
+        return sum(priority > queue.priority for priority in self._priorities())
+
+    def _wait_for_news(self, claim, sequence):
+        """Wait until the scheduler has answered a later question, or another one is followed.
+
+        A scheduler that has turned a job away for its age would do so again with the same answer.
+        """
+        while True:
             eventlet.sleep(POLL_S)
+            following = self._following
+            if following.claim is None or following.claim.scheduler != claim.scheduler:
+                return
+            if following.leads or following.heard_sequence > sequence:
+                return
 
     def _wait_for_scheduler(self, submission, until_s):
         began_s = self._timers.now()
--- a/tests/pools/test_submitter.py
+++ b/tests/pools/test_submitter.py
@@ -1,3 +1,5 @@
+import itertools
+
 import eventlet
 from testtools import TestCase
 from testtools.matchers import Equals
@@ -12,16 +14,35 @@
 COMPLETED = JobAnswer(JobOutcome.COMPLETED)
 
 
+class FakeCongestion:
+    """A scheduler that reads jobs of the given urgency and more urgent ones."""
+
+    least = 0
+
+    def admits(self, urgency):
+        return urgency >= self.least
+
+    def retry_after_s(self):
+        return 2.0
+
+
 class FakeFollowing:
     """A claim that has answered, and when schedulers were heard."""
 
     def __init__(self, timers):
         self.claim = Claim(True, 1, "first")
-        self.heard_sequence = 7
+        self.congestion = FakeCongestion()
+        self.leads = False
+        self._heard = itertools.count(7)
         self.heard_s = timers.now()
         self.lost_heard_s = {}
         self.not_reached = []
 
+    @property
+    def heard_sequence(self):
+        """A later answer with each look."""
+        return next(self._heard)
+
     @property
     def reached_claim(self):
         return self.claim
@@ -37,7 +58,7 @@
         self.following = FakeFollowing(self.timers)
         self.answers = []
         self.sent = []
-        self.submitter = Submitter(self, self.following, self.timers)
+        self.submitter = Submitter(self, self.following, self.timers, priorities=lambda: {0, 5})
 
     def call(self, scheduler, message, *, timeout_s):
         self.sent.append((scheduler, message))
@@ -109,3 +130,46 @@
         self.timers.run_due()
         self.assertThat(thread.wait(), Equals(JobOutcome.COMPLETED))
         self.assertThat([scheduler for scheduler, _m in self.sent], Equals(["first", "second"]))
+
+    def test_a_job_that_a_busy_scheduler_would_not_read_is_refused_before_it_is_sent(self):
+        self.following.congestion.least = 2
+        exc = self.refusal()
+        self.assertThat((exc.kind, exc.ran), Equals((ErrorKind.WOULD_MISS_DEADLINE, Ran.NO)))
+        self.assertThat((exc.retry_after_s, self.sent), Equals((2.0, [])))
+
+    def test_a_job_of_the_most_urgent_queue_goes_before_the_others(self):
+        self.following.congestion.least = 1
+        self.answers = [COMPLETED]
+        self.assertThat(self.submitter.submit(spec("j1"), wait_s=1.0), Equals(JobOutcome.COMPLETED))
+
+    def test_one_that_was_turned_away_for_its_age_is_refused_where_it_is_not_read(self):
+        def turn_away(_scheduler, _message, *, timeout_s):
+            self.following.congestion.least = 2
+            return JobAnswer(moved=True)
+
+        self.call = turn_away
+        self.assertThat(self.refusal().ran, Equals(Ran.NO))
+
+    def test_one_that_may_have_begun_is_sent_however_busy_the_scheduler_is(self):
+        def lose(scheduler, message, *, timeout_s):
+            self.sent.append((scheduler, message))
+            self.following.congestion.least = 2
+            if len(self.sent) == 1:
+                raise PeerSilent("first", "timeout")
+            return COMPLETED
+
+        self.call = lose
+        self.assertThat(self.submitter.submit(spec("j1"), wait_s=1.0), Equals(JobOutcome.COMPLETED))
+
+    def test_one_that_was_turned_away_is_sent_again_after_a_later_answer_only(self):
+        def answer(scheduler, message, *, timeout_s):
+            self.sent.append((scheduler, message))
+            return JobAnswer(moved=True) if len(self.sent) == 1 else COMPLETED
+
+        self.call = answer
+        self.following._heard = itertools.repeat(7)
+        thread = eventlet.spawn(self.submitter.submit, spec("j1"), wait_s=2.0)
+        eventlet.sleep(0.2)
+        self.assertThat(len(self.sent), Equals(1))
+        self.following._heard = itertools.repeat(8)
+        self.assertThat(thread.wait(), Equals(JobOutcome.COMPLETED))
--- a/tests/pools/virtual_fleet.py
+++ b/tests/pools/virtual_fleet.py
@@ -30,6 +30,7 @@
             on_change=self.changes.append,
             version=lambda: 1,
             power=lambda: self.power,
+            late_s=lambda: 0.0,
         )
         self.following.ready = True
         self.following.start()
