A scheduler's look at the endpoints ends within 1 s, so that drains are seen after a silence

Every site had this; a call has to fall into the silence.

Ruled out: history or pace (no `store_history_lost` before 31 s), the other processes' knowledge (theirs is not asked), a malformed entry.

Now the scheduler looks each 0.6 s and does not wait at the store; a look without an answer is over after 1 s and comes again 0.2 s later. Followers wait as before, but a call that waits is given up when the process becomes the scheduler, and the one for the configuration when a look fails.

Fleet test red first (a store silent for 2 s, then a drain).

--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -11,12 +11,12 @@
     decode_entry,
     worker_id,
 )
-from burdocklug.store import PrefixFollower, Record, record_stores
+from burdocklug.store import FollowPace, PrefixFollower, Record, record_stores
 from burdocklug.web import HttpListener
 
 __all__ = ["CataloguePart", "ClientsPart"]
 
-CONFIG_PACE_S = 0.1  # a configuration is in force within 2 s
+CONFIG_PACE = FollowPace(pause_s=0.1)  # a configuration is in force within 2 s
 STOP_S = 1.0  # for answers in flight, which the pool has waited for
 READY_CONNECTIONS = 16
 
@@ -46,14 +46,15 @@
             SERVERS_PREFIX,
             replace=self._replace_servers,
             apply=self._apply_server,
-            pace=self._pool.listing_pace_s,
+            pace=self._pool.listing_pace,
+            on_failure=lambda: self._config.hasten(),
         )
         self._config = PrefixFollower(
             store,
             CONFIG_KEY,
             replace=self._replace_config,
             apply=self._apply_config,
-            pace=lambda: CONFIG_PACE_S,
+            pace=lambda: CONFIG_PACE,
         )
         self._pool.on_leading = self._servers.hasten
 
--- a/burdocklug/pools/_fleet.py
+++ b/burdocklug/pools/_fleet.py
@@ -5,6 +5,7 @@
 import structlog
 
 from burdocklug.store import (
+    FollowPace,
     LeaseEnded,
     PrefixFollower,
     Record,
@@ -17,7 +18,7 @@
 MEMBERS_PREFIX = "burdocklug/members/"
 LEASE_S = 4.0  # a process that lost its power is not counted any more after this time
 RENEW_S = 1.2  # three tries within a lease
-PACE_S = 0.1  # between two calls for changes; processes come and go seldom
+PACE = FollowPace(pause_s=0.1)  # processes come and go seldom
 
 log = structlog.get_logger(__name__)
 
@@ -58,7 +59,7 @@
         self._members = {}
         self._stopped = False
         self._follower = PrefixFollower(
-            store, MEMBERS_PREFIX, replace=self._replace, apply=self._apply, pace=lambda: PACE_S
+            store, MEMBERS_PREFIX, replace=self._replace, apply=self._apply, pace=lambda: PACE
         )
 
     @property
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -17,6 +17,7 @@
 from burdocklug.pools._orders import order_protocols
 from burdocklug.pools._power import HostPower
 from burdocklug.pools._submitter import Submitter
+from burdocklug.store import FollowPace
 
 __all__ = ["PoolPart"]
 
@@ -28,8 +29,10 @@
 DRAIN_POLL_S = 0.05
 PROBED_ENDPOINTS = 3
 PROBE_S = 0.2
-LEADER_LISTING_S = 1.0  # from one look at the list of endpoints to the next; drains are due in 2 s
-FOLLOWER_LISTING_S = 4.0  # a follower looks at once when it becomes the scheduler
+# Endpoints that leave get nothing after 2 s: 0.6 s from one look to the next, 1 s until one without
+# an answer is given up, 0.2 s to the next try, and 0.2 s of room.
+LEADER_LISTING = FollowPace(pause_s=0.6, wait_s=0.0, retry_s=0.2)
+FOLLOWER_LISTING = FollowPace(pause_s=4.0)  # it looks at once when it becomes the scheduler
 FETCH_S = 0.5  # for a peer to answer with its configuration
 
 log = structlog.get_logger(__name__)
@@ -99,9 +102,9 @@
         self.leader.follow_claim(claim)
         self.submitter.follow_claim(claim)
 
-    def listing_pace_s(self):
-        """Return the shortest time between two looks at the platform's list of endpoints."""
-        return LEADER_LISTING_S if self.following.leads else FOLLOWER_LISTING_S
+    def listing_pace(self):
+        """Return how often to look at the platform's list of endpoints."""
+        return LEADER_LISTING if self.following.leads else FOLLOWER_LISTING
 
     @property
     def is_ready(self):
--- a/burdocklug/store/__init__.py
+++ b/burdocklug/store/__init__.py
@@ -3,7 +3,7 @@
 from burdocklug.store._breaker import BreakerState
 from burdocklug.store._budget import Priority
 from burdocklug.store._budgeted import DEFAULT_PRIORITIES, BudgetedStore
-from burdocklug.store._follower import PrefixFollower
+from burdocklug.store._follower import FollowPace, PrefixFollower
 from burdocklug.store._hosts import merge_host_lists
 from burdocklug.store._http import HttpStore
 from burdocklug.store._memory import MemoryStore
@@ -35,6 +35,7 @@
     "BreakerState",
     "BudgetedStore",
     "Entry",
+    "FollowPace",
     "HistoryLost",
     "HostList",
     "HttpStore",
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -212,14 +212,24 @@
         answers = thread.wait()
         self.assertThat([a for a in answers if a != (200, {"state": "completed"})], Equals([]))
 
-    def test_a_draining_worker_gets_no_start_after_two_seconds(self):
-        self.fleet.control("POST", "/worker/1/drain")
+    def check_drain(self, number, prefix):
+        self.fleet.control("POST", f"/worker/{number}/drain")
         eventlet.sleep(2.0)
         from_ms = int(time.monotonic() * 1000)
-        self.submit_many("4000", 8)
-        late = [s for s in self.fleet.starts() if s[0] == "i-0001" and s[3] > from_ms]
+        self.submit_many(prefix, 8)
+        late = [s for s in self.fleet.starts() if s[0] == f"i-000{number}" and s[3] > from_ms]
         self.assertThat(late, Equals([]))
-        self.fleet.control("POST", "/worker/1/crash")
+        self.fleet.control("POST", f"/worker/{number}/crash")
+
+    def test_a_draining_worker_gets_no_start_after_two_seconds(self):
+        self.check_drain(1, "4000")
+
+    def test_nor_does_one_that_drains_after_the_store_was_silent(self):
+        """A look that hung in the silence kept a scheduler from the next ones for 20 s."""
+        self.fleet.control("POST", "/faults", {"store_silent": True})
+        eventlet.sleep(2.0)
+        self.fleet.control("POST", "/faults", self.no_faults())
+        self.check_drain(2, "5000")
 
 
 class ProcessLossTest(FleetTestCase):
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -3,7 +3,14 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.store import HistoryLost, PrefixFollower, Record, Removal, StoreUnavailable
+from burdocklug.store import (
+    FollowPace,
+    HistoryLost,
+    PrefixFollower,
+    Record,
+    Removal,
+    StoreUnavailable,
+)
 
 
 class ScriptedStore:
@@ -29,6 +36,12 @@
         return answer
 
 
+def turns():
+    """Let the follower's greenlets run until they wait."""
+    for _ in range(10):
+        eventlet.sleep(0)
+
+
 def record(key, revision):
     return Record(key, b"v", revision)
 
@@ -39,7 +52,7 @@
         store = ScriptedStore(reads, follows)
         replaced, applied = [], []
         follower = PrefixFollower(
-            store, "a/", replace=replaced.append, apply=applied.append, pace=lambda: 0.0
+            store, "a/", replace=replaced.append, apply=applied.append, pace=lambda: FollowPace(0.0)
         )
         for _ in range(steps):
             try:
@@ -88,7 +101,11 @@
         store = ScriptedStore([([], 1)], [([record("a/1", 2)], 2), greenlet.GreenletExit()])
         applied = []
         follower = PrefixFollower(
-            store, "a/", replace=lambda _records: None, apply=applied.append, pace=lambda: 0.0
+            store,
+            "a/",
+            replace=lambda _records: None,
+            apply=applied.append,
+            pace=lambda: FollowPace(0.0),
         )
         follower.start()
         for _ in range(10):
@@ -102,11 +119,74 @@
         )
         applied = []
         follower = PrefixFollower(
-            store, "a/", replace=lambda _records: None, apply=applied.append, pace=lambda: 60.0
+            store,
+            "a/",
+            replace=lambda _records: None,
+            apply=applied.append,
+            pace=lambda: FollowPace(60.0),
         )
         follower.start()
         for hastened in range(3):
-            eventlet.sleep(0)
+            turns()
             self.assertThat(len(applied), Equals(hastened))
             follower.hasten()
-            eventlet.sleep(0)
+
+
+class SilentStore:
+    """A store whose first calls hang for ever; the later ones tell of one record, then hang."""
+
+    def __init__(self, *, silent):
+        self.silent = silent
+        self.waits_s = []
+
+    def read(self, prefix):
+        return [], 1
+
+    def follow(self, prefix, after, *, wait_s):
+        self.waits_s.append(wait_s)
+        if len(self.waits_s) <= self.silent or after == 2:
+            eventlet.sleep(60.0)
+        return [record("a/1", 2)], 2
+
+
+class SilentCallTest(TestCase):
+    """A call that waits was sent while the store was silent, and nobody will answer it."""
+
+    def follow(self, store, pace, **options):
+        self.applied = []
+        follower = PrefixFollower(
+            store,
+            "a/",
+            replace=lambda _records: None,
+            apply=self.applied.append,
+            pace=lambda: pace,
+            **options,
+        )
+        follower.start()
+        turns()
+        return follower
+
+    def test_hastening_gives_it_up_and_asks_anew(self):
+        follower = self.follow(SilentStore(silent=1), FollowPace(0.0))
+        self.assertThat(self.applied, Equals([]))
+        follower.hasten()
+        turns()
+        self.assertThat(self.applied, Equals([record("a/1", 2)]))
+
+    def test_each_call_waits_as_long_as_the_pace_says(self):
+        store = SilentStore(silent=1)
+        self.follow(store, FollowPace(0.0, wait_s=0.3))
+        self.assertThat(store.waits_s, Equals([0.3]))
+
+    def test_a_failure_is_told_so_that_others_are_asked_anew(self):
+        store = ScriptedStore([([], 3)], [StoreUnavailable("silent"), greenlet.GreenletExit()])
+        told = []
+        self.follow(store, FollowPace(0.0), on_failure=lambda: told.append(True))
+        self.assertThat(told, Equals([True]))
+
+    def test_the_pause_after_many_failures_is_bounded_by_the_pace(self):
+        follower = self.follow(
+            ScriptedStore([StoreUnavailable("down") for _ in range(100)], []),
+            FollowPace(0.0, retry_s=0.0),
+        )
+        self.assertTrue(follower._retry_s >= 1.0)
