--- a/burdocklug/store/_follower.py
+++ b/burdocklug/store/_follower.py
@@ -155,9 +155,17 @@
 
     def _call(self, wait_s):
         """Return changes and their revision; the call runs in a greenlet that can be ended."""
-        follow = self._store.follow
-        self._waiting = eventlet.spawn(follow, self._prefix, self._revision, wait_s=wait_s)
+        done = Event()
+        self._waiting = eventlet.spawn(self._follow, wait_s, done)
         try:
-            return self._waiting.wait()
+            return done.wait()
         finally:
             self._waiting = None
+
+    def _follow(self, wait_s, done):
+        try:
+            answer = self._store.follow(self._prefix, self._revision, wait_s=wait_s)
+        except Exception as exc:  # raised where the answer is waited for
+            done.send_exception(exc)
+        else:
+            done.send(answer)
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -1,3 +1,6 @@
+import contextlib
+import io
+
 import eventlet
 import greenlet
 from testtools import TestCase
@@ -184,6 +187,13 @@
         self.follow(store, FollowPace(0.0), on_failure=lambda: told.append(True))
         self.assertThat(told, Equals([True]))
 
+    def test_a_failure_reaches_the_follower_and_not_the_loop(self):
+        """The loop printed each one with its trace, and dropped the descriptor it came from."""
+        store = ScriptedStore([([], 3)], [StoreUnavailable("reset"), greenlet.GreenletExit()])
+        with contextlib.redirect_stderr(io.StringIO()) as printed:
+            self.follow(store, FollowPace(0.0, retry_s=0.0))
+        self.assertThat(printed.getvalue(), Equals(""))
+
     def test_the_pause_after_many_failures_is_bounded_by_the_pace(self):
         follower = self.follow(
             ScriptedStore([StoreUnavailable("down") for _ in range(100)], []),
