Answers of a process that ends close their connections, so that callers go to another one

Ruled out: the balancer (new connections go elsewhere from 2 s on), the scheduler (other processes served meanwhile).

Now each answer from the stop signal on says that it closes its connection, also that of a request from before the signal. Tests red first.

--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -43,9 +43,16 @@
 
     def respond(self, environ):
         """Return the response to one request."""
+        try:
+            return self._respond(environ)
+        finally:
+            # A kept connection stays with its process: the caller has to open one to another.
+            if self._pool.draining:
+                environ["burdocklug.close"] = True
+
+    def _respond(self, environ):
         configuration = self._pool.directory.configuration
         if self._pool.refusing:
-            environ["burdocklug.close"] = True
             raise BurdocklugError(ErrorKind.SHUTTING_DOWN, "this process is shutting down")
         if not configuration.version:
             raise BurdocklugError(ErrorKind.NO_CONFIGURATION, "no configuration yet")
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -49,6 +49,7 @@
 
     def __init__(self, process):
         self.directory = Directory()
+        self.draining = False
         self.refusing = False
         self.on_leading = None
         self._process = process
@@ -185,6 +186,7 @@
 
     def drain(self):
         """Hand the scheduling over, then end as soon as all callers have their answers."""
+        self.draining = True
         began_s = self._timers.now()
         bound_s = self._settings.grace_s - GRACE_MARGIN_S
         self.following.hand_over()
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,53 @@
+from types import SimpleNamespace
+
+from testtools import TestCase
+from testtools.matchers import Contains, Equals, Not
+
+from burdocklug.platform._callers import ClientsApp
+from burdocklug.pools import PoolConfiguration, QueueRule
+
+CLOSE = ("Connection", "close")
+
+
+class FakePool:
+    """A pool without jobs: it counts those that have begun nothing."""
+
+    def __init__(self):
+        self.draining = False
+        self.refusing = False
+        self.on_count = lambda: None
+        queue = QueueRule(name="q", host="a.example", prefix="/a/", service="s")
+        self.directory = SimpleNamespace(configuration=PoolConfiguration(1, (queue,)))
+        self.submitter = self
+
+    def pending(self, _queue):
+        self.on_count()
+        return 3
+
+
+class DrainTest(TestCase):
+    """Clients keep their connections open; a process that ends has to send them elsewhere."""
+
+    def setUp(self):
+        super().setUp()
+        self.pool = FakePool()
+        self.app = ClientsApp(self.pool, body_timeout_s=1.0)
+
+    def ask(self):
+        environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/a/", "HTTP_HOST": "a.example"}
+        got = []
+        self.app(environ, lambda status, headers: got.extend((status[:3], headers)))
+        return got
+
+    def test_connections_are_kept_while_it_serves(self):
+        self.assertThat(self.ask()[1], Not(Contains(CLOSE)))
+
+    def test_an_answer_during_a_drain_closes_its_connection(self):
+        self.pool.draining = True
+        status, headers = self.ask()
+        self.assertThat(status, Equals("200"))
+        self.assertThat(headers, Contains(CLOSE))
+
+    def test_so_does_one_to_a_request_from_before(self):
+        self.pool.on_count = lambda: setattr(self.pool, "draining", True)
+        self.assertThat(self.ask()[1], Contains(CLOSE))
