Followers hear of a scheduler whose address refuses connections, also without a job there

Followers with a job in flight knew within 0.1 s; the others only by their next job or after 0.8 s of silence, and while they still named the old scheduler, nobody claimed.

Now the peers' network tells of an address that refuses twice in a row, as the exchange of each 0.2 s finds out. In virtual time a new scheduler is followed within 0.6 s (red first: it was not).

--- a/burdocklug/peers/_network.py
+++ b/burdocklug/peers/_network.py
@@ -243,6 +243,14 @@
         """
         self._membership.on_declared_dead = callback
 
+    def on_refused(self, callback):
+        """Set the function to call, with its incarnation, when a peer refuses connections.
+
+        That is after the second refusal in a row of what was to be sent to it; nothing listens at
+        its address. The function may not wait.
+        """
+        self._transport.on_refused = callback
+
     def leave(self, successor=None, *, timeout_s=2.0):
         """Tell the members that this process leaves.
 
--- a/burdocklug/peers/_transport.py
+++ b/burdocklug/peers/_transport.py
@@ -44,6 +44,11 @@
         Returns monotonic seconds.
     after : callable
         Calls a function after a delay in seconds.
+
+    Attributes
+    ----------
+    on_refused : callable or None
+        Takes the incarnation of a peer whose address refuses one connection after the other.
     """
 
     def __init__(self, identity, *, shared_key, now, after):
@@ -53,6 +58,7 @@
         self.counters = collections.Counter()
         self.channels = {}
         self.seed_links = {}
+        self.on_refused = None
         self._by_short_form = {}
         self.now = now
         self._after = after
@@ -238,6 +244,8 @@
         channel.refusals += 1
         if channel.refusals > 1:
             self.fail_calls(channel, "connection refused")
+            if self.on_refused is not None:
+                self.on_refused(channel.incarnation)
         elif channel.calls:
             self._after(ASK_AGAIN_S, lambda: self.ask(channel))
 
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -99,6 +99,7 @@
         self.followers = Followers(keep_s=LOST_S)
         self.congestion = Congestion(timers.now)
         self.lost_heard_s = {}
+        network.on_refused(self.note_not_reached)
         network.register(ReachAnswer)
         network.register(ReachQuestion, self._on_question, inline=True)
         network.register(ClaimNotice, self._on_notice, inline=True)
--- a/tests/peers/test_faults.py
+++ b/tests/peers/test_faults.py
@@ -49,6 +49,21 @@
         with ExpectedException(PeerNotReached):
             one.call(two.incarnation, Echo(2), timeout_s=5)
 
+    def test_one_that_refuses_what_is_sent_to_it_is_told_of_without_a_call(self):
+        one = self.network("p1")
+        two = self.process("p2", seeds=[one.address])
+        self.wait_for(lambda: living(one) == {"p2"})
+        refused = []
+        one.on_refused(refused.append)
+        two.kill()
+
+        def send():
+            one.send(two.incarnation, Echo(2))
+            return refused
+
+        self.wait_for(send)
+        self.assertThat(set(refused), Equals({two.incarnation}))
+
     def test_killed_peer_is_declared_dead_everywhere(self):
         nets = self.fleet({"perg": ["p1", "p2"], "rohrbach": ["r1", "r2"]})
         victim = self.process("p3", seeds=[nets["p1"].address])
--- a/tests/pools/test_following.py
+++ b/tests/pools/test_following.py
@@ -20,6 +20,12 @@
         self.fleet.run(2.0)
         self.assertThat(self.fleet.followed()[1:], Equals([1] * 6))
 
+    def test_one_whose_address_refuses_connections_is_replaced_sooner_than_a_silent_one(self):
+        """Followers without a job there heard of it by its silence only, and held the others up."""
+        self.fleet[0].ended = True
+        self.fleet.run(0.6)
+        self.assertThat(self.fleet.followed()[1:], Equals([1] * 6))
+
     def test_one_that_is_cut_off_alone_and_fenced_claims_nothing(self):
         self.fleet.alone.add(self.fleet[0])
         self.fleet.run(2.0)
--- a/tests/pools/virtual_fleet.py
+++ b/tests/pools/virtual_fleet.py
@@ -3,7 +3,7 @@
 import eventlet
 
 from burdocklug.kernel import TimerService
-from burdocklug.peers import PeerSilent
+from burdocklug.peers import PeerNotReached, PeerSilent
 from burdocklug.pools._following import Following
 
 __all__ = ["VirtualFleet"]
@@ -19,6 +19,9 @@
         self.failure_domain = domain
         self.incarnation = f"10.0.0.{number}:7000~{number:016x}0123abcd"
         self.frozen = False
+        self.ended = False
+        self.refused = None
+        self.refusals = 0
         self.changes = []
         self.power = 1.0
         self._handlers = {}
@@ -48,13 +51,23 @@
     def register(self, message_type, handler=None, *, inline=False):
         self._handlers[message_type] = handler
 
+    def on_refused(self, callback):
+        self.refused = callback
+
     def send(self, incarnation, message):
         node = self.fleet.nodes[incarnation]
+        if node.ended:
+            self.refusals += 1
+            if self.refusals > 1:
+                self.refused(incarnation)
+            return
         if self.fleet.is_linked(self, node):
             node._handlers[type(message)](self.incarnation, message)
 
     def call(self, incarnation, message, *, timeout_s):
         node = self.fleet.nodes[incarnation]
+        if node.ended:
+            raise PeerNotReached(incarnation, "connection refused")
         if not self.fleet.is_linked(self, node):
             raise PeerSilent(incarnation, "cut")
         return node._handlers[type(message)](self.incarnation, message)
@@ -80,7 +93,7 @@
         return one != other and (one in self.cuts or other in self.cuts)
 
     def is_linked(self, one, other):
-        if one.frozen or other.frozen or one in self.alone or other in self.alone:
+        if one.ended or one.frozen or other.frozen or one in self.alone or other in self.alone:
             return False
         return not self.is_domain_cut(one.failure_domain, other.failure_domain)
 
