The claim that a process holds is a module of its own, beside the search for a scheduler

`_following.py` had grown to 345 lines with two jobs: what is known of the scheduler that is followed (claim, exchange, congestion), and when to look for one or be it.

--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -1,24 +1,20 @@
-"""Which scheduler this process follows, and when it claims to be it."""
+"""Which scheduler this process looks for, and when it claims to be it."""
 
 import eventlet
 import msgspec
 import structlog
 
-from burdocklug.pools._congestion import Congestion
-from burdocklug.pools._followers import Followers
+from burdocklug.pools._held_claim import LOST_S, HeldClaim
 from burdocklug.pools._leadership import (
     ClaimKind,
     first_to_claim,
     fit_ones,
-    greater_claim,
     next_claim,
     successor_of,
 )
 from burdocklug.pools._messages import (
     Claim,
     ClaimNotice,
-    Follow,
-    Followed,
     ReachAnswer,
     ReachQuestion,
 )
@@ -27,7 +23,6 @@
 __all__ = ["Following"]
 
 FOLLOW_S = 0.2  # period of the exchange with the scheduler
-LOST_S = 0.8  # four exchanges without an answer
 NOTICE_S = 1.0  # period in which a scheduler tells all members of its claim
 ASK_AGAIN_S = 0.1
 TENURE_S = 2.0  # a scheduler takes up its endpoints and jobs before it yields to a stronger host
@@ -37,125 +32,46 @@
 log = structlog.get_logger(__name__)
 
 
-class Following:
-    """The claim that this process holds for the greatest one, and its exchange with the scheduler.
+class Following(HeldClaim):
+    """Finds the scheduler to follow, and claims to be it where there is none.
 
     Parameters
     ----------
-    network : PeerNetwork
-        Carries the messages.
-    timers : TimerService
-        Source of time.
+    network, timers, on_change, version, power, late_s
+        As for `HeldClaim`.
     members : callable
         Returns failure domains by incarnation of the other processes that are thought to live.
     cut_domains : callable
         Takes failure domains and returns those whose endpoints are not reached; it may wait.
-    on_change : callable
-        Takes the new claim, or None, after each change.
-    version : callable
-        Returns the version of the configuration in force.
-    power : callable
-        Returns what the own host can carry, in cores.
-    late_s : callable
-        Returns by how much the own loop was late lately, in seconds.
 
     Attributes
     ----------
-    claim : Claim or None
-        The claim of the scheduler that is followed.
-    heard_sequence : int
-        Last answer of that scheduler.
-    heard_s : float
-        When that was.
-    followers : Followers
-        The processes that follow this one.
-    congestion : Congestion
-        Whether the scheduler keeps up with what this process sends it.
-    lost_heard_s : dict
-        When schedulers that are not followed any more were heard last.
+    draining : bool
+        Whether this process ends, and must not claim.
+    ready : bool
+        Whether the members are known, so that this process may look for a scheduler.
     """
 
     def __init__(self, network, timers, *, members, cut_domains, on_change, version, power, late_s):
-        self.claim = None
-        self.heard_sequence = 0
-        self.heard_s = 0.0
+        super().__init__(
+            network, timers, on_change=on_change, version=version, power=power, late_s=late_s
+        )
         self.draining = False
         self.ready = False
-        self.on_newer_version = None
-        self._network = network
-        self._timers = timers
         self._members = members
         self._cut_domains = cut_domains
-        self._on_change = on_change
-        self._version = version
-        self._power = power
-        self._late_s = late_s
-        self._claimed_s = 0.0
-        self._sequence = 0
-        self._greatest = None
         self._noticed_s = 0.0
         self._asking = False
         self._asked_s = -ASK_AGAIN_S
-        self.followers = Followers(keep_s=LOST_S)
-        self.congestion = Congestion(timers.now)
-        self.lost_heard_s = {}
         network.on_refused(self.note_not_reached)
         network.register(ReachAnswer)
         network.register(ReachQuestion, self._on_question, inline=True)
         network.register(ClaimNotice, self._on_notice, inline=True)
-        network.register(Follow, self._on_follow, inline=True)
-        network.register(Followed, self._on_followed, inline=True)
 
     def start(self):
         """Begin the exchange."""
         self._timers.every(FOLLOW_S, self._tick)
 
-    @property
-    def own(self):
-        """Own incarnation."""
-        return self._network.incarnation
-
-    @property
-    def leads(self):
-        """Whether this process is the scheduler."""
-        return self.claim is not None and self.claim.scheduler == self.own
-
-    def _set_claim(self, claim, reason):
-        if claim == self.claim:
-            return
-        before, self.claim = self.claim, claim
-        if before is not None:
-            own = before.scheduler == self.own
-            self.lost_heard_s[before.scheduler] = self._timers.now() if own else self.heard_s
-        self._greatest = greater_claim(self._greatest, claim)
-        self.heard_s = self._claimed_s = self._timers.now()
-        self.heard_sequence = 0
-        self.congestion.reset()
-        log.info(
-            "scheduler_followed" if claim else "scheduler_lost",
-            scheduler=claim.scheduler if claim else None,
-            term=claim.term if claim else None,
-            whole=claim.whole if claim else None,
-            before=before.scheduler if before else None,
-            reason=reason,
-        )
-        self._on_change(claim)
-        if claim is not None and not self.leads:
-            self._send_follow()
-
-    @property
-    def reached_claim(self):
-        """The claim of a scheduler that has answered this process, or of itself; else None."""
-        return self.claim if self.leads or self.heard_sequence else None
-
-    # Exchange
-
-    def _send_follow(self):
-        self._sequence += 1
-        follow = Follow(self._sequence, self.claim, self._version(), self._power())
-        self.congestion.note_sent(self._sequence)
-        self._network.send(self.claim.scheduler, follow)
-
     def _tick(self):
         now = self._timers.now()
         if self.leads:
@@ -181,28 +97,6 @@
         for incarnation in self._members():
             self._network.send(incarnation, ClaimNotice(claim))
 
-    def _on_follow(self, sender, message):
-        self.followers.note(sender, message, self._timers.now())
-        followed = Followed(message.sequence, self.claim, self._version(), self._late_s())
-        self._network.send(sender, followed)
-        self._note_version(sender, message.configuration_version)
-
-    def _on_followed(self, sender, message):
-        self._note_version(sender, message.configuration_version)
-        if self.claim is None or sender != self.claim.scheduler:
-            return
-        if message.claim is None or message.claim.scheduler != sender:
-            self._set_claim(None, "not_scheduling")
-            return
-        self.claim = message.claim
-        self.heard_s = self._timers.now()
-        self.heard_sequence = max(self.heard_sequence, message.sequence)
-        self.congestion.note_answered(message.sequence, message.late_s)
-
-    def _note_version(self, sender, version):
-        if version > self._version() and self.on_newer_version is not None:
-            self.on_newer_version(sender)
-
     # Claims
 
     def _on_notice(self, sender, message):
@@ -328,13 +222,3 @@
         """Schedule no more, as after a pause in which others may have taken over."""
         if self.leads:
             self._set_claim(None, reason)
-
-    def dump(self):
-        """Return the claim that is followed as plain data."""
-        claim = self.claim
-        return {
-            "scheduler": claim.scheduler if claim else None,
-            "term": claim.term if claim else None,
-            "whole": claim.whole if claim else None,
-            "leads": self.leads,
-        }
