A far scheduler is not taken for a congested one

Now the delay counts beyond the shortest one that was seen, which is that of the way; a longer way is learnt within some 10 s. Test red first (1 of 100 jobs sent).

--- a/burdocklug/pools/_congestion.py
+++ b/burdocklug/pools/_congestion.py
@@ -12,7 +12,8 @@
 __all__ = ["Congestion"]
 
 BUSY_LATE_S = 0.005  # lateness of a loop that has no time left; it is below 2 ms at 70 % load
-GOOD_DELAY_S = 0.08  # of an answer; a healthy scheduler takes some 0.02 s, in a burst 0.05 s
+GOOD_DELAY_S = 0.08  # of an answer, beyond the way; healthy: some 0.02 s, in a burst 0.05 s
+BASE_GROWTH_S = 0.002  # of the delay by the way, an answer: a longer way is learnt in some 10 s
 DRAIN_S = 0.4  # what waits beyond the good delay is worked off within about so long
 RATE_MEMORY_S = 0.5  # two to three answers: a process reads few jobs of a peer between two
 GROWTH = 1.15  # of the rate with each answer in good time, so that it doubles in about 1 s
@@ -50,6 +51,7 @@
             log.info("scheduler_keeps_up", reason="another scheduler")
         self._rate = None  # jobs a second that may be sent, None for any number
         self._sent = {}  # by question: when it was sent, and how many jobs before it
+        self._base_s = None  # shortest delay of an answer, which is that of the way
         self._read_jobs = 0
         self._read_rate = 0.0
         self._asked_rate = 0.0
@@ -79,12 +81,18 @@
         now = self._now()
         self._sent = {s: sent for s, sent in self._sent.items() if s > sequence}
         self._learn_rates(sent_jobs, now)
-        delay_s = now - sent_s
+        delay_s = self._beyond_base(now - sent_s)
         if late_s >= BUSY_LATE_S and delay_s > GOOD_DELAY_S:
             self._limit(delay_s, late_s)
         elif self._rate is not None:
             self._raise_limit(delay_s)
 
+    def _beyond_base(self, delay_s):
+        """Return by how much an answer took longer than the way takes."""
+        base_s = delay_s if self._base_s is None else self._base_s + BASE_GROWTH_S
+        self._base_s = min(base_s, delay_s)
+        return delay_s - self._base_s
+
     def _learn_rates(self, read_jobs, now):
         passed_s = max(now - self._answered_s, 0.001)
         weight = 1.0 - math.exp(-passed_s / RATE_MEMORY_S)
--- a/tests/pools/test_congestion.py
+++ b/tests/pools/test_congestion.py
@@ -11,6 +11,7 @@
 FOLLOW_S = 0.2
 JOB_COST_S, FOLLOW_COST_S = 0.005, 0.0003  # at a scheduler whose host runs six times slower
 STALE_S = 0.7
+WAY_S = 0.01  # of a message and its answer
 URGENT, USUAL = 1, 0
 
 
@@ -19,6 +20,7 @@
         super().setUp()
         self.now_s = 50.0
         self.congestion = Congestion(lambda: self.now_s)
+        self.answer(WAY_S, late_s=0.001)
 
     def answer(self, delay_s, *, late_s=SLOW_LATE_S, jobs=0):
         """Send jobs and a question, and have it answered after a delay."""
@@ -39,6 +41,12 @@
         self.answer(0.4, late_s=0.001, jobs=10)
         self.assertThat(self.admitted(100), Equals(100))
 
+    def test_a_busy_scheduler_in_another_region_is_no_congestion_by_its_distance(self):
+        self.congestion.reset()
+        for _ in range(20):
+            self.answer(0.2, jobs=10)
+        self.assertThat(self.admitted(100), Equals(100))
+
     def test_a_scheduler_that_does_not_answer_is_not_taken_for_busy(self):
         self.congestion.note_sent(1)
         self.now_s += 0.7
@@ -81,6 +89,9 @@
         self._order = itertools.count()
         self._admission = admission
         self._views = [Congestion(lambda: self.now_s) for _ in range(followers)]
+        for view in self._views:
+            view.note_sent(0)
+            view.note_answered(0, 0.001)
         period_s = followers / jobs_per_s
         for number in range(followers):
             self._at(number * FOLLOW_S / followers, self._follow, number, 1)
