An ejected endpoint gets no further start: its leases are looked at before they are used again

An endpoint that fails at once gives its slot back within 5 to 10 ms, and the process used its lease there again until the next such moment, though it had ejected the endpoint at the first failure.

Now a task's end takes the change over before its lease is free. Test red first without processes: 26 of 40 tasks at the faulty endpoint, now its 2 slots.

--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -236,6 +236,8 @@
         outcome = self._run_attempt(lane, task, began_s)
         job.in_flight -= 1
         ended_s = self.ctx.timers.now()
+        if lane.has_other_endpoints():  # before the lease is free for another task there
+            self._refresh_lane(lane)
         if lease is not None:
             lane.router.release(ended_s, lease, _lease_outcome(outcome), run_s=ended_s - began_s)
         self._release_quota(lane, job.team, outcome, began_s, ended_s)
--- a/burdocklug/jobs/_lanes.py
+++ b/burdocklug/jobs/_lanes.py
@@ -71,6 +71,10 @@
         self._view = (routes, members)
         return self.router.update(now, routes, members)
 
+    def has_other_endpoints(self):
+        """Return whether the usable endpoints may have changed since they were taken over."""
+        return self._seen is None or self._seen[1] != self.ctx.endpoint_changes()
+
     def _route(self, endpoint, now):
         usable = self.ctx.endpoint_usable(self.service, endpoint, now)
         weight = self.ctx.endpoint_view.weight(self.service, endpoint.address, now)
--- a/tests/jobs/test_dispatch.py
+++ b/tests/jobs/test_dispatch.py
@@ -61,6 +61,7 @@
         self.ledger.open_session("s", now_s=0.0)
         self.sent, self.cancelled = Counter(), []
         self.outcomes = {}
+        self.ejected = set()
         configuration = Configuration()
         configuration.adopt(apply_ticket(ConfigValue(), ticket_from_data(TICKET))[0])
         self.dispatcher = Dispatcher(self.context(configuration))
@@ -79,8 +80,8 @@
             run_attempt=self.run_attempt,
             cancel_attempt=lambda address, attempt_id: self.cancelled.append(attempt_id),
             endpoint_view=EndpointView(random.Random(1)),
-            endpoint_usable=lambda service, endpoint, now: True,
-            endpoint_changes=lambda: 0,
+            endpoint_usable=lambda service, endpoint, now: endpoint.address not in self.ejected,
+            endpoint_changes=lambda: len(self.ejected),
             live_members=list,
             team_may_start=lambda team: True,
             note_team_started=lambda team: None,
@@ -102,8 +103,8 @@
             return finished(attempt, ok=True)
         return outcome
 
-    def start(self, tasks=1, **more):
-        record, _ = self.ledger.enter("s", 1, b"d", now_s=self.clock())
+    def start(self, tasks=1, *, number=1, **more):
+        record, _ = self.ledger.enter("s", number, b"d", now_s=self.clock())
         data = body(tasks=[{"payload": n} for n in range(tasks)], **more)
         submission = parse_submission(data, max_tasks=100, max_deadline_s=100)
         self.dispatcher.start(record, submission)
@@ -221,6 +222,31 @@
         self.assertThat(self.asked[:1], Equals([1]))
 
 
+class FailingEndpointTest(DispatcherTestCase):
+    """An endpoint that fails everything at once, and is ejected at its first failure."""
+
+    FAULTY = "127.0.0.1:9000"
+    SLOTS = 2
+
+    def run_attempt(self, service, address, attempt, *, expected_s):
+        self.sent[address] += 1
+        if address != self.FAULTY:
+            eventlet.sleep(0)
+            return finished(attempt, ok=True)
+        self.ejected.add(address)
+        return finished(attempt, ok=False)
+
+    def test_it_gets_no_more_than_its_slots_before_it_is_left_out(self):
+        """Leases were used on until the next refresh of the routes, 0.25 s later."""
+        for number in range(1, 41):
+            self.start(number=number)
+        for _ in range(100):
+            eventlet.sleep(0)
+            self.clock.advance(0.001)
+        self.assertThat(self.sent.total(), Equals(40))
+        self.assertTrue(1 <= self.sent[self.FAULTY] <= self.SLOTS, self.sent)
+
+
 class TrialPaceTest(DispatcherTestCase):
     def test_looks_for_due_trials_go_by_time_and_not_by_tasks(self):
         times = []
