--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/_order_sender.py
@@ -162,6 +162,7 @@
             self.begin_stop(order)
 
     def begin_stop(self, order):
+        """Stop the run of an order in a greenlet of its own, unless that is under way."""
         if not order.stopping:
             order.stopping = True
             eventlet.spawn(self._stop_order, order)
@@ -180,6 +181,7 @@
             log.info("stop_not_seen", task=order.task.name, error=str(exc)[:120])
 
     def try_stop(self, task, attempt):
+        """Send one order to stop a run, and return whether the endpoint has taken it."""
         try:
             self._agent.protocol.stop(
                 self._agent.room.entry,
