--- a/burdocklug/pools/_congestion.py
+++ b/burdocklug/pools/_congestion.py
@@ -11,8 +11,8 @@
 
 __all__ = ["Congestion"]
 
-BUSY_LATE_S = 0.005  # lateness of a loop that has no time left; it is below 2 ms at 70 % load
-GOOD_DELAY_S = 0.08  # of an answer, beyond the way; healthy: some 0.02 s, in a burst 0.05 s
+BUSY_LATE_S = 0.005  # lateness of a loop without time left; at 0.4 cores it is 1 to 3 ms at most
+GOOD_DELAY_S = 0.08  # of an answer, beyond the way; below the objective of the shortest jobs, 0.1 s
 BASE_GROWTH_S = 0.002  # of the delay by the way, an answer: a longer way is learnt in some 10 s
 DRAIN_S = 0.4  # what waits beyond the good delay is worked off within about so long
 RATE_MEMORY_S = 0.5  # two to three answers: a process reads few jobs of a peer between two
