--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -8,13 +8,13 @@
 
 import eventlet
 
+from standins.platform_fleet import GIVEN_UP, RESUBMIT_S
+
 __all__ = ["Attempt", "Callers", "Job"]
 
-RESUBMIT_S = 1.3  # from no answer to the next attempt
 MOST_ATTEMPTS = 4
 DEADLINE_S = 4.0
 ANSWER_S = 6.0  # a process that says nothing by then is given up
-GIVEN_UP = (None, 502, 504)  # what is sent again
 MEAN_PAUSE_S = 0.4  # of one caller between two jobs
 
 
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -11,8 +11,10 @@
 from standins.launch import Child, launch, wait_healthy
 from standins.ports import free_address
 
-__all__ = ["PlatformFleet", "call_json"]
+__all__ = ["GIVEN_UP", "RESUBMIT_S", "PlatformFleet", "call_json"]
 
+GIVEN_UP = (None, 502, 504)  # what callers send again; None is no answer
+RESUBMIT_S = 1.3  # from no answer to the next attempt
 SECRET = "only-for-tests-of-pools"
 CONFIG = {
     "version": 1,
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -171,10 +171,6 @@
         self.highest[name] = max(self.highest.get(name, 0), run["attempt"])
         self.ends.append([self.count, name, run["attempt"], how, ""])
 
-    def next_end_ms(self):
-        """Return when the next run ends."""
-        return min((run["ends_ms"] for run in self.runs.values()), default=None)
-
     def start(self, body, now_ms):
         """Carry out an order to start; return status and answer."""
         self.advance(now_ms)
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -5,10 +5,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from standins.platform_fleet import CONFIG, PlatformFleet
+from standins.platform_fleet import CONFIG, GIVEN_UP, RESUBMIT_S, PlatformFleet
 
 PROCESSES = {"north-1": "north", "north-2": "north", "south-1": "south"}
-GIVEN_UP = (None, 502, 504)  # what a caller sends again
 
 
 class FleetTestCase(TestCase):
@@ -257,7 +256,7 @@
         for other in others * 3:
             if answer[0] not in (*GIVEN_UP, 429, 503):
                 return answer
-            eventlet.sleep(1.3)
+            eventlet.sleep(RESUBMIT_S)
             answer = self.fleet.submit(other, job_id, spec="run 0.8", count=2)
         return answer
 
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -15,6 +15,8 @@
     StoreUnavailable,
 )
 
+NO_PAUSE = FollowPace(0.0)
+
 
 class ScriptedStore:
     """A record store whose answers are a list; exceptions in it are raised, also to end a loop."""
@@ -49,14 +51,21 @@
     return Record(key, b"v", revision)
 
 
+def make_follower(store, *, pace=NO_PAUSE, replace=lambda _records: None, **options):
+    """Return a follower that is not started, and the list of the changes that it applies."""
+    applied = []
+    follower = PrefixFollower(
+        store, "a/", replace=replace, apply=applied.append, pace=lambda: pace, **options
+    )
+    return follower, applied
+
+
 class FollowerTest(TestCase):
     def follow(self, reads, follows, *, steps):
         """Take steps of a follower and return the store, the replaced and the applied."""
         store = ScriptedStore(reads, follows)
-        replaced, applied = [], []
-        follower = PrefixFollower(
-            store, "a/", replace=replaced.append, apply=applied.append, pace=lambda: FollowPace(0.0)
-        )
+        replaced = []
+        follower, applied = make_follower(store, replace=replaced.append)
         for _ in range(steps):
             try:
                 follower._step()
@@ -102,17 +111,9 @@
 
     def test_it_goes_on_by_itself(self):
         store = ScriptedStore([([], 1)], [([record("a/1", 2)], 2), greenlet.GreenletExit()])
-        applied = []
-        follower = PrefixFollower(
-            store,
-            "a/",
-            replace=lambda _records: None,
-            apply=applied.append,
-            pace=lambda: FollowPace(0.0),
-        )
+        follower, applied = make_follower(store)
         follower.start()
-        for _ in range(10):
-            eventlet.sleep(0)
+        turns()
         self.assertThat(applied, Equals([record("a/1", 2)]))
 
     def test_one_that_is_hastened_does_not_wait_for_its_turn(self):
@@ -120,14 +121,7 @@
         store = ScriptedStore(
             [([], 1)], [([record("a/1", 2)], 2), ([record("a/2", 3)], 3), greenlet.GreenletExit()]
         )
-        applied = []
-        follower = PrefixFollower(
-            store,
-            "a/",
-            replace=lambda _records: None,
-            apply=applied.append,
-            pace=lambda: FollowPace(60.0),
-        )
+        follower, applied = make_follower(store, pace=FollowPace(60.0))
         follower.start()
         for hastened in range(3):
             turns()
@@ -156,15 +150,7 @@
     """A call that waits was sent while the store was silent, and nobody will answer it."""
 
     def follow(self, store, pace, **options):
-        self.applied = []
-        follower = PrefixFollower(
-            store,
-            "a/",
-            replace=lambda _records: None,
-            apply=self.applied.append,
-            pace=lambda: pace,
-            **options,
-        )
+        follower, self.applied = make_follower(store, pace=pace, **options)
         follower.start()
         turns()
         return follower
