The first process that misses its scheduler has the others look at once

Change: a question about a scheduler makes its receiver look at the one it follows, at most each 0.05 s; a link is as patient after a refusal as at first; the look for a scheduler has a period of its own, 0.1 s.

Ruled out: counting one refusal as an end (a peer that starts anew refuses for a moment); believing the process that asks (a cut may refuse connections to it alone).

--- a/burdocklug/peers/_link.py
+++ b/burdocklug/peers/_link.py
@@ -223,6 +223,7 @@
             return False
         self.generation += 1
         self.first_sequence = self.sequence + 1
+        self._patience_s = CONNECT_GRACE_S
         self.traffic.dials += 1
         return True
 
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -23,8 +23,9 @@
 __all__ = ["Following"]
 
 FOLLOW_S = 0.2  # period of the exchange with the scheduler
+HASTENED_S = 0.05  # the shortest, while others look for a scheduler: some ten trips
 NOTICE_S = 1.0  # period in which a scheduler tells all members of its claim
-ASK_AGAIN_S = 0.1
+ASK_AGAIN_S = 0.1  # from one look for a scheduler to the next
 TENURE_S = 2.0  # a scheduler takes up its endpoints and jobs before it yields to a stronger host
 FENCED = "fenced"  # why a scheduler looks whether another one is in its place
 FRESH_S = 0.5  # a scheduler that was not heard for longer is not named to others
@@ -62,7 +63,6 @@
         self._cut_domains = cut_domains
         self._noticed_s = 0.0
         self._asking = False
-        self._asked_s = -ASK_AGAIN_S
         network.on_refused(self.note_not_reached)
         network.register(ReachAnswer)
         network.register(ReachQuestion, self._on_question, inline=True)
@@ -71,6 +71,7 @@
     def start(self):
         """Begin the exchange."""
         self._timers.every(FOLLOW_S, self._tick)
+        self._timers.every(ASK_AGAIN_S, self._look)
 
     def _tick(self):
         now = self._timers.now()
@@ -88,7 +89,10 @@
             self._set_claim(None, "silent")
         if self.claim is not None:
             self._send_follow()
-        elif self.ready and not self._asking and now - self._asked_s >= ASK_AGAIN_S:
+
+    def _look(self):
+        """Look for a scheduler where there is none."""
+        if self.claim is None and self.ready and not self._asking:
             self._asking = True
             eventlet.spawn(self._find_scheduler)
 
@@ -115,7 +119,10 @@
             self._network.send(sender, ClaimNotice(self.claim))
 
     def _on_question(self, _sender, _message):
-        fresh = self.leads or self._timers.now() - self.heard_s < FRESH_S
+        now = self._timers.now()
+        fresh = self.leads or now - self.heard_s < FRESH_S
+        if self.claim is not None and not self.leads and now - self.followed_s >= HASTENED_S:
+            self._send_follow()  # the sender has lost the scheduler, which may be gone
         return ReachAnswer(self.claim if fresh else None, self.draining, self._power())
 
     def _find_scheduler(self):
@@ -133,7 +140,6 @@
                 self._make_claim(members, answers)
         finally:
             self._asking = False
-            self._asked_s = self._timers.now()
 
     def _goes_first(self, answers):
         return first_to_claim({self.own: self._power(), **powers_of(answers)}) == self.own
@@ -173,7 +179,6 @@
                 self._appoint(answers, "stronger_host")
         finally:
             self._asking = False
-            self._asked_s = self._timers.now()
 
     def _appoint(self, answers, reason):
         """Name one of the processes that answered as scheduler; return whether there is one."""
@@ -211,7 +216,6 @@
                 self._set_claim(msgspec.structs.replace(claim, term=self.claim.term), reason)
         finally:
             self._asking = False
-            self._asked_s = self._timers.now()
 
     def note_not_reached(self, scheduler):
         """Note that a scheduler refuses connections or was replaced by a new process."""
--- a/burdocklug/pools/_held_claim.py
+++ b/burdocklug/pools/_held_claim.py
@@ -40,6 +40,8 @@
         Last answer of that scheduler.
     heard_s : float
         When that was.
+    followed_s : float
+        When it was asked last.
     followers : Followers
         The processes that follow this one.
     congestion : Congestion
@@ -54,6 +56,7 @@
         self.claim = None
         self.heard_sequence = 0
         self.heard_s = 0.0
+        self.followed_s = 0.0
         self.followers = Followers(keep_s=LOST_S)
         self.congestion = Congestion(timers.now)
         self.lost_heard_s = {}
@@ -110,6 +113,7 @@
 
     def _send_follow(self):
         self._sequence += 1
+        self.followed_s = self._timers.now()
         follow = Follow(self._sequence, self.claim, self._version(), self._power())
         self.congestion.note_sent(self._sequence)
         self._network.send(self.claim.scheduler, follow)
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -8,6 +8,7 @@
 from testtools import TestCase  # noqa: E402
 from testtools.matchers import Equals, HasLength  # noqa: E402
 
+from burdocklug.peers import _link  # noqa: E402
 from burdocklug.peers._link import Link, Outgoing  # noqa: E402
 
 
@@ -53,3 +54,34 @@
         self.link.now = time.monotonic
         self.assertThat((dropped, self.link.is_open), Equals((["closed by its writer"], False)))
         self.assertThat(self.waiting(), HasLength(0))
+
+
+class RefusedTest(TestCase):
+    """Nothing listens at the peer's address."""
+
+    def test_each_refusal_is_told_as_soon_as_the_first(self):
+        """The wait before the next look at the address doubled with each refusal."""
+        closed = eventlet.listen(("127.0.0.1", 0))
+        address = f"127.0.0.1:{closed.getsockname()[1]}"
+        closed.close()
+        refused = []
+        link = Link(
+            address,
+            seal=lambda sequence, items: b"frame",
+            on_refused=lambda: refused.append(time.monotonic()),
+            now=time.monotonic,
+        )
+        self.addCleanup(link.close)
+        waits = []
+        link_waits = _link.PushDialer.wait_writable
+        self.patch(
+            _link.PushDialer,
+            "wait_writable",
+            lambda dialer, timeout_s: (waits.append(timeout_s), link_waits(dialer, timeout_s))[1],
+        )
+        for count in (1, 2, 3, 4):
+            link.put(Outgoing("item", 10))
+            with eventlet.Timeout(2.0):
+                while len(refused) < count:
+                    eventlet.sleep(0.005)
+        self.assertThat(waits, Equals([_link.CONNECT_GRACE_S] * 4))
--- a/tests/pools/test_following.py
+++ b/tests/pools/test_following.py
@@ -1,6 +1,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.pools._messages import Follow, ReachQuestion
 from tests.pools.virtual_fleet import VirtualFleet
 
 SEVEN = ("north", "north", "north", "south", "south", "east", "east")
@@ -26,6 +27,26 @@
         self.fleet.run(0.6)
         self.assertThat(self.fleet.followed()[1:], Equals([1] * 6))
 
+    def test_the_first_to_miss_it_has_the_others_look_at_once(self):
+        """Others named a dead scheduler until their own next exchange with it, 0.2 s and more."""
+        self.fleet[0].ended = True
+        self.fleet[1].following.note_not_reached(self.fleet[0].incarnation)
+        self.fleet.run(0.2)
+        self.assertThat(self.fleet.followed()[1:], Equals([1] * 6))
+
+    def test_questions_of_many_hasten_the_exchange_by_a_bounded_number_of_messages(self):
+        sent = []
+        self.fleet[0].following.on_newer_version = None
+        handlers = self.fleet[0]._handlers
+        answer = handlers[Follow]
+        handlers[Follow] = lambda sender, message: (sent.append(sender), answer(sender, message))
+        for _ in range(20):
+            for number in (2, 3, 4, 5, 6):
+                self.fleet[number].call(self.fleet[1].incarnation, ReachQuestion(), timeout_s=0.2)
+            self.fleet.run(0.05)
+        own = sent.count(self.fleet[1].incarnation)
+        self.assertTrue(5 <= own <= 21, own)
+
     def test_one_that_is_cut_off_alone_and_fenced_claims_nothing(self):
         self.fleet.alone.add(self.fleet[0])
         self.fleet.run(2.0)
