A slow endpoint gets no task that would end too late there

Cause: placing counted places at endpoints that run six times slower like others, so that a wide job with one task there was late as a whole; and an endpoint passed for sound until it had ended some ten runs, as each counted for a tenth.

Change: an endpoint that is 1.8 times slower than most gets only tasks that end in time there; two runs in a row that took over three times what was expected count for half each, a single one, which may be a task longer than declared, is bounded; a run that should have ended tells by its progress; an endpoint that runs nothing is trusted again within seconds. What decisions are based on is one class, `PoolView`; load and dump of a scheduler, and the clock of an endpoint, are modules of their own.

--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -3,6 +3,7 @@
 import eventlet
 import structlog
 
+from burdocklug.pools._endpoint_clock import EndpointClock
 from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._order_sender import OrderSender, RunOrder
 from burdocklug.pools._orders import OrderFenced, OrderUnanswered, OtherIncarnation
@@ -62,8 +63,7 @@
         self.orders = {}
         self.sender = OrderSender(self)
         self.reports = ReportIntake(self)
-        self._clock_ms = 0
-        self._clock_s = 0.0
+        self.clock = EndpointClock(now)
         self._lapses_s = 0.0
         self._pause_s = SILENT_RETRY_S[0]
         self._loops = []
@@ -119,26 +119,19 @@
 
     # Lease
 
-    def _clock_now_ms(self):
-        return self._clock_ms + int((self.now() - self._clock_s) * 1000)
-
     def lease_ms(self):
         """Return the end of a lease that begins now, and note until when runs may go on."""
         self._lapses_s = self.now() + order_life_s(self.lease_s)
-        return self._clock_now_ms() + int(self.lease_s * 1000)
-
-    def note_clock(self, clock_ms):
-        """Take in the endpoint's clock, in milliseconds."""
-        self._clock_ms, self._clock_s = clock_ms, self.now()
+        return self.clock.now_ms() + int(self.lease_s * 1000)
 
     def _take_over(self):
         entry = self.room.entry
         try:
             report = self._ask(token=0, lease_ms=None, wait_s=0.0)
-            self.note_clock(report.clock_ms)
+            self.clock.note(report.clock_ms)
         except OrderFenced as exc:
-            self.note_clock(exc.clock_ms)
-        token = self._clock_ms * TOKEN_HOLDERS + self._digit
+            self.clock.note(exc.clock_ms)
+        token = self.clock.noted_ms * TOKEN_HOLDERS + self._digit
         sent_s = self.now()
         report = self._ask(token=token, lease_ms=None, wait_s=0.0)
         self.token = token
@@ -287,7 +280,7 @@
         self.room.usable = False
         self.token = None
         self.fenced = True
-        self.note_clock(exc.clock_ms)
+        self.clock.note(exc.clock_ms)
 
     def note_entry(self, entry):
         """Take in a new entry of the same endpoint."""
--- a/burdocklug/pools/_job_book.py
+++ b/burdocklug/pools/_job_book.py
@@ -182,6 +182,11 @@
         """Number of jobs with tasks that wait."""
         return len(self._waiting)
 
+    @property
+    def waiting_tasks(self):
+        """Number of tasks that wait."""
+        return sum(len(job.waiting) for job in self._waiting.values())
+
     def _wait_again(self, task):
         task.job.let_wait(task)
         if not task.job.suspended:
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -10,6 +10,7 @@
 from burdocklug.pools._endpoint import TOKEN_HOLDERS, EndpointAgent
 from burdocklug.pools._following import FENCED
 from burdocklug.pools._jobs import progress_of
+from burdocklug.pools._load import dump_scheduler, load_of
 from burdocklug.pools._messages import (
     AskJob,
     CancelJob,
@@ -203,8 +204,10 @@
 
     def _log_load(self):
         if self.scheduler is not None:
+            self.scheduler.review_slowness()
             late_ms = round(1000 * self._host.take_latest_s())
-            log.info("pool_load", **self.scheduler.load(), loop_late_ms=late_ms)
+            load = load_of(self.scheduler, self._timers.now())
+            log.info("pool_load", **load, loop_late_ms=late_ms)
 
     def _suspend_lost(self, now):
         heard = self._following.followers.last_heard
@@ -293,4 +296,4 @@
 
     def dump(self):
         """Return the scheduler's state as plain data, None while another process schedules."""
-        return self.scheduler.dump() if self.scheduler else None
+        return dump_scheduler(self.scheduler) if self.scheduler else None
--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/_order_sender.py
@@ -58,6 +58,7 @@
     token: int | None = None
     percent: int = -1
     progress_s: float = 0.0
+    is_judged: bool = False
 
 
 class OrderSender:
@@ -104,7 +105,7 @@
             if order.token == self._agent.token:
                 self._agent.note_restarted("other_incarnation")
         else:
-            self._agent.note_clock(clock_ms)
+            self._agent.clock.note(clock_ms)
             if self._agent.orders.get(task.name) is order:
                 order.confirmed_s = self._agent.now()
                 self._agent.scheduler.note_started(task, self._agent.room)
@@ -114,7 +115,7 @@
             return
         del self._agent.orders[order.task.name]
         if exc.clock_ms is not None:
-            self._agent.note_clock(exc.clock_ms)
+            self._agent.clock.note(exc.clock_ms)
         log.info(
             "start_refused",
             task=order.task.name,
--- a/burdocklug/pools/_placement.py
+++ b/burdocklug/pools/_placement.py
@@ -12,10 +12,12 @@
     "count_places",
     "expected_run_s",
     "place_tasks",
+    "without_slow",
     "places_at",
 ]
 
 MAX_PLACES = 1000  # of tasks that need nothing
+SLOW_FACTOR = 1.8  # times the usual run times; sound workers are within 0.8 to 1.25
 DISTANCE_FACTOR = 1.5  # times as long on a rack without the data, where the settings name none
 
 
@@ -35,6 +37,8 @@
         Tasks that run, or may run, there, by name.
     slowness : float
         Run times there as a multiple of the estimates, relative to other endpoints.
+    outliers : int
+        Runs in a row that took far longer, or shorter, than expected.
     faults : int
         Runs in a row that failed or stood still.
     ejected_until_s : float
@@ -46,6 +50,7 @@
     used: Room = field(default_factory=Room)
     runs: dict = field(default_factory=dict)
     slowness: float = 1.0
+    outliers: int = 0
     faults: int = 0
     ejected_until_s: float = 0.0
     free: Room = field(init=False)
@@ -114,6 +119,31 @@
     return places
 
 
+def without_slow(task, rooms, now_s, by_s, *, usual_slowness, distance_factor=DISTANCE_FACTOR):
+    """Return endpoints without those slow ones at which a task would end too late.
+
+    Parameters
+    ----------
+    task : Task
+        What to place.
+    rooms : list of EndpointRoom
+        Endpoints.
+    now_s, by_s : float
+        The time, and when the task should have ended.
+    usual_slowness : float
+        That of most endpoints; where all are slow, none is left out.
+    distance_factor : float, optional
+        Times as long a task takes away from the rack of its data.
+    """
+    limit = SLOW_FACTOR * usual_slowness
+    return [
+        room
+        for room in rooms
+        if room.slowness <= limit
+        or now_s + expected_run_s(task, room, distance_factor=distance_factor) <= by_s
+    ]
+
+
 def places_at(demand, free):
     """Return how many tasks of a demand fit into free resources.
 
--- a/burdocklug/pools/_reports.py
+++ b/burdocklug/pools/_reports.py
@@ -70,7 +70,7 @@
         if self._is_restarted(report):
             self._note_new_life()
             return
-        self._agent.note_clock(report.clock_ms)
+        self._agent.clock.note(report.clock_ms)
         self._agent.note_answered()
         for end in report.ended:
             if end.number > self.acked:
@@ -139,6 +139,7 @@
             self._agent.scheduler.note_started(order.task, self._agent.room)
         if line.percent != order.percent:
             order.percent, order.progress_s = line.percent, now
+            self._judge(order, now)
         elif now >= self.overdue_s(order) and not order.stopping:
             log.info(
                 "run_stands_still",
@@ -151,6 +152,15 @@
             self._agent.scheduler.note_fault(order.task, self._agent.room)
             self._agent.sender.begin_stop(order)
 
+    def _judge(self, order, now):
+        """Learn once from the progress of a run that should have ended."""
+        age_s = now - order.sent_s
+        due_s = OVERDUE_FACTOR * expected_run_s(order.task, self._agent.room)
+        if not order.is_judged and order.percent > 0 and age_s > due_s:
+            order.is_judged = True
+            total_s = 100 * age_s / order.percent
+            self._agent.scheduler.note_slow_run(order.task, self._agent.room, total_s)
+
     def _stop_stranger(self, line):
         log.info("stranger_stopped", task=line.task, endpoint=self._agent.room.entry.endpoint_id)
         eventlet.spawn(self._agent.sender.try_stop, line.task, line.attempt)
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -7,12 +7,12 @@
 import structlog
 
 from burdocklug.pools._forecast import RoomForecast, expected_ends
-from burdocklug.pools._health import add_fault, learn_slowness
+from burdocklug.pools._health import add_fault, forget_slowness, learn_slowness, usual_slowness
 from burdocklug.pools._job_book import JobBook
 from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._models import JobOutcome, RunEndKind
 from burdocklug.pools._placement import EndpointRoom, expected_run_s
-from burdocklug.pools._starts import Refuse, Start, decide, rooms_with_places
+from burdocklug.pools._starts import PoolView, Refuse, Start, decide, rooms_with_places
 
 __all__ = ["Scheduler"]
 
@@ -45,6 +45,7 @@
         super().__init__(orders, now=now)
         self.missed_s = float("-inf")
         self._weighed_s = 0.0
+        self._usual_slowness = 1.0
         self._distance_factor = distance_factor
 
     # Endpoints
@@ -78,15 +79,16 @@
             return 0
         self._weighed_s = now
         starts = 0
-        for decision in decide(
-            list(self._waiting.values()),
-            rooms,
-            now,
+        view = PoolView(
+            now_s=now,
+            rooms=rooms,
             forecast=self._forecast(now),
             settled=self.settled,
             reserve=int(LATE_RESERVE * len(self.rooms)),
             distance_factor=self._distance_factor,
-        ):
+            usual_slowness=self._usual_slowness,
+        )
+        for decision in decide(list(self._waiting.values()), view):
             starts += self._carry_out(decision, now)
         return starts
 
@@ -262,36 +264,12 @@
         else:
             self._wait_again(task)
 
-    # Reports
+    def review_slowness(self):
+        """Learn what is usual of endpoints now; to be called once a second."""
+        self._usual_slowness = usual_slowness(self.rooms.values())
+        for room in self.rooms.values():
+            forget_slowness(room, self._usual_slowness)
 
-    def load(self):
-        """Return how much runs and waits, as plain data."""
-        now = self._now()
-        rooms = self.rooms.values()
-        return {
-            "waiting_jobs": self.waiting_jobs,
-            "waiting_tasks": sum(len(job.waiting) for job in self._waiting.values()),
-            "runs": sum(len(room.runs) for room in rooms),
-            "endpoints": len(self.rooms),
-            "open_endpoints": sum(room.is_open(now) for room in rooms),
-            "free_cpu": sum(room.free.cpu for room in rooms if room.is_open(now)),
-            "slowness": round(sum(room.slowness for room in rooms) / max(1, len(self.rooms)), 2),
-        }
-
-    def dump(self):
-        """Return jobs and endpoints as plain data."""
-        return {
-            "counts": dict(self.counts),
-            "jobs": len(self.jobs),
-            "waiting_jobs": self.waiting_jobs,
-            "endpoints": [
-                {
-                    "id": room.entry.endpoint_id,
-                    "usable": room.usable,
-                    "draining": room.entry.draining,
-                    "runs": len(room.runs),
-                    "slowness": round(room.slowness, 2),
-                }
-                for room in self.rooms.values()
-            ],
-        }
+    def note_slow_run(self, task, room, run_s):
+        """Take in that a run under way will take so long altogether, by its progress."""
+        learn_slowness(room, run_s, self._expected_s(task, room))
--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/test_endpoint.py
@@ -171,6 +171,15 @@
         self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
         self.assertThat([attempt for _t, attempt, _s in self.endpoint.log], Equals([1, 2]))
 
+    def test_the_progress_of_a_run_tells_of_a_slow_endpoint_before_the_run_ends(self):
+        self.endpoint.run_s = 0.6
+        self.take_over()
+        self.submit("j1", step(2, estimate_s=0.1))
+        for _ in range(6):
+            self.pass_time(0.05)
+        self.assertThat(self.endpoint.ends, Equals([]))
+        self.assertTrue(self.agent.room.slowness > 2.0, self.agent.room.slowness)
+
     def test_a_number_that_is_too_low_is_raised(self):
         self.take_over()
         self.endpoint.highest["j1.0.0.0"] = 5
@@ -201,7 +210,7 @@
             digit=1,
             wake=lambda: None,
         )
-        agent.note_clock(0)
+        agent.clock.note(0)
         agent.orders["a run"] = None
         agent.reports.overdue_s = lambda _order: self.clock[0] + 9.0
         return agent.lease_ms() / 1000, agent._wait_s(self.clock[0])
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -5,6 +5,7 @@
 from burdocklug.pools._capacity import why_impossible
 from burdocklug.pools._jobs import TaskState, progress_of
 from burdocklug.pools._models import JobOutcome, RunEndKind
+from burdocklug.pools._placement import SLOW_FACTOR
 from tests.pools.builders import RULE, VirtualPool, entry, spec, step
 
 
@@ -239,6 +240,73 @@
         self.assertThat(wide.outcome, Equals(JobOutcome.COMPLETED))
 
 
+def queue(**changes):
+    return msgspec.structs.replace(RULE, **changes)
+
+
+class SlowEndpointTest(TestCase):
+    """Load: some endpoints run six times slower for seconds, while most places are taken."""
+
+    def setUp(self):
+        super().setUp()
+        self.pool = VirtualPool(*(entry(number) for number in range(1, 5)))
+        self.slow = self.pool.scheduler.rooms["e1"]
+
+    def run_at(self, room, run_s, *, estimate_s=0.2):
+        """Have a task run at an endpoint for a time."""
+        for other in self.pool.scheduler.rooms.values():
+            other.usable = other is room
+        job = self.pool.submit(f"run{self.pool.now_s}", step(estimate_s=estimate_s), wait_s=60.0)
+        self.pool.now_s += run_s
+        self.pool.end_all(job)
+        for other in self.pool.scheduler.rooms.values():
+            other.usable = True
+
+    def test_two_runs_tell_a_slow_endpoint(self):
+        """An endpoint six times slower passed for a sound one until it had run some ten tasks."""
+        self.run_at(self.slow, 1.2)
+        self.run_at(self.slow, 1.2)
+        self.assertTrue(self.slow.slowness > 3.0, self.slow.slowness)
+
+    def test_a_single_task_that_takes_longer_than_declared_makes_no_slow_endpoint(self):
+        for run_s in (1.2, 0.2, 0.2, 0.2, 1.2):
+            self.run_at(self.slow, run_s)
+        self.assertTrue(self.slow.slowness < SLOW_FACTOR, self.slow.slowness)
+
+    def test_what_estimates_are_wrong_by_tells_little(self):
+        self.run_at(self.slow, 0.4)
+        self.assertTrue(1.0 < self.slow.slowness < 1.15, self.slow.slowness)
+
+    def submit_pairs(self, rule=RULE):
+        """Submit jobs of two tasks each, as many as there are places."""
+        return [self.pool.submit(f"j{n}", step(2), rule=rule, wait_s=60.0) for n in range(4)]
+
+    def test_no_task_starts_where_it_would_end_too_late(self):
+        self.slow.slowness = 6.0
+        jobs = self.submit_pairs()
+        self.assertThat(len(self.slow.runs), Equals(0))
+        self.assertThat([len(job.waiting) for job in jobs], Equals([0, 0, 0, 2]))
+
+    def test_a_slow_endpoint_runs_what_ends_there_in_time(self):
+        self.slow.slowness = 6.0
+        self.submit_pairs(queue(objective_factor=10.0))
+        self.assertThat(len(self.slow.runs), Equals(2))
+
+    def test_where_all_are_slow_none_is_left_out(self):
+        for room in self.pool.scheduler.rooms.values():
+            room.slowness = 6.0
+        self.pool.scheduler.review_slowness()
+        self.submit_pairs()
+        self.assertThat(len(self.slow.runs), Equals(2))
+
+    def test_one_that_runs_nothing_gets_work_again_after_seconds(self):
+        self.slow.slowness = 6.0
+        for _ in range(10):
+            self.pool.scheduler.review_slowness()
+        self.submit_pairs()
+        self.assertThat(len(self.slow.runs), Equals(2))
+
+
 class EndpointsTest(TestCase):
     def test_a_job_that_no_endpoint_can_hold_is_named_impossible(self):
         rooms = VirtualPool(entry(1)).scheduler.rooms.values()
