Of jobs that can be in time the most urgent queue goes first

Cause: the operators' priority had no part in the order of waiting jobs.

Change: jobs that can still end in time go by priority, then by the time at which they have to start. Late ones keep their order.

Test red before.

--- a/burdocklug/pools/_order.py
+++ b/burdocklug/pools/_order.py
@@ -23,12 +23,13 @@
 def order_key(job, now_s):
     """Return the key by which waiting jobs are sorted; the lowest goes first.
 
-    Jobs that can still end in time go by the time at which they have to start, then come those
-    that are late already: begun ones, then others by the time until their answer is worth nothing.
+    Jobs that can still end in time go by the operators' priority, then by the time at which they
+    have to start. Those that are late already come after them: begun ones, then others by the time
+    until their answer is worth nothing.
     """
     by_s = start_by_s(job)
     if by_s >= now_s:
-        return (0, by_s)
+        return (0, job.spec.queue.priority, by_s)
     return (1 if job.started else 2, late_end_s(job))
 
 
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -180,6 +180,25 @@
         pool.end(busy.tasks[0])
         self.assertThat(pool.names_started()[2:], Equals(["timely.0.0.0"]))
 
+    def test_of_jobs_that_can_be_in_time_the_most_urgent_queue_goes_first(self):
+        """The operators' priority counted for nothing where all jobs could still be in time."""
+        pool = VirtualPool(entry(1))
+        busy = pool.submit("busy", step(2, estimate_s=0.1))
+        pool.submit("planned", step(1, estimate_s=0.2), rule=queue(priority=2))
+        pool.now_s += 0.02
+        pool.submit("checked", step(1, estimate_s=0.3), rule=queue(priority=0))
+        pool.end(busy.tasks[0])
+        self.assertThat(pool.names_started()[2:], Equals(["checked.0.0.0"]))
+
+    def test_an_urgent_job_that_is_late_does_not_go_before_timely_ones(self):
+        pool = VirtualPool(entry(1))
+        busy = pool.submit("busy", step(2, estimate_s=0.5))
+        pool.submit("late", step(1, estimate_s=0.2), rule=queue(priority=0), wait_s=9.0)
+        pool.now_s += 0.5
+        pool.submit("timely", step(1, estimate_s=0.2), rule=queue(priority=2))
+        pool.end(busy.tasks[0])
+        self.assertThat(pool.names_started()[2:], Equals(["timely.0.0.0"]))
+
     def test_of_late_jobs_one_that_has_begun_is_finished_first(self):
         pool = VirtualPool(entry(1))
         busy = pool.submit("busy", step(1, estimate_s=0.6))
