One way to ask the members and weigh their answers; bounds of Retry-After in one place

Cause: three methods each marked a question to the members as under way, asked, and cleared the mark; two computed the same fitness over followers' powers and over answers'; the bounds of Retry-After stood in two modules.

Change: `_ask_members` asks and clears, `_is_fit` takes powers, `_retry_after.py` has the bounds. Behaviour as before: 156 tests of pools pass, none changed.

--- a/burdocklug/pools/_congestion.py
+++ b/burdocklug/pools/_congestion.py
@@ -9,6 +9,8 @@
 
 import structlog
 
+from burdocklug.pools._retry_after import bounded_retry_s
+
 __all__ = ["Congestion"]
 
 BUSY_LATE_S = 0.005  # lateness of a loop without time left; at 0.4 cores it is 1 to 3 ms at most
@@ -20,7 +22,6 @@
 FREE_FACTOR = 1.5  # a rate so far above what callers ask for limits nothing and is lifted
 MIN_RATE = 1.0  # jobs a second, so that a process learns when the scheduler has time again
 CREDIT_S = 0.5  # of the rate can be saved up for jobs that come together
-MIN_RETRY_S, MAX_RETRY_S = 1.0, 4.0  # as where endpoints have no room
 URGENT_DEBT = 2.0  # jobs that each step of urgency may take in advance of the less urgent
 
 log = structlog.get_logger(__name__)
@@ -137,4 +138,4 @@
     def retry_after_s(self):
         """Return when a refused job may come again: later, the more is asked for than is read."""
         excess = self._asked_rate / self._rate if self._rate else 1.0
-        return min(max(MIN_RETRY_S, excess), MAX_RETRY_S)
+        return bounded_retry_s(excess)
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -82,8 +82,9 @@
                 heard = self.followers.count(members, now)
                 if self.claim.whole and 2 * (1 + heard) <= 1 + len(members):
                     self.weigh_claim("few_followers")
-                elif now - self._claimed_s >= TENURE_S and not self._is_fit(now):
-                    self._yield()
+                elif now - self._claimed_s >= TENURE_S:
+                    if not self._is_fit(self.followers.powers(now)):
+                        self._ask_members(self._yield_to_stronger)
             return
         if self.claim is not None and now - self.heard_s > LOST_S:
             self._set_claim(None, "silent")
@@ -92,9 +93,21 @@
 
     def _look(self):
         """Look for a scheduler where there is none."""
-        if self.claim is None and self.ready and not self._asking:
+        if self.claim is None and self.ready:
+            self._ask_members(self._find_scheduler)
+
+    def _ask_members(self, weigh):
+        """Ask the members, then call `weigh` with them and their answers; one at a time."""
+        if not self._asking:
             self._asking = True
-            eventlet.spawn(self._find_scheduler)
+            eventlet.spawn(self._weigh_answers, weigh)
+
+    def _weigh_answers(self, weigh):
+        try:
+            members = self._members()
+            weigh(members, ask_members(self._network, members))
+        finally:
+            self._asking = False
 
     def _tell_all(self, claim):
         self._noticed_s = self._timers.now()
@@ -125,21 +138,16 @@
             self._send_follow()  # the sender has lost the scheduler, which may be gone
         return ReachAnswer(self.claim if fresh else None, self.draining, self._power())
 
-    def _find_scheduler(self):
+    def _find_scheduler(self, members, answers):
         """Follow the greatest claim that the reached members know, or make one."""
-        try:
-            members = self._members()
-            answers = ask_members(self._network, members)
-            if self.claim is not None:
-                return
-            claims = [a.claim for a in answers.values() if a.claim is not None]
-            live = [c for c in claims if c.scheduler in answers and c.scheduler != self.own]
-            if live:
-                self._set_claim(max(live), "told")
-            elif not claims and not self.draining and self._goes_first(answers):
-                self._make_claim(members, answers)
-        finally:
-            self._asking = False
+        if self.claim is not None:
+            return
+        claims = [a.claim for a in answers.values() if a.claim is not None]
+        live = [c for c in claims if c.scheduler in answers and c.scheduler != self.own]
+        if live:
+            self._set_claim(max(live), "told")
+        elif not claims and not self.draining and self._goes_first(answers):
+            self._make_claim(members, answers)
 
     def _goes_first(self, answers):
         return first_to_claim({self.own: self._power(), **powers_of(answers)}) == self.own
@@ -163,22 +171,13 @@
             ask_members(self._network, self._members()), "handed_over"
         )
 
-    def _is_fit(self, now):
-        """Return whether the own host carries about as much as the strongest follower's."""
-        return self.own in fit_ones({self.own: self._power(), **self.followers.powers(now)})
+    def _is_fit(self, powers):
+        """Return whether the own host carries about as much as the strongest of others."""
+        return self.own in fit_ones({self.own: self._power(), **powers})
 
-    def _yield(self):
-        if not self._asking:
-            self._asking = True
-            eventlet.spawn(self._yield_to_stronger)
-
-    def _yield_to_stronger(self):
-        try:
-            answers = ask_members(self._network, self._members())
-            if self.own not in fit_ones({self.own: self._power(), **powers_of(answers)}):
-                self._appoint(answers, "stronger_host")
-        finally:
-            self._asking = False
+    def _yield_to_stronger(self, _members, answers):
+        if not self._is_fit(powers_of(answers)):
+            self._appoint(answers, "stronger_host")
 
     def _appoint(self, answers, reason):
         """Name one of the processes that answered as scheduler; return whether there is one."""
@@ -194,28 +193,21 @@
 
     def weigh_claim(self, reason):
         """Look whether this process still reaches enough to schedule, and yield if it doesn't."""
-        if not self.leads or self._asking:
-            return
-        self._asking = True
-        eventlet.spawn(self._weigh_own, reason)
+        if self.leads:
+            self._ask_members(lambda members, answers: self._weigh_own(members, answers, reason))
 
-    def _weigh_own(self, reason):
-        try:
-            members = self._members()
-            answers = ask_members(self._network, members)
-            if not self.leads:
-                return
-            greater = [a.claim for a in answers.values() if a.claim and a.claim > self.claim]
-            if greater:
-                self._set_claim(max(greater), reason)
-                return
-            kind, claim = self._weigh(members, answers)
-            if kind is ClaimKind.NOTHING and reason == FENCED:
-                self._set_claim(None, reason)
-            elif kind is ClaimKind.PART and self.claim.whole:
-                self._set_claim(msgspec.structs.replace(claim, term=self.claim.term), reason)
-        finally:
-            self._asking = False
+    def _weigh_own(self, members, answers, reason):
+        if not self.leads:
+            return
+        greater = [a.claim for a in answers.values() if a.claim and a.claim > self.claim]
+        if greater:
+            self._set_claim(max(greater), reason)
+            return
+        kind, claim = self._weigh(members, answers)
+        if kind is ClaimKind.NOTHING and reason == FENCED:
+            self._set_claim(None, reason)
+        elif kind is ClaimKind.PART and self.claim.whole:
+            self._set_claim(msgspec.structs.replace(claim, term=self.claim.term), reason)
 
     def note_not_reached(self, scheduler):
         """Note that a scheduler refuses connections or was replaced by a new process."""
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -21,6 +21,7 @@
     SubmitJob,
 )
 from burdocklug.pools._models import JobOutcome
+from burdocklug.pools._retry_after import MAX_RETRY_S, bounded_retry_s
 from burdocklug.pools._scheduler import Scheduler
 
 __all__ = ["Leader"]
@@ -32,7 +33,7 @@
 UPKEEP_S = 0.1
 LOAD_LOG_S = 1.0
 FENCED_SHARE = 0.5  # of the endpoints; then another process schedules them
-MIN_RETRY_S, MAX_RETRY_S = 1.0, 4.0  # bounds of the time after which refused jobs may come again
+JOBS_A_SECOND = 50  # that a pool of today's size ends at least, of those that wait
 
 log = structlog.get_logger(__name__)
 
@@ -273,7 +274,7 @@
 
     def _retry_after_s(self):
         """Return when a refused job may come again: later, the more jobs wait."""
-        return min(max(MIN_RETRY_S, self.scheduler.waiting_jobs / 50), MAX_RETRY_S)
+        return bounded_retry_s(self.scheduler.waiting_jobs / JOBS_A_SECOND)
 
     def _on_cancel(self, _sender, message):
         job = self.scheduler.jobs.get(message.job_id) if self.scheduler else None
--- /dev/null
+++ b/burdocklug/pools/_retry_after.py
@@ -0,0 +1,16 @@
+"""When a job that was refused for want of room may come again."""
+
+__all__ = ["MAX_RETRY_S", "bounded_retry_s"]
+
+MIN_RETRY_S, MAX_RETRY_S = 1.0, 4.0  # from a burst's second half to about its end
+
+
+def bounded_retry_s(seconds):
+    """Return a time to come back that lies within the bounds.
+
+    Examples
+    --------
+    >>> bounded_retry_s(0.2), bounded_retry_s(2.5), bounded_retry_s(60.0)
+    (1.0, 2.5, 4.0)
+    """
+    return min(max(MIN_RETRY_S, seconds), MAX_RETRY_S)
