A job that went on elsewhere in a cut starts nothing here until that has ended

Jobs that come with word of another scheduler wait for its runs to end, or to be adopted; one that was still known here as suspended did not, and what was done of it on the other side was forgotten.

Change: the wait and the progress apply to known jobs as to new ones; numbers of starts and failed runs only rise; a job whose tasks are all done by then is complete.

--- a/burdocklug/pools/_job_book.py
+++ b/burdocklug/pools/_job_book.py
@@ -7,6 +7,7 @@
 from burdocklug.pools._capacity import PlaceCounts
 from burdocklug.pools._jobs import TaskState, apply_progress, make_job
 from burdocklug.pools._latency import LatencyCounts
+from burdocklug.pools._models import JobOutcome
 
 __all__ = ["JobBook"]
 
@@ -71,22 +72,32 @@
         """
         job = self.jobs.get(spec.job_id)
         if job is None:
-            job = self._add(spec, received_s, wait_s, quiet_s)
-            if progress is not None:
-                apply_progress(job, progress)
-                job.not_before_s = 0.0 if job.unsettled else job.not_before_s
+            job = self._add(spec, received_s, wait_s)
         elif job.outcome is None:
             job.expires_s = max(job.expires_s, received_s + wait_s)
             job.suspended = False
             self._waiting[job.job_id] = job
+        if quiet_s is not None and job.outcome is None:
+            self._note_other_scheduler(job, quiet_s, progress)
         return job
 
-    def _add(self, spec, received_s, wait_s, quiet_s):
+    def _note_other_scheduler(self, job, quiet_s, progress):
+        """Start nothing of a job while runs of another scheduler may go on.
+
+        That holds for a job that was suspended here in a cut, and went on on its other side, too.
+        """
+        job.unsettled = not self.settled
+        job.not_before_s = self._now() + max(0.0, QUIET_S - quiet_s)
+        if progress is None:
+            return
+        apply_progress(job, progress)
+        job.not_before_s = 0.0 if job.unsettled else job.not_before_s
+        if all(task.state is TaskState.DONE for task in job.tasks):
+            self.end_job(job, JobOutcome.COMPLETED, reason="done_elsewhere")
+
+    def _add(self, spec, received_s, wait_s):
         wave = max(1, int(WAVE_SHARE * self._places.most_at_once(spec)))
         job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave)
-        if quiet_s is not None:
-            job.unsettled = not self.settled
-            job.not_before_s = self._now() + max(0.0, QUIET_S - quiet_s)
         self.jobs[spec.job_id] = job
         self.submitted_s = self._now()
         self._waiting[spec.job_id] = job
--- a/burdocklug/pools/_jobs.py
+++ b/burdocklug/pools/_jobs.py
@@ -141,12 +141,14 @@
 
 
 def apply_progress(job, progress):
-    """Bring a new job to the state in which an earlier scheduler left it."""
+    """Bring a job to the state in which another scheduler left it; what runs here goes on."""
     known = zip(job.tasks, progress.attempts, progress.failures, strict=True)
     for task, attempt, failures in known:
-        task.attempt, task.failures = attempt, failures
+        task.attempt = max(task.attempt, attempt)
+        task.failures = max(task.failures, failures)
     for number in progress.done:
-        job.tasks[number].state = TaskState.DONE
+        if not job.tasks[number].state.is_placed:
+            job.tasks[number].state = TaskState.DONE
     job.waiting = [task for task in job.tasks if task.state is TaskState.WAITING]
     job.started = True
     job.unblock()
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -4,6 +4,7 @@
 
 from burdocklug.pools._capacity import why_impossible
 from burdocklug.pools._jobs import TaskState, progress_of
+from burdocklug.pools._messages import JobProgress
 from burdocklug.pools._models import JobOutcome, RunEndKind
 from burdocklug.pools._placement import SLOW_FACTOR
 from tests.pools.builders import RULE, VirtualPool, entry, spec, step
@@ -115,6 +116,49 @@
         self.assertThat(job.tasks[0].attempt, Equals(2))
 
 
+class GoneOnElsewhereTest(TestCase):
+    """A job that was suspended in a cut went on on its other side, then came back here.
+
+    Found by a hunt on smv-presse (cut-while-frozen, seed 93661286224): TWICE, 0.2 s long.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.pool = VirtualPool(entry(1))
+        self.job = self.pool.submit("j1", step(2, estimate_s=0.9), wait_s=9.0)
+        self.pool.scheduler.suspend(self.job)
+        for task in self.job.tasks:
+            self.pool.end(task, RunEndKind.STOPPED)
+        self.pool.now_s += 4.0
+
+    def come_back(self, *, done=(), quiet_s=0.0):
+        progress = JobProgress(done, (3, 3), (0, 0))
+        self.pool.submit("j1", step(2, estimate_s=0.9), quiet_s=quiet_s, progress=progress)
+
+    def starts_after(self, seconds):
+        self.pool.now_s += seconds
+        self.pool.scheduler.pump()
+        return self.pool.names_started()[2:]
+
+    def test_nothing_starts_while_the_runs_of_the_other_side_may_go_on(self):
+        self.come_back()
+        self.assertThat(self.starts_after(1.1), Equals([]))
+        self.assertThat(self.starts_after(0.2), Equals(["j1.0.0.0", "j1.0.0.1"]))
+        self.assertThat([task.attempt for task in self.job.tasks], Equals([4, 4]))
+
+    def test_what_the_other_side_has_done_is_not_done_again(self):
+        self.come_back(done=(0,))
+        self.assertThat(self.starts_after(1.3), Equals(["j1.0.0.1"]))
+
+    def test_one_whose_tasks_are_all_done_by_now_is_complete(self):
+        self.come_back(done=(0, 1))
+        self.assertThat(self.job.outcome, Equals(JobOutcome.COMPLETED))
+
+    def test_one_without_word_of_another_scheduler_goes_on_at_once(self):
+        self.pool.submit("j1", step(2, estimate_s=0.9))
+        self.assertThat(self.starts_after(0.0), Equals(["j1.0.0.0", "j1.0.0.1"]))
+
+
 class NewSchedulerTest(TestCase):
     def test_a_job_that_may_have_begun_elsewhere_waits_until_endpoints_were_looked_at(self):
         pool = VirtualPool(entry(1))
