--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/test_endpoint.py
@@ -26,13 +26,13 @@
         room = self.scheduler.add_endpoint(entry(1))
         self.agent = self.make_agent(room, self.scheduler, digit=1)
 
-    def make_agent(self, room, scheduler, *, digit):
+    def make_agent(self, room, scheduler, *, digit, lease_s=1.0):
         return EndpointAgent(
             room,
             scheduler,
             self.endpoint,
             now=lambda: self.clock[0],
-            lease_s=1.0,
+            lease_s=lease_s,
             digit=digit,
             wake=lambda: None,
         )
@@ -201,15 +201,7 @@
     """The longest lease that endpoints give differs between installations."""
 
     def lease_of(self, longest_s):
-        agent = EndpointAgent(
-            self.agent.room,
-            self.scheduler,
-            self.endpoint,
-            now=lambda: self.clock[0],
-            lease_s=longest_s,
-            digit=1,
-            wake=lambda: None,
-        )
+        agent = self.make_agent(self.agent.room, self.scheduler, digit=1, lease_s=longest_s)
         agent.clock.note(0)
         agent.orders["a run"] = None
         agent.reports.overdue_s = lambda _order: self.clock[0] + 9.0
