Pools: send no order after a pause before the scheduler's claim is checked

Cause: after SIGSTOP or a suspension all timers are due at once, and the scheduler's upkeep was registered before the check for pauses, so it started waiting tasks, took submissions and renewed leases on a claim that another process may hold by then. A start that was decided before a hand-over was still sent by its greenlet afterwards. The endpoints' fences stop both only where the successor has taken the endpoint over already.

Ruled out: a shorter period of the check (the order within one pass of the timers decides), stepping down from within an agent's loop (it would kill the greenlet that it runs in).

Change: PauseDetector is asked before each start, renewal and submission; the check itself stays the only place that steps down. An agent that is closed sends no start.

--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -24,6 +24,7 @@
 ANSWER_TIMEOUT_S = 0.1
 LOSSY_ANSWER_TIMEOUT_S = 0.04  # while answers get lost; same as `START_TIMEOUT_S`
 NO_ANSWER_RETRY_S = (0.02, 1.0)  # first and longest pause after a request without an answer
+PAUSED_RETRY_S = 0.02  # until the process has reacted to a pause
 FENCED_RETRY_S = 0.5  # pause before an endpoint is taken back; lets the other holder finish
 # Number of different tokens in each millisecond of the endpoint's clock, so that processes that
 # take over in the same millisecond have different ones.
@@ -51,9 +52,13 @@
         Number of this holder, from 0 to `TOKEN_HOLDERS` - 1, which makes its tokens unique.
     wake : callable
         Called when there may be capacity for more starts.
+    is_paused : callable
+        Returns whether this process was paused and may have lost the scheduler's role meanwhile.
     """
 
-    def __init__(self, endpoint, scheduler, protocol, *, now, lease_s, holder_number, wake):
+    def __init__(
+        self, endpoint, scheduler, protocol, *, now, lease_s, holder_number, wake, is_paused
+    ):
         self.endpoint = endpoint
         self.token = None
         self.closed = False
@@ -66,6 +71,7 @@
         self._renew_wait_s = RENEW_FRACTION * self.lease_s
         self._holder_number = holder_number
         self.wake = wake
+        self.is_paused = is_paused
         self.orders = {}
         self.sender = OrderSender(self)
         self.reports = ReportProcessor(self)
@@ -92,7 +98,9 @@
     def _run_loop(self, loop_number):
         while not self.closed and loop_number == self._loop_number:
             try:
-                if self.token is None:
+                if self.is_paused():
+                    eventlet.sleep(PAUSED_RETRY_S)
+                elif self.token is None:
                     self._take_over()
                 else:
                     self._renew()
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -60,10 +60,22 @@
     lease_s, distance_factor : float
         Longest lease of a run in seconds; run time of a task away from the rack of its data, as a
         multiple of the time on that rack.
+    is_paused : callable
+        Returns whether this process was paused and may have lost the scheduler's role meanwhile.
     """
 
     def __init__(
-        self, network, timers, directory, protocol, election, host, *, lease_s, distance_factor
+        self,
+        network,
+        timers,
+        directory,
+        protocol,
+        election,
+        host,
+        *,
+        lease_s,
+        distance_factor,
+        is_paused,
     ):
         self.scheduler = None
         self._network = network
@@ -74,6 +86,7 @@
         self._host = host
         self._lease_s = lease_s
         self._distance_factor = distance_factor
+        self._is_paused = is_paused
         self._agents = {}
         self._claim = None
         self._began_s = 0.0
@@ -167,6 +180,7 @@
             lease_s=self._lease_s,
             holder_number=zlib.crc32(self._network.incarnation.encode()) % TOKEN_HOLDERS,
             wake=self._schedule_start_waiting,
+            is_paused=self._is_paused,
         )
         self._agents[entry.endpoint_id] = agent
         agent.begin()
@@ -189,11 +203,11 @@
 
     def _start_waiting(self):
         self._start_waiting_due = False
-        if self.scheduler is not None:
+        if self.scheduler is not None and not self._is_paused():
             self.scheduler.start_waiting()
 
     def _upkeep(self):
-        if self.scheduler is None:
+        if self.scheduler is None or self._is_paused():
             return
         now = self._timers.now()
         if not self.scheduler.is_reconciled:
@@ -232,7 +246,7 @@
 
     def _on_submit(self, sender, message):
         scheduler = self.scheduler
-        if scheduler is None or self._is_stale(sender, message):
+        if scheduler is None or self._is_paused() or self._is_stale(sender, message):
             return SubmitReply(resubmit=True)
         now = self._timers.now()
         spec = message.spec
--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/_order_sender.py
@@ -87,6 +87,11 @@
 
     def _send_start(self, order):
         task = order.task
+        if self._agent.closed:
+            return  # the role was handed over after the decision to start the task
+        if self._agent.is_paused():
+            self._agent.drop_order(order, "process_paused")
+            return
         try:
             clock_ms = self._agent.protocol.start(
                 self._agent.endpoint.entry,
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -1,7 +1,6 @@
 """The pool as a part of a process, which follows the scheduler or is the scheduler."""
 
 import random
-import time
 
 import eventlet
 import structlog
@@ -15,6 +14,7 @@
 from burdocklug.pools._leader import Leader
 from burdocklug.pools._messages import ConfigurationReply, ConfigurationRequest
 from burdocklug.pools._orders import order_protocols
+from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
 from burdocklug.pools._power import HostCapacity
 from burdocklug.pools._submitter import Submitter
 from burdocklug.store import PollIntervals
@@ -22,8 +22,6 @@
 __all__ = ["PoolPart"]
 
 MISSING_GRACE_S = 2.5  # entries that lapsed during a store outage are back within about 2 s
-CLOCK_CHECK_S = 0.1
-MAX_PAUSE_S = 0.6  # after a longer pause, leases may lapse before they are renewed
 # Time from the start of a drain until requests are refused; the load balancer stops sending
 # connections after two checks, 1 s apart.
 REFUSE_AFTER_S = 2.3
@@ -59,6 +57,7 @@
         self._network = process["peers"]
         settings = process.settings
         self._settings = settings.pool
+        self._pauses = PauseDetector(self._timers.now)
         self._host = HostCapacity(
             (settings.pool.cpu_share or 1.0) * (settings.pool.cpu_speed or 1.0)
         )
@@ -86,20 +85,19 @@
             self._host,
             lease_s=settings.pool.max_lease_ms / 1000,
             distance_factor=settings.pool.distance_factor,
+            is_paused=self._pauses.is_paused,
         )
         self._network.register(ConfigurationReply)
         self._network.register(ConfigurationRequest, self._on_configuration_request, inline=True)
         self.election.on_newer_version = self._fetch_configuration
         self._is_fetching = False
         self._missing_since_s = {}
-        self._checked_s = self._timers.now()
-        self._boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def start(self):
         """Start the election of the scheduler and the registration of this process."""
         self.election.start()
         self.registry.start()
-        self._timers.every(CLOCK_CHECK_S, self._check_pause)
+        self._timers.every(CHECK_PERIOD_S, self._check_pause)
 
     def _apply_claim(self, claim):
         if self.election.is_scheduler and self.on_elected is not None:
@@ -139,11 +137,9 @@
             self._is_fetching = False
 
     def _check_pause(self):
-        now, boot_s = self._timers.now(), time.clock_gettime(time.CLOCK_BOOTTIME)
-        paused_s = max(now - self._checked_s, boot_s - self._boot_s) - CLOCK_CHECK_S
-        self._checked_s, self._boot_s = now, boot_s
+        now, paused_s = self._timers.now(), self._pauses.take_pause_s()
         # The timer is due at multiples of its period, so the remainder is how late it fired.
-        self._host.note_lag(max(paused_s, now % CLOCK_CHECK_S), now)
+        self._host.note_lag(max(paused_s, now % CHECK_PERIOD_S), now)
         self.election.ready = self.registry.is_loaded
         if paused_s > MAX_PAUSE_S:
             log.warning("process_was_paused", paused_s=round(paused_s, 3))
--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/test_endpoint.py
@@ -21,6 +21,7 @@
     def setUp(self):
         super().setUp()
         self.clock = [50.0]
+        self.is_paused = False
         self.endpoint = FakeEndpoint(self.clock)
         self.scheduler = Scheduler(self, now=lambda: self.clock[0])
         endpoint_state = self.scheduler.add_endpoint(entry(1))
@@ -35,6 +36,7 @@
             lease_s=lease_s,
             holder_number=holder_number,
             wake=lambda: None,
+            is_paused=lambda: self.is_paused,
         )
 
     # `start` and `stop` receive the orders of the scheduler.
