Pools: an adopted run is no sample of its endpoint's speed, and its end is forecast

Cause: a run that a new scheduler adopts had no start time, so its end counted as a run of hours (slowness 1.0 to 5.6 after two runs of 0.2 s) and was forecast to be due at once; after each failover busy endpoints that are sound got only tasks that end in time there.

Change: an adopted run begins where its progress says; it is no sample of speed. The scheduler and the reports use one expected run time.

--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -176,9 +176,16 @@
         for run in report.active:
             task = self._find_waiting_task(run.task)
             if task is not None:
-                self.scheduler.adopt(task, self.endpoint, attempt=run.attempt)
-                order = RunOrder(task, run.attempt, self.now(), confirmed_s=self.now())
-                self.orders[task.name] = order
+                self._adopt_run(task, run)
+
+    def _adopt_run(self, task, run):
+        now = self.now()
+        expected_s = self.scheduler.expected_run_s(task, self.endpoint)
+        started_s = now - run.percent / 100 * expected_s
+        self.scheduler.adopt(task, self.endpoint, attempt=run.attempt, started_s=started_s)
+        self.orders[task.name] = RunOrder(
+            task, run.attempt, started_s, confirmed_s=now, progressed_s=now
+        )
 
     def _find_waiting_task(self, name):
         task = self.scheduler.find_task(name)
--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/_order_sender.py
@@ -36,7 +36,7 @@
     attempt : int
         Number of the start.
     sent_s : float
-        When it was sent.
+        When it was sent; of an adopted run, when that began by its progress.
     confirmed_s : float or None
         When the endpoint first confirmed the run.
     unanswered_s : float or None
@@ -86,12 +86,15 @@
         eventlet.spawn(self._send_start, order)
 
     def _send_start(self, order):
-        task = order.task
         if self._agent.closed:
             return  # the role was handed over after the decision to start the task
         if self._agent.is_paused():
             self._agent.drop_order(order, "process_paused")
-            return
+        else:
+            self._call_start(order)
+
+    def _call_start(self, order):
+        task = order.task
         try:
             clock_ms = self._agent.protocol.start(
                 self._agent.endpoint.entry,
--- a/burdocklug/pools/_reports.py
+++ b/burdocklug/pools/_reports.py
@@ -3,8 +3,6 @@
 import eventlet
 import structlog
 
-from burdocklug.pools._placement import expected_run_s
-
 __all__ = ["ReportProcessor", "order_lifetime_s"]
 
 CLOCK_DRIFT_FACTOR = 1.021  # an endpoint's clock may be 2 % slow
@@ -117,8 +115,12 @@
         if order is None or order.attempt != end.attempt:
             return
         del self._agent.orders[end.task]
+        is_adopted = order.token is None  # its start is an estimate
         self._agent.scheduler.note_end(
-            order.task, self._agent.endpoint, end.kind, is_prompt=self.missed_reports == 0
+            order.task,
+            self._agent.endpoint,
+            end.kind,
+            is_prompt=self.missed_reports == 0 and not is_adopted,
         )
 
     def _reconcile(self, order, run, sent_s):
@@ -157,7 +159,9 @@
     def _sample_slowness(self, order, now):
         """Update the endpoint's slowness once from the progress of an overdue run."""
         age_s = now - order.sent_s
-        overdue_age_s = OVERDUE_FACTOR * expected_run_s(order.task, self._agent.endpoint)
+        overdue_age_s = OVERDUE_FACTOR * self._expected_run_s(order)
+        if order.token is None:
+            return  # the start of an adopted run is an estimate
         if not order.is_slowness_sampled and order.percent > 0 and age_s > overdue_age_s:
             order.is_slowness_sampled = True
             total_s = 100 * age_s / order.percent
@@ -169,9 +173,12 @@
         )
         eventlet.spawn(self._agent.sender.try_stop, run.task, run.attempt)
 
+    def _expected_run_s(self, order):
+        return self._agent.scheduler.expected_run_s(order.task, self._agent.endpoint)
+
     def overdue_s(self, order):
         """Return the time from which a run without progress counts as stalled."""
-        expected_s = expected_run_s(order.task, self._agent.endpoint)
+        expected_s = self._expected_run_s(order)
         factor = LOSSY_OVERDUE_FACTOR if self.is_lossy else OVERDUE_FACTOR
         due_s = order.sent_s + factor * expected_s + OVERDUE_SLACK_S
         return max(due_s, order.progressed_s + STALL_TIMEOUT_S)
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/_scheduler.py
@@ -94,9 +94,10 @@
             for endpoint in self.endpoints.values()
             for task in endpoint.runs.values()
         )
-        return CapacityForecast(now, expected_ends(runs, now, self._expected_run_s))
+        return CapacityForecast(now, expected_ends(runs, now, self.expected_run_s))
 
-    def _expected_run_s(self, task, endpoint):
+    def expected_run_s(self, task, endpoint):
+        """Return the expected run time of a task on an endpoint, in seconds."""
         return expected_run_s(task, endpoint, distance_factor=self._distance_factor)
 
     def _carry_out(self, decision, now):
@@ -150,12 +151,13 @@
         if task.state is TaskState.STARTING and endpoint.runs.get(task.name) is task:
             task.state = TaskState.RUNNING
 
-    def adopt(self, task, endpoint, *, attempt):
-        """Adopt an active run that an earlier scheduler started."""
+    def adopt(self, task, endpoint, *, attempt, started_s):
+        """Adopt an active run that an earlier scheduler started, at about `started_s`."""
         task.job.waiting.remove(task)
         task.state = TaskState.RUNNING
         task.attempt = max(task.attempt, attempt)
         task.endpoint_id = endpoint.entry.endpoint_id
+        task.started_s = started_s
         task.job.started = True
         endpoint.add(task)
         self.counts["adopted"] += 1
@@ -225,9 +227,7 @@
         if kind is RunEndKind.DONE and is_placed:
             endpoint.faults = 0
             if is_prompt:
-                update_slowness(
-                    endpoint, now - task.started_s, self._expected_run_s(task, endpoint)
-                )
+                update_slowness(endpoint, now - task.started_s, self.expected_run_s(task, endpoint))
         endpoint.remove(task)
         if not is_placed:
             return
@@ -273,4 +273,4 @@
 
     def note_slow_run(self, task, endpoint, run_s):
         """Update an endpoint's slowness from the total time projected for an active run."""
-        update_slowness(endpoint, run_s, self._expected_run_s(task, endpoint))
+        update_slowness(endpoint, run_s, self.expected_run_s(task, endpoint))
--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/test_endpoint.py
@@ -8,6 +8,7 @@
 from burdocklug.pools._job_registry import TAKEOVER_DELAY_S
 from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._models import JobOutcome, RunEndKind
+from burdocklug.pools._order_sender import RunOrder
 from burdocklug.pools._orders import OrderFenced, OrderUnanswered, RefusalReason
 from burdocklug.pools._scheduler import Scheduler
 from tests.pools.builders import RULE, entry, spec, step
@@ -182,6 +183,16 @@
         self.assertThat(self.endpoint.ends, Equals([]))
         self.assertTrue(self.agent.endpoint.slowness > 2.0, self.agent.endpoint.slowness)
 
+    def test_a_run_away_from_its_data_is_overdue_by_the_factor_of_its_installation(self):
+        scheduler = Scheduler(self, now=lambda: self.clock[0], distance_factor=3.0)
+        agent = self.make_agent(scheduler.add_endpoint(entry(1)), scheduler, holder_number=1)
+        job = scheduler.submit(
+            spec("j1", step(estimate_s=1.0, preferred_rack="r-7")), received_s=50.0, wait_s=60.0
+        )
+        agent.scheduler.start_waiting()
+        order = RunOrder(job.tasks[0], 1, sent_s=50.0)
+        self.assertTrue(agent.reports.overdue_s(order) > 53.0)
+
     def test_an_attempt_number_that_is_too_low_is_raised(self):
         self.take_over()
         self.endpoint.highest_attempts["j1.0.0.0"] = 5
@@ -399,6 +410,26 @@
         self.assertThat((job.tasks[0].state, job.tasks[0].attempt), Equals((TaskState.RUNNING, 3)))
         self.assertThat(len(self.endpoint.runs), Equals(1))
 
+    def test_an_adopted_run_says_nothing_about_the_speed_of_its_endpoint(self):
+        """Its start is not known, so each failover made all busy endpoints look slow."""
+        self.endpoint.run_s = 0.2
+        job = self.submit_lost_job(step(2, estimate_s=0.2))
+        for index in range(2):
+            self.add_run_of_another_holder(f"j1.0.0.{index}", attempt=1)
+        self.endpoint.run_s = 0.2
+        self.take_over()
+        self.pass_time(0.25)
+        self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat(self.agent.endpoint.slowness, Equals(1.0))
+
+    def test_the_end_of_an_adopted_run_is_forecast_from_its_progress(self):
+        self.add_run_of_another_holder()
+        self.endpoint.run_s = 4.0
+        self.endpoint.runs["j1.0.0.0"].began_s -= 1.0
+        job = self.submit_lost_job(step(estimate_s=4.0))
+        self.take_over()
+        self.assertThat(round(self.clock[0] - job.tasks[0].started_s, 3), Equals(1.0))
+
     def submit_lost_job(self, *steps):
         """Submit a job whose previous scheduler was lost."""
         self.scheduler.is_reconciled = False
