Endpoints: an answer that has arrived counts although its timeout has passed

Cause: the loop fires timers before it polls.

Change: a wait that an AnswerTimeout interrupts reads what has arrived, and waits for no more.

--- a/burdocklug/endpoints/__init__.py
+++ b/burdocklug/endpoints/__init__.py
@@ -16,8 +16,10 @@
     NotStarted,
 )
 from burdocklug.endpoints._protocol import EndpointProtocol, endpoint_protocols
+from burdocklug.endpoints._watched import AnswerTimeout
 
 __all__ = [
+    "AnswerTimeout",
     "ConnectionPool",
     "Attempt",
     "AttemptPhase",
--- a/burdocklug/endpoints/_watched.py
+++ b/burdocklug/endpoints/_watched.py
@@ -5,7 +5,11 @@
 import eventlet
 import eventlet.hubs
 
-__all__ = ["WatchedConnection"]
+__all__ = ["AnswerTimeout", "WatchedConnection"]
+
+
+class AnswerTimeout(Exception):
+    """Raised, by a timer, in a greenlet that waits too long for an answer."""
 
 
 class WatchedConnection:
@@ -18,17 +22,20 @@
 
     Notes
     -----
-    Only one greenlet may use it at a time. If unrequested bytes or the end of the stream arrive
+    Only one greenlet may use it at a time. The loop fires timers before it polls, so when it is late
+    an `AnswerTimeout` can interrupt a wait whose answer has arrived: the answer is read then, and
+    after it no more bytes are waited for. If unrequested bytes or the end of the stream arrive
     between two requests, the connection is not reusable any more.
     """
 
-    __slots__ = ("_conn", "_listener", "_sock", "_waiter")
+    __slots__ = ("_conn", "_listener", "_overdue", "_sock", "_waiter")
 
     def __init__(self, conn):
         self._conn = conn
         self._sock = conn.sock.fd  # the non-blocking socket that eventlet's socket wraps
         self._waiter = None
         self._listener = None
+        self._overdue = None  # the timeout of the request under way, once it has passed
         self._watch()
 
     def _watch(self):
@@ -57,6 +64,7 @@
 
     def send(self, data):
         """Send all of `data`."""
+        self._overdue = None
         try:
             sent = self._sock.send(data)
         except BlockingIOError:
@@ -69,15 +77,22 @@
         while True:
             if self._listener is None:
                 self._watch()
-            self._waiter = eventlet.getcurrent()
-            try:
-                eventlet.hubs.get_hub().switch()
-            finally:
-                self._waiter = None
+            if self._overdue is None:
+                self._wait_readable()
             try:
                 return self._sock.recv(size)
             except BlockingIOError:
-                continue
+                if self._overdue is not None:
+                    raise self._overdue from None
+
+    def _wait_readable(self):
+        self._waiter = eventlet.getcurrent()
+        try:
+            eventlet.hubs.get_hub().switch()
+        except AnswerTimeout as exc:
+            self._overdue = exc
+        finally:
+            self._waiter = None
 
     def recv_into(self, buffer):
         """Wait for bytes, put them into `buffer` and return their number."""
--- a/burdocklug/platform/_calls.py
+++ b/burdocklug/platform/_calls.py
@@ -6,7 +6,7 @@
 import eventlet
 import msgspec
 
-from burdocklug.endpoints import ConnectionPool, MaybeStarted, NotStarted, exchange
+from burdocklug.endpoints import AnswerTimeout, ConnectionPool, MaybeStarted, NotStarted, exchange
 
 __all__ = ["JsonClient", "NoResponse"]
 
@@ -23,10 +23,6 @@
         self.sent = sent
 
 
-class _CallTimeout(Exception):
-    """Raised in a call whose timeout has passed."""
-
-
 class JsonClient:
     """HTTP client that reuses its connections to each address.
 
@@ -64,7 +60,7 @@
         connections = self._connections(address)
         sent = False
         timeout = eventlet.Timeout(
-            timeout_s, _CallTimeout(f"{address}: no response in {timeout_s:.2f} s")
+            timeout_s, AnswerTimeout(f"{address}: no response in {timeout_s:.2f} s")
         )
         try:
             conn, generation = connections.acquire(self._now())
@@ -75,7 +71,7 @@
                 )
             finally:
                 connections.release(conn, generation, self._now(), reusable=reusable)
-        except (NotStarted, MaybeStarted, _CallTimeout) as exc:
+        except (NotStarted, MaybeStarted, AnswerTimeout) as exc:
             raise NoResponse(f"{type(exc).__name__}: {exc}"[:120], sent=sent) from exc
         finally:
             timeout.cancel()
