Pools: timeouts of orders follow how late the scheduler's loop is

Cause: starts, stops and reports ended after a fixed 0.04 s.

A missed answer extends the timeouts only while the own loop is late.

--- a/burdocklug/endpoints/_watched.py
+++ b/burdocklug/endpoints/_watched.py
@@ -22,10 +22,11 @@
 
     Notes
     -----
-    Only one greenlet may use it at a time. The loop fires timers before it polls, so when it is late
-    an `AnswerTimeout` can interrupt a wait whose answer has arrived: the answer is read then, and
-    after it no more bytes are waited for. If unrequested bytes or the end of the stream arrive
+    Only one greenlet may use it at a time. If unrequested bytes or the end of the stream arrive
     between two requests, the connection is not reusable any more.
+
+    The loop fires timers before it polls, so when it is late an `AnswerTimeout` can interrupt a
+    wait whose answer has arrived: the answer is read then, and no more bytes are waited for.
     """
 
     __slots__ = ("_conn", "_listener", "_overdue", "_sock", "_waiter")
--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/_endpoint.py
@@ -54,10 +54,25 @@
         Called when there may be capacity for more starts.
     is_paused : callable
         Returns whether this process was paused and may have lost the scheduler's role meanwhile.
+    times : AnswerTimes
+        What answers of all endpoints took lately.
+    loop_lag_s : callable
+        Returns the recent lag of this process's event loop, in seconds.
     """
 
     def __init__(
-        self, endpoint, scheduler, protocol, *, now, lease_s, holder_number, wake, is_paused
+        self,
+        endpoint,
+        scheduler,
+        protocol,
+        *,
+        now,
+        lease_s,
+        holder_number,
+        wake,
+        is_paused,
+        times,
+        loop_lag_s,
     ):
         self.endpoint = endpoint
         self.token = None
@@ -72,6 +87,8 @@
         self._holder_number = holder_number
         self.wake = wake
         self.is_paused = is_paused
+        self.times = times
+        self._loop_lag_s = loop_lag_s
         self.orders = {}
         self.sender = OrderSender(self)
         self.reports = ReportProcessor(self)
@@ -210,15 +227,23 @@
         self.reports.process(report, sent_s)
 
     def _request_report(self, *, token, lease_ms, wait_s):
-        return self.protocol.renew(
-            self.endpoint.entry,
-            token=token,
-            acknowledged=self.reports.acked,
-            lease_ms=lease_ms,
-            wait_s=wait_s,
-            timeout_s=wait_s
-            + (LOSSY_ANSWER_TIMEOUT_S if self.reports.is_lossy else ANSWER_TIMEOUT_S),
-        )
+        timeout_s = LOSSY_ANSWER_TIMEOUT_S if self.reports.is_lossy else ANSWER_TIMEOUT_S
+        try:
+            return self.protocol.renew(
+                self.endpoint.entry,
+                token=token,
+                acknowledged=self.reports.acked,
+                lease_ms=lease_ms,
+                wait_s=wait_s,
+                timeout_s=wait_s + timeout_s + self.times.slack_s,
+            )
+        except OrderUnanswered:
+            self.note_missed()
+            raise
+
+    def note_missed(self):
+        """Record that an answer of the endpoint did not arrive in time."""
+        self.times.note_missed(loop_lag_s=self._loop_lag_s())
 
     def _wait_s(self, now):
         """Return how long the endpoint may wait for a run to end before it reports, in seconds."""
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -6,6 +6,7 @@
 from eventlet.event import Event
 
 from burdocklug.pools._agent_orders import AgentOrders
+from burdocklug.pools._answer_times import AnswerTimes
 from burdocklug.pools._capacity import find_placement_obstacle
 from burdocklug.pools._endpoint import TOKEN_HOLDERS, EndpointAgent
 from burdocklug.pools._following import FENCED
@@ -88,6 +89,7 @@
         self._distance_factor = distance_factor
         self._is_paused = is_paused
         self._agents = {}
+        self._times = AnswerTimes()
         self._claim = None
         self._began_s = 0.0
         self._start_waiting_due = False
@@ -128,6 +130,7 @@
         )
         self.scheduler.is_reconciled = False
         self._agents = orders.agents
+        self._times = AnswerTimes()
         log.info("scheduling_begins", term=claim.term, whole=claim.is_full)
         self._timers.after(RESUBMIT_GRACE_S, self._sync_agents)
 
@@ -181,6 +184,8 @@
             holder_number=zlib.crc32(self._network.incarnation.encode()) % TOKEN_HOLDERS,
             wake=self._schedule_start_waiting,
             is_paused=self._is_paused,
+            times=self._times,
+            loop_lag_s=lambda: self._host.recent_lag_s,
         )
         self._agents[entry.endpoint_id] = agent
         agent.begin()
--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/_order_sender.py
@@ -94,7 +94,7 @@
             self._call_start(order)
 
     def _call_start(self, order):
-        task = order.task
+        task, sent_s = order.task, self._agent.now()
         try:
             clock_ms = self._agent.protocol.start(
                 self._agent.endpoint.entry,
@@ -103,12 +103,13 @@
                 payload=task.job.spec.payload,
                 lease_ms=self._agent.lease_end_ms(),
                 token=order.token,
-                timeout_s=START_TIMEOUT_S,
+                timeout_s=START_TIMEOUT_S + self._agent.times.slack_s,
             )
         except OrderRefused as exc:
             self._note_refused(order, exc)
         except OrderUnanswered as exc:
             order.unanswered_s = self._agent.scheduler.last_missed_s = self._agent.now()
+            self._agent.note_missed()
             self._resolve_unanswered(order, exc)
         except OrderFenced as exc:
             self._agent.drop_order(order, "fenced")
@@ -118,6 +119,7 @@
             if order.token == self._agent.token:
                 self._agent.requeue_after_restart("other_incarnation")
         else:
+            self._agent.times.note_answer(self._agent.now() - sent_s)
             self._agent.clock.update(clock_ms)
             if self._agent.orders.get(task.name) is order:
                 order.confirmed_s = self._agent.now()
@@ -213,7 +215,7 @@
                 task=task,
                 attempt=attempt,
                 token=self._agent.token or 0,
-                timeout_s=STOP_TIMEOUT_S,
+                timeout_s=STOP_TIMEOUT_S + self._agent.times.slack_s,
             )
         except (OrderUnanswered, OrderFenced, OrderRefused, OtherIncarnation) as exc:
             log.info("stop_failed", task=task, attempt=attempt, error=str(exc)[:120])
--- a/tests/endpoints/test_watched.py
+++ b/tests/endpoints/test_watched.py
@@ -2,10 +2,10 @@
 
 import eventlet
 import eventlet.hubs
-from eventlet.green import socket
-from eventlet.patcher import original
 import testtools
 import urllib3.connection
+from eventlet.green import socket
+from eventlet.patcher import original
 from testtools.matchers import Equals, HasLength
 
 from burdocklug.endpoints._watched import AnswerTimeout, WatchedConnection
--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/test_endpoint.py
@@ -4,6 +4,7 @@
 from testtools.matchers import Equals
 
 from burdocklug.pools import _endpoint, _order_sender
+from burdocklug.pools._answer_times import AnswerTimes
 from burdocklug.pools._endpoint import EndpointAgent
 from burdocklug.pools._job_registry import TAKEOVER_DELAY_S
 from burdocklug.pools._jobs import TaskState
@@ -23,6 +24,8 @@
         super().setUp()
         self.clock = [50.0]
         self.is_paused = False
+        self.loop_lag_s = 0.0
+        self.times = AnswerTimes()
         self.endpoint = FakeEndpoint(self.clock)
         self.scheduler = Scheduler(self, now=lambda: self.clock[0])
         endpoint_state = self.scheduler.add_endpoint(entry(1))
@@ -38,6 +41,8 @@
             holder_number=holder_number,
             wake=lambda: None,
             is_paused=lambda: self.is_paused,
+            times=self.times,
+            loop_lag_s=lambda: self.loop_lag_s,
         )
 
     # `start` and `stop` receive the orders of the scheduler.
--- a/tests/pools/test_pauses.py
+++ b/tests/pools/test_pauses.py
@@ -82,7 +82,7 @@
             directory,
             self.endpoint,
             SimpleNamespace(followers=Followers(timeout_s=0.8)),
-            SimpleNamespace(take_max_lag_s=lambda: 0.0),
+            SimpleNamespace(take_max_lag_s=lambda: 0.0, recent_lag_s=0.0),
             lease_s=1.0,
             distance_factor=1.5,
             is_paused=self.detector.is_paused,
