Pools: after a partition a scheduler yields at once, and its runs end before a job goes on

The partition of freistadt ended at 40.0 s. Followers of its scheduler heard of the whole fleet's one at 40.25 s and submitted their jobs there, but that scheduler itself heard at 40.76 s, and renewed leases and started tasks until then, also on an endpoint that the other did not have listed yet. The successor waited 1.2 s from the last reply (40.09 s); the lease ended at 41.44 s.

Change: a follower that leaves a scheduler for a greater claim tells it of that claim; one that replied within 0.3 s is taken to have acted until then; a scheduler that is replaced stops the runs of jobs whose processes it has not heard for 0.3 s.

Ruled out: a longer takeover delay for all (1.97 s would be needed, longer than most deadlines). Left: a scheduler that hears its followers while they don't hear it, beside an endpoint that the successor does not reach, still has until 0.9 s.

--- a/burdocklug/pools/_held_claim.py
+++ b/burdocklug/pools/_held_claim.py
@@ -5,11 +5,12 @@
 from burdocklug.pools._congestion import CongestionControl
 from burdocklug.pools._followers import Followers
 from burdocklug.pools._leadership import greater_claim
-from burdocklug.pools._messages import FollowerHeartbeat, HeartbeatReply
+from burdocklug.pools._messages import ClaimNotice, FollowerHeartbeat, HeartbeatReply
 
 __all__ = ["SCHEDULER_TIMEOUT_S", "ClaimTracker"]
 
 SCHEDULER_TIMEOUT_S = 0.8  # four heartbeats without a reply
+LIVE_REPLY_S = 0.3  # age of its last reply up to which a scheduler is taken to be running
 
 log = structlog.get_logger(__name__)
 
@@ -47,7 +48,8 @@
     congestion : CongestionControl
         Admission of jobs that this process sends to the scheduler.
     former_reply_s : dict
-        Time of the last reply of each scheduler that was followed before, by incarnation.
+        Time until which each scheduler that was followed before may have acted on jobs of this
+        process, as far as that is known here, by incarnation.
     on_newer_version : callable or None
         Called with the incarnation of a peer that has a newer configuration.
     """
@@ -88,10 +90,7 @@
             return
         before, self.claim = self.claim, claim
         if before is not None:
-            was_scheduler = before.scheduler == self.incarnation
-            self.former_reply_s[before.scheduler] = (
-                self._timers.now() if was_scheduler else self.last_reply_s
-            )
+            self._leave(before, claim)
         self._greatest_claim = greater_claim(self._greatest_claim, claim)
         self.last_reply_s = self._claim_since_s = self._timers.now()
         self.reply_sequence = 0
@@ -108,6 +107,18 @@
         if claim is not None and not self.is_scheduler:
             self._send_heartbeat()
 
+    def _leave(self, before, claim):
+        """Record when the former scheduler last acted, and tell it of the claim that replaced it.
+
+        A scheduler that others replaced, for instance after a partition, may not know it yet.
+        """
+        now = self._timers.now()
+        is_running = before.scheduler == self.incarnation
+        if claim is not None and claim.scheduler != before.scheduler and not is_running:
+            self._network.send(before.scheduler, ClaimNotice(claim))
+            is_running = now - self.last_reply_s <= LIVE_REPLY_S
+        self.former_reply_s[before.scheduler] = now if is_running else self.last_reply_s
+
     @property
     def confirmed_claim(self):
         """The claim if its scheduler has replied, or is this process; None otherwise."""
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -31,6 +31,7 @@
 # Exceeds a lease plus clock drift: runs on endpoints that gave no report by then have lapsed.
 SETTLE_S = 1.2
 FOLLOWER_TIMEOUT_S = 0.9  # longer than a follower waits for a scheduler that is lost
+ABSENT_AFTER_S = 0.3  # longer than a follower's heartbeat period and a round trip
 # Shorter than `SCHEDULER_TIMEOUT_S`: the sender cannot have resubmitted the job elsewhere yet.
 MAX_SUBMISSION_AGE_S = 0.7
 UPKEEP_S = 0.1
@@ -138,6 +139,7 @@
         if self.scheduler is None:
             return
         scheduler, self.scheduler = self.scheduler, None
+        self._stop_jobs_of_absent(scheduler)
         for agent in self._agents.values():
             agent.close()
         self._agents = {}
@@ -147,6 +149,20 @@
             for wake in waiters:
                 wake(job)
 
+    def _stop_jobs_of_absent(self, scheduler):
+        """Stop the runs of jobs whose callers' processes may follow another scheduler already.
+
+        They submit these jobs there without progress, and it starts them anew `TAKEOVER_DELAY_S`
+        after they last heard this one: leases that were renewed since would outlast that.
+        """
+        last_heartbeat_s, now = self._election.followers.last_heartbeat_s, self._timers.now()
+        for job in scheduler.jobs.values():
+            if job.outcome is None and all(
+                self._is_lost(sender, last_heartbeat_s, now, timeout_s=ABSENT_AFTER_S)
+                for sender in job.callers
+            ):
+                scheduler.suspend(job)
+
     def _serves(self, entry):
         return self._claim.serves(entry.failure_domain)
 
@@ -244,10 +260,10 @@
             if all(self._is_lost(sender, last_heartbeat_s, now) for sender in job.callers):
                 self.scheduler.suspend(job)
 
-    def _is_lost(self, sender, last_heartbeat_s, now):
+    def _is_lost(self, sender, last_heartbeat_s, now, *, timeout_s=FOLLOWER_TIMEOUT_S):
         if sender == self._network.incarnation:
             return False
-        return now - max(last_heartbeat_s.get(sender, 0.0), self._began_s) > FOLLOWER_TIMEOUT_S
+        return now - max(last_heartbeat_s.get(sender, 0.0), self._began_s) > timeout_s
 
     def _on_submit(self, sender, message):
         scheduler = self.scheduler
--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/_order_sender.py
@@ -198,9 +198,12 @@
 
     def _stop_order(self, order):
         for _ in range(MAX_STOP_TRIES):
-            if self._agent.orders.get(order.task.name) is not order or self._agent.closed:
+            if self._agent.orders.get(order.task.name) is not order:
                 return
-            if self.try_stop(order.task.name, order.attempt):
+            is_accepted = self.try_stop(order.task.name, order.attempt)
+            if self._agent.closed:
+                return  # the endpoint has another holder by now, or the run's lease expires
+            if is_accepted:
                 order.stopped_s = self._agent.now()
                 break
             eventlet.sleep(STOP_RETRY_PAUSE_S)
--- a/tests/pools/test_following.py
+++ b/tests/pools/test_following.py
@@ -71,6 +71,29 @@
         self.fleet.run(2.0)
         self.assertThat(self.fleet.followed(), Equals([0] * 7))
 
+    def heal_partition_without_the_link_between_the_schedulers(self):
+        """Heal a partition of "east", and return both schedulers and a follower of the smaller."""
+        self.fleet.cut_off_domains.add("east")
+        self.fleet.run(3.0)
+        whole, part = (self.fleet[number] for number in self.fleet.schedulers())
+        follower = next(n for n in (self.fleet[5], self.fleet[6]) if n is not part)
+        self.fleet.cut_pairs.append({whole, part})
+        self.fleet.cut_off_domains.clear()
+        while follower.election.claim.scheduler == part.incarnation:
+            self.fleet.run(0.05)
+        return part, follower
+
+    def test_scheduler_of_a_part_yields_as_soon_as_one_of_its_followers_has_left_it(self):
+        """Both scheduled for 0.5 s after a partition, and a task ran twice at once."""
+        part, _follower = self.heal_partition_without_the_link_between_the_schedulers()
+        self.fleet.run(0.05)
+        self.assertFalse(part.election.is_scheduler)
+
+    def test_scheduler_that_was_left_for_another_may_have_acted_until_then(self):
+        part, follower = self.heal_partition_without_the_link_between_the_schedulers()
+        left_s = follower.election.former_reply_s[part.incarnation]
+        self.assertTrue(self.fleet.now_s - left_s < 0.05, self.fleet.now_s - left_s)
+
     def test_partition_around_the_scheduler_s_domain_gives_two_schedulers_and_then_one(self):
         self.fleet.cut_off_domains.add("north")
         self.fleet.run(3.0)
--- a/tests/pools/test_pauses.py
+++ b/tests/pools/test_pauses.py
@@ -11,7 +11,7 @@
 from burdocklug.pools._followers import Followers
 from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._leader import SETTLE_S, Leader
-from burdocklug.pools._messages import Claim, SubmitJob
+from burdocklug.pools._messages import Claim, FollowerHeartbeat, SubmitJob
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
 from tests.pools.builders import entry, spec, step
 from tests.pools.fake_endpoint import FakeEndpoint
@@ -64,15 +64,14 @@
         return super().renew(entry, **options)
 
 
-class PausedLeaderTest(TestCase):
-    """After a pause, the scheduler's own timers run before the one that checks for pauses."""
-
+class LeaderTestCase(TestCase):
     def setUp(self):
         super().setUp()
         self.clock = [100.0]
         self.timers = TimerService(now=lambda: self.clock[0])
         self.endpoint = YieldingEndpoint(self.clock, run_s=30.0)
         self.network = FakeNetwork()
+        self.followers = Followers(timeout_s=0.8)
         self.detector = PauseDetector(self.timers.now, boot_now=lambda: 0.0)
         directory = Directory()
         directory.put(entry(1))
@@ -81,7 +80,7 @@
             self.timers,
             directory,
             self.endpoint,
-            SimpleNamespace(followers=Followers(timeout_s=0.8)),
+            SimpleNamespace(followers=self.followers),
             SimpleNamespace(take_max_lag_s=lambda: 0.0, recent_lag_s=0.0),
             lease_s=1.0,
             distance_factor=1.5,
@@ -106,6 +105,10 @@
             spec("j1", step(estimate_s=30.0)), received_s=self.clock[0], wait_s=90.0
         )
 
+
+class PausedLeaderTest(LeaderTestCase):
+    """After a pause, the scheduler's own timers run before the one that checks for pauses."""
+
     def test_no_task_starts_before_the_pause_is_taken(self):
         self.add_job()
         self.clock[0] += PAUSE_S
@@ -128,6 +131,34 @@
         self.assertThat(self.leader.scheduler.jobs, Equals({}))
 
 
+class DeposedLeaderTest(LeaderTestCase):
+    """A scheduler that another one replaces while it still runs."""
+
+    def setUp(self):
+        super().setUp()
+        self.followers.note_heartbeat(
+            "follower", FollowerHeartbeat(1, Claim(True, 1, OWN)), self.clock[0]
+        )
+        job = self.add_job()
+        job.callers["follower"] += 1
+        self.pass_time(0.1)
+        self.assertThat(len(self.endpoint.runs), Equals(1))
+
+    def depose(self):
+        self.leader.apply_claim(Claim(True, 2, "10.0.0.2:7000~000000000000000020123abcd"))
+        AgentTestCase.run_greenlets()
+
+    def test_runs_of_a_follower_that_has_left_are_stopped(self):
+        """The successor may not know their endpoint, and starts the job again 1.2 s later."""
+        self.pass_time(0.4)
+        self.depose()
+        self.assertThat(self.endpoint.runs, Equals({}))
+
+    def test_runs_of_a_follower_that_is_told_go_on(self):
+        self.depose()
+        self.assertThat(len(self.endpoint.runs), Equals(1))
+
+
 class PausedAgentTest(AgentTestCase):
     def setUp(self):
         super().setUp()
--- a/tests/pools/virtual_fleet.py
+++ b/tests/pools/virtual_fleet.py
@@ -77,7 +77,8 @@
 class VirtualFleet:
     """Nodes by incarnation, and the partitions between them.
 
-    `cut_off_domains` holds failure domains cut off from all others, `isolated` holds single nodes.
+    `cut_off_domains` holds failure domains cut off from all others, `isolated` holds single nodes,
+    `cut_pairs` holds sets of two nodes that do not reach each other.
     """
 
     def __init__(self, domains):
@@ -85,6 +86,7 @@
         self.timers = TimerService(now=lambda: self.now_s)
         self.cut_off_domains = set()
         self.isolated = set()
+        self.cut_pairs = []
         self.nodes = {}
         for number, domain in enumerate(domains, 1):
             node = Node(self, number, domain)
@@ -103,6 +105,7 @@
             or other.frozen
             or one in self.isolated
             or other in self.isolated
+            or {one, other} in self.cut_pairs
         ):
             return False
         return not self.is_domain_cut(one.failure_domain, other.failure_domain)
