Border: malformed rows of a report count as no answer; a malformed member stops no claim

Cause, found by looking for what one malformed message can end: (a) a row of a report that is too short raised IndexError in the greenlet that resolves a start, which then never was; rows of other types reached the scheduler. (b) A record of a member with an id that names no address raised in the announcement of a claim, so that the members after it in the list never heard it.

Change: rows are decoded to types, further entries of a row are ignored; an announcement goes on with the next member and logs the one that it could not send to.

--- a/burdocklug/platform/_orders.py
+++ b/burdocklug/platform/_orders.py
@@ -33,12 +33,26 @@
 }  # other kinds (lapsed, broke, waited alone) count as LAPSED
 
 
+class _ActiveRow(msgspec.Struct, frozen=True, array_like=True):
+    task: str
+    attempt: int
+    checkpoint: object
+    percent: int | float
+
+
+class _EndRow(msgspec.Struct, frozen=True, array_like=True):
+    number: int
+    task: str
+    attempt: int
+    kind: str
+
+
 class _Answer(msgspec.Struct, frozen=True):
     clock_ms: int
     reason: str = ""
     born: int = 0  # start of the current incarnation, Unix milliseconds
-    active: list[list] = []  # rows: 0 task, 1 attempt, 2 not read, 3 progress in percent
-    ended: list[list] = []  # rows: 0 number, 1 task, 2 attempt, 3 kind of end
+    active: list[_ActiveRow] = []
+    ended: list[_EndRow] = []
 
 
 @order_protocols.register("platform")
@@ -81,9 +95,11 @@
         return RunReport(
             answer.clock_ms,
             answer.born,
-            tuple(ActiveRun(row[0], row[1], row[3]) for row in answer.active),
+            tuple(ActiveRun(row.task, row.attempt, row.percent) for row in answer.active),
             tuple(
-                RunEnd(row[0], row[1], row[2], END_KINDS.get(row[3], RunEndKind.LAPSED))
+                RunEnd(
+                    row.number, row.task, row.attempt, END_KINDS.get(row.kind, RunEndKind.LAPSED)
+                )
                 for row in answer.ended
             ),
         )
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/_following.py
@@ -4,6 +4,7 @@
 import msgspec
 import structlog
 
+from burdocklug.peers import PeerUnreachable
 from burdocklug.pools._held_claim import SCHEDULER_TIMEOUT_S, ClaimTracker
 from burdocklug.pools._leadership import (
     ClaimKind,
@@ -137,7 +138,10 @@
     def _announce(self, claim):
         self._announced_s = self._timers.now()
         for incarnation in self._members():
-            self._network.send(incarnation, ClaimNotice(claim))
+            try:
+                self._network.send(incarnation, ClaimNotice(claim))
+            except PeerUnreachable as exc:
+                log.warning("claim_notice_not_sent", member=incarnation, error=str(exc)[:120])
 
     def _on_notice(self, sender, message):
         self._consider_claim(message.claim, sender)
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -1,6 +1,7 @@
 """Contract of `EndpointOrders`: `PlatformOrders` against simulated workers of the stand-in."""
 
 import time
+from types import SimpleNamespace
 
 import msgspec
 from testtools import TestCase
@@ -19,6 +20,7 @@
 from standins.platform_fleet import call_json
 from standins.ports import free_address
 from tests.pools.builders import entry
+from tests.scenarios import with_scenarios
 
 TIMEOUT_S = 0.5
 
@@ -118,3 +120,35 @@
         self.assertRaises(OrderUnanswered, self.start)
         self.entry = msgspec.structs.replace(self.entry, address=free_address())
         self.assertRaises(OrderUnanswered, self.start)
+
+
+@with_scenarios
+class MalformedAnswerTest(TestCase):
+    """Answers that are not valid count as none, whatever is wrong with them."""
+
+    scenarios = [
+        ("not_json", {"raw": b"\xff{"}),
+        ("no_clock", {"raw": b'{"active":[]}'}),
+        ("short_row", {"raw": b'{"clock_ms":5,"active":[["j.0.0.0"]]}'}),
+        ("row_of_another_type", {"raw": b'{"clock_ms":5,"ended":["j.0.0.0"]}'}),
+        ("number_as_text", {"raw": b'{"clock_ms":5,"ended":[["1","j.0.0.0",1,"done",""]]}'}),
+        ("progress_missing", {"raw": b'{"clock_ms":5,"active":[["j.0.0.0",1,"",null]]}'}),
+    ]
+
+    def test_the_report_counts_as_unanswered(self):
+        orders = PlatformOrders(now=time.monotonic)
+        orders._client = SimpleNamespace(call=lambda *_args, **_options: (200, self.raw))
+        options = {"token": 1, "acknowledged": 0, "lease_ms": None, "wait_s": 0.0}
+        self.assertRaises(OrderUnanswered, orders.renew, entry(1), timeout_s=1.0, **options)
+
+
+class ExtendedReportTest(TestCase):
+    def test_further_entries_of_a_row_are_ignored(self):
+        active, ended = b'["j.0.0.0",1,"",41,0.7,"new"]', b'[1,"k",2,"done","",9]'
+        raw = b'{"clock_ms":5,"active":[%b],"ended":[%b]}' % (active, ended)
+        orders = PlatformOrders(now=time.monotonic)
+        orders._client = SimpleNamespace(call=lambda *_args, **_options: (200, raw))
+        report = orders.renew(
+            entry(1), token=1, acknowledged=0, lease_ms=None, wait_s=0.0, timeout_s=1.0
+        )
+        self.assertThat((report.active[0].percent, report.ended[0].kind), Equals((41, "done")))
--- a/tests/pools/test_following.py
+++ b/tests/pools/test_following.py
@@ -149,6 +149,18 @@
         self.fleet.run(4.0)
         self.assertThat(self.fleet.followed(), Equals([6] * 7))
 
+    def test_malformed_member_does_not_keep_the_claim_from_the_others(self):
+        self.fleet.malformed_members["nonsense"] = "north"
+        self.fleet[0].frozen = True
+        self.fleet.run(2.5)
+        announced = self.fleet[1].election._announced_s
+        self.fleet.run(1.2)
+        self.assertThat(self.fleet.followed()[1:], Equals([1] * 6))
+        self.assertTrue(self.fleet[1].election._announced_s > announced)
+        self.fleet[2].election._set_claim(None, "test")
+        self.fleet[1].election._announce(self.fleet[1].election.claim)
+        self.assertThat(self.fleet.followed()[2], Equals(1))
+
     def test_role_that_overloads_each_host_of_equal_size_moves_once_in_half_a_minute(self):
         """Occurs where the load exceeds one host: each move drops jobs and helps nobody."""
         movements = []
--- a/tests/pools/virtual_fleet.py
+++ b/tests/pools/virtual_fleet.py
@@ -41,7 +41,8 @@
 
     def members(self):
         nodes = self.fleet.nodes.values()
-        return {n.incarnation: n.failure_domain for n in nodes if n is not self}
+        known = {n.incarnation: n.failure_domain for n in nodes if n is not self}
+        return {**self.fleet.malformed_members, **known}
 
     def unreachable_domains(self, domains):
         own = self.failure_domain
@@ -56,6 +57,7 @@
         self.refused = callback
 
     def send(self, incarnation, message):
+        self._check(incarnation)
         node = self.fleet.nodes[incarnation]
         if node.ended:
             self.refusals += 1
@@ -65,7 +67,12 @@
         if self.fleet.is_linked(self, node):
             node._handlers[type(message)](self.incarnation, message)
 
+    def _check(self, incarnation):
+        if incarnation in self.fleet.malformed_members:
+            raise PeerUnreachable(incarnation, "malformed incarnation id")
+
     def call(self, incarnation, message, *, timeout_s):
+        self._check(incarnation)
         node = self.fleet.nodes[incarnation]
         if node.ended:
             raise PeerUnreachable(incarnation, "connection refused")
@@ -87,6 +94,7 @@
         self.cut_off_domains = set()
         self.isolated = set()
         self.cut_pairs = []
+        self.malformed_members = {}
         self.nodes = {}
         for number, domain in enumerate(domains, 1):
             node = Node(self, number, domain)
