--- a/standins/link.py
+++ b/standins/link.py
@@ -45,12 +45,13 @@
 
 @dataclass(eq=False, slots=True)
 class Connection:
-    """A client's socket, the server's socket, and the directions that are silent."""
+    """A client's socket, the server's socket, the directions that are silent, and the readers."""
 
     client: socket.socket
     server: socket.socket | None = None
     silent: frozenset = frozenset()
     ended: set = field(default_factory=set)
+    readers: list = field(default_factory=list)
 
 
 class Link:
@@ -149,7 +150,7 @@
 
     def _pump(self, conn, source, sink, direction):
         chunks = LightQueue(QUEUED_CHUNKS)
-        eventlet.spawn(self._read, conn, source, chunks)
+        conn.readers.append(eventlet.spawn(self._read, conn, source, chunks))
         eventlet.spawn(self._write, conn, sink, chunks, direction)
 
     def _read(self, conn, source, chunks):
@@ -190,6 +191,10 @@
 
     def _reset(self, conn):
         self._connections.discard(conn)
+        # The loop would keep a reader of a closed descriptor, whose number the next socket may get.
+        readers, conn.readers = conn.readers, []
+        for reader in readers:
+            reader.kill()
         for sock in (conn.client, conn.server):
             if sock is None:
                 continue
--- a/tests/pools/test_fleet.py
+++ b/tests/pools/test_fleet.py
@@ -1,4 +1,5 @@
 import msgspec
+from eventlet.event import Event
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -32,6 +33,9 @@
     def read(self, prefix):
         return [], 1
 
+    def follow(self, prefix, after, *, wait_s):
+        Event().wait()  # no record ever changes
+
 
 class MemberRegistryTest(TestCase):
     def setUp(self):
--- a/tests/standins/test_link.py
+++ b/tests/standins/test_link.py
@@ -2,6 +2,7 @@
 
 eventlet.monkey_patch()
 
+import os  # noqa: E402
 import socket  # noqa: E402
 
 import urllib3  # noqa: E402
@@ -9,6 +10,7 @@
 from testtools.matchers import Equals, GreaterThan, LessThan  # noqa: E402
 
 from standins.launch import launch  # noqa: E402
+from standins.link import Link  # noqa: E402
 from standins.ports import free_address  # noqa: E402
 
 QUIET_S = 0.3
@@ -130,3 +132,30 @@
         self.assertThat(child.returncode, Equals(None))
         self.assertThat(child.pid, GreaterThan(0))
         self.assertThat(child.stop(), LessThan(0))
+
+
+class InProcessLinkTest(TestCase):
+    """A link in the process of a test, as `tests/tickets/test_silent_link.py` uses it."""
+
+    def test_a_cut_leaves_no_greenlet_waiting_on_a_closed_descriptor(self):
+        """A later test that opened the same descriptor failed: "Second simultaneous read"."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(eventlet.spawn(eventlet.serve, listener, lambda conn, _: echo(conn)).kill)
+        link = Link(free_address(), f"127.0.0.1:{listener.getsockname()[1]}")
+        host, port = link.listen.split(":")
+        conn = socket.create_connection((host, int(port)), 5.0)
+        self.addCleanup(conn.close)
+        conn.sendall(b"ping")
+        self.assertThat(conn.recv(100), Equals(b"ping"))
+        link.set_mode("cut")
+        eventlet.sleep(0.05)
+        waiting = list(eventlet.hubs.get_hub().listeners["read"])
+        self.assertThat([fd for fd in waiting if not is_open(fd)], Equals([]))
+
+
+def is_open(fd):
+    try:
+        os.fstat(fd)
+    except OSError:
+        return False
+    return True
