--- a/burdocklug/pools/_answer_times.py
+++ b/burdocklug/pools/_answer_times.py
@@ -5,13 +5,9 @@
 USUAL_ANSWER_S = 0.02  # several round trips between failure domains
 MEAN_WEIGHT = 0.1  # weight of one answer in the mean lateness
 SLACK_FACTOR = 3.0  # multiple of the mean lateness that is waited for
-SLACK_DECAY = (
-    0.95  # factor on the slack for each answer, so that it is gone after some 50 prompt ones
-)
+SLACK_DECAY = 0.95  # factor on the slack for each answer; some 100 prompt ones end it
 FIRST_SLACK_S = 0.04  # doubles with each further missed answer
-MAX_SLACK_S = (
-    0.3  # with the base timeouts less than half of a lease, so that a renewal can be repeated
-)
+MAX_SLACK_S = 0.3  # a report that waits for 0.4 s still ends before a lease of 1 s does
 # Lag of the event loop from which a missed answer is put down to this process, not to a loss.
 LATE_LOOP_S = 0.005
 
