--- a/burdocklug/pools/_pause.py
+++ b/burdocklug/pools/_pause.py
@@ -16,7 +16,7 @@
     """Detects that this process was stopped, or that its host was suspended.
 
     `take_pause_s` has to be called each `CHECK_PERIOD_S`. After a pause other callbacks may run
-    first; `is_paused` tells them that the pause has not been taken note of.
+    first; `is_paused` tells them that a pause has not been handled yet.
 
     Parameters
     ----------
@@ -36,7 +36,7 @@
         return elapsed_s - CHECK_PERIOD_S
 
     def is_paused(self):
-        """Return whether a pause of more than `MAX_PAUSE_S` has not been taken note of yet."""
+        """Return whether a pause of more than `MAX_PAUSE_S` has not been handled yet."""
         return self._pause_s() > MAX_PAUSE_S
 
     def take_pause_s(self):
