--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -105,9 +105,21 @@
         How long a worker takes to stop a run.
     networked : bool
         Whether all connections go through the stand-in of the network.
+    workers_apart : bool
+        Whether a cut of a zone leaves its workers with the other zones, as one of machines does.
     """
 
-    def __init__(self, processes, *, workers, record, guards=True, stop_ms=10, networked=False):
+    def __init__(
+        self,
+        processes,
+        *,
+        workers,
+        record,
+        guards=True,
+        stop_ms=10,
+        networked=False,
+        workers_apart=False,
+    ):
         self.processes = dict(processes)
         self.record = record
         self.guards = guards
@@ -138,7 +150,7 @@
                         "zone": zone,
                         "rack": f"{zone}-r{number // 8}",
                         "listen": listen,
-                        "address": self._link(listen, zone),
+                        "address": self._link(listen, "workers" if workers_apart else zone),
                         "cpu": 16000,
                         "guards": guards,
                         "stop_ms": stop_ms,
