Pools: folders for the election, the scheduler's decisions, the agents and the submitting side

Cause: 41 files lay flat in one folder, and new parts are about to join them. Change: modules move into election, scheduling, agents and submitting, each behind a thin public module; tests mirror them; the head of the package tells the way of a job. No behaviour changes.

--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -3,8 +3,6 @@
 import structlog
 from eventlet.event import Event
 
-from burdocklug.pools._capacity import find_placement_obstacle
-from burdocklug.pools._jobs import progress_of
 from burdocklug.pools._messages import (
     CancelJob,
     CancelledJobs,
@@ -17,6 +15,7 @@
     WithdrawJob,
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, bounded_retry_s
+from burdocklug.pools.scheduling import find_placement_obstacle, progress_of
 
 __all__ = ["JobServer"]
 
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -4,13 +4,10 @@
 
 import structlog
 
-from burdocklug.pools._agent_orders import AgentOrders
-from burdocklug.pools._answer_times import AnswerTimes
-from burdocklug.pools._endpoint import TOKEN_HOLDERS, EndpointAgent
-from burdocklug.pools._following import FENCED
 from burdocklug.pools._job_server import JobServer
-from burdocklug.pools._load import dump_scheduler, scheduler_load
-from burdocklug.pools._scheduler import Scheduler
+from burdocklug.pools.agents import TOKEN_HOLDERS, AgentOrders, AnswerTimes, EndpointAgent
+from burdocklug.pools.election import FENCED
+from burdocklug.pools.scheduling import Scheduler, dump_scheduler, scheduler_load
 
 __all__ = ["Leader"]
 
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -6,16 +6,18 @@
 from burdocklug.kernel import part
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._directory import Directory
-from burdocklug.pools._fleet import MemberRecord, MemberRegistry
-from burdocklug.pools._following import SchedulerElection
-from burdocklug.pools._job_control import JobControl
 from burdocklug.pools._leader import Leader
 from burdocklug.pools._messages import ConfigurationReply, ConfigurationRequest
-from burdocklug.pools._orders import order_protocols
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
 from burdocklug.pools._power import HostCapacity
-from burdocklug.pools._probes import unreachable_domains
-from burdocklug.pools._submitter import Submitter
+from burdocklug.pools.agents import order_protocols
+from burdocklug.pools.election import (
+    MemberRecord,
+    MemberRegistry,
+    SchedulerElection,
+    unreachable_domains,
+)
+from burdocklug.pools.submitting import JobControl, Submitter
 from burdocklug.store import PollIntervals
 
 __all__ = ["PoolPart"]
--- a/burdocklug/pools/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -3,11 +3,16 @@
 import eventlet
 import structlog
 
-from burdocklug.pools._endpoint_clock import EndpointClock
-from burdocklug.pools._jobs import TaskState
-from burdocklug.pools._order_sender import OrderSender, RunOrder
-from burdocklug.pools._orders import OrderFenced, OrderRefused, OrderUnanswered, OtherIncarnation
-from burdocklug.pools._reports import ReportProcessor, order_lifetime_s
+from burdocklug.pools.agents._endpoint_clock import EndpointClock
+from burdocklug.pools.agents._order_sender import OrderSender, RunOrder
+from burdocklug.pools.agents._orders import (
+    OrderFenced,
+    OrderRefused,
+    OrderUnanswered,
+    OtherIncarnation,
+)
+from burdocklug.pools.agents._reports import ReportProcessor, order_lifetime_s
+from burdocklug.pools.scheduling import TaskState
 
 __all__ = ["EndpointAgent"]
 
--- a/burdocklug/pools/_order_sender.py
+++ b/burdocklug/pools/agents/_order_sender.py
@@ -5,7 +5,7 @@
 import eventlet
 import structlog
 
-from burdocklug.pools._orders import (
+from burdocklug.pools.agents._orders import (
     OrderFenced,
     OrderRefused,
     OrderUnanswered,
--- a/burdocklug/pools/_following.py
+++ b/burdocklug/pools/election/_following.py
@@ -5,8 +5,14 @@
 import structlog
 
 from burdocklug.peers import PeerUnreachable
-from burdocklug.pools._held_claim import SCHEDULER_TIMEOUT_S, ClaimTracker
-from burdocklug.pools._leadership import (
+from burdocklug.pools._messages import (
+    Claim,
+    ClaimNotice,
+    ReachReply,
+    ReachRequest,
+)
+from burdocklug.pools.election._held_claim import SCHEDULER_TIMEOUT_S, ClaimTracker
+from burdocklug.pools.election._leadership import (
     ClaimKind,
     choose_successor,
     eligible_processes,
@@ -14,13 +20,7 @@
     next_claim,
     should_yield,
 )
-from burdocklug.pools._messages import (
-    Claim,
-    ClaimNotice,
-    ReachReply,
-    ReachRequest,
-)
-from burdocklug.pools._reach import candidate_cores, evaluate_reach, query_members
+from burdocklug.pools.election._reach import candidate_cores, evaluate_reach, query_members
 
 __all__ = ["SchedulerElection"]
 
--- a/burdocklug/pools/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -2,10 +2,10 @@
 
 import structlog
 
-from burdocklug.pools._congestion import CongestionControl
-from burdocklug.pools._followers import Followers
-from burdocklug.pools._leadership import greater_claim
 from burdocklug.pools._messages import ClaimNotice, FollowerHeartbeat, HeartbeatReply
+from burdocklug.pools.election._followers import Followers
+from burdocklug.pools.election._leadership import greater_claim
+from burdocklug.pools.submitting import CongestionControl
 
 __all__ = ["SCHEDULER_TIMEOUT_S", "ClaimTracker"]
 
--- a/burdocklug/pools/_reach.py
+++ b/burdocklug/pools/election/_reach.py
@@ -4,8 +4,8 @@
 import structlog
 
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
-from burdocklug.pools._leadership import allowed_claim_kind
 from burdocklug.pools._messages import ReachRequest
+from burdocklug.pools.election._leadership import allowed_claim_kind
 
 __all__ = ["candidate_cores", "evaluate_reach", "query_members"]
 
--- a/burdocklug/pools/_capacity.py
+++ b/burdocklug/pools/scheduling/_capacity.py
@@ -1,7 +1,7 @@
 """Capacity of the endpoints of an idle pool, and the check that they can run a job at all."""
 
-from burdocklug.pools._jobs import make_job
-from burdocklug.pools._placement import count_slots, is_eligible
+from burdocklug.pools.scheduling._jobs import make_job
+from burdocklug.pools.scheduling._placement import count_slots, is_eligible
 
 __all__ = ["SlotCounts", "find_placement_obstacle"]
 
--- a/burdocklug/pools/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -5,11 +5,11 @@
 import structlog
 
 from burdocklug.pools._cancellations import Cancellations, forget_after_s
-from burdocklug.pools._capacity import SlotCounts
-from burdocklug.pools._jobs import TaskState, apply_progress, make_job
-from burdocklug.pools._latency import LatencyCounts
 from burdocklug.pools._models import JobOutcome
-from burdocklug.pools._start_holds import hold_start, merge_holds, release_reason
+from burdocklug.pools.scheduling._capacity import SlotCounts
+from burdocklug.pools.scheduling._jobs import TaskState, apply_progress, make_job
+from burdocklug.pools.scheduling._latency import LatencyCounts
+from burdocklug.pools.scheduling._start_holds import hold_start, merge_holds, release_reason
 
 __all__ = ["JobRegistry"]
 
--- a/burdocklug/pools/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -6,13 +6,18 @@
 
 import structlog
 
-from burdocklug.pools._forecast import CapacityForecast, expected_ends
-from burdocklug.pools._health import add_fault, decay_slowness, median_slowness, update_slowness
-from burdocklug.pools._job_registry import JobRegistry
-from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._models import JobOutcome, RunEndKind
-from burdocklug.pools._placement import PoolEndpoint, expected_run_s
-from burdocklug.pools._starts import (
+from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
+from burdocklug.pools.scheduling._health import (
+    add_fault,
+    decay_slowness,
+    median_slowness,
+    update_slowness,
+)
+from burdocklug.pools.scheduling._job_registry import JobRegistry
+from burdocklug.pools.scheduling._jobs import TaskState
+from burdocklug.pools.scheduling._placement import PoolEndpoint, expected_run_s
+from burdocklug.pools.scheduling._starts import (
     PoolView,
     Refuse,
     Start,
--- a/burdocklug/pools/_starts.py
+++ b/burdocklug/pools/scheduling/_starts.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass
 
-from burdocklug.pools._order import (
+from burdocklug.pools.scheduling._order import (
     is_too_late,
     latest_start_s,
     latest_useful_end_s,
     priority_key,
 )
-from burdocklug.pools._placement import count_free_slots, exclude_slow, place_tasks
+from burdocklug.pools.scheduling._placement import count_free_slots, exclude_slow, place_tasks
 
 __all__ = [
     "Expire",
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -15,8 +15,8 @@
 from burdocklug.platform._jobs import decode_job
 from burdocklug.platform._orders import decode_answer
 from burdocklug.platform._store import decode_items
-from burdocklug.pools._fleet import decode_member
-from burdocklug.pools._orders import OrderUnanswered
+from burdocklug.pools.agents._orders import OrderUnanswered
+from burdocklug.pools.election._fleet import decode_member
 from burdocklug.store import StoreUncertain
 from tests.platform.test_decoding import ROUTE, WORKER
 from tests.pools.builders import RULE
--- a/tests/platform/test_stale_views.py
+++ b/tests/platform/test_stale_views.py
@@ -7,8 +7,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from burdocklug.pools._following import HEARTBEAT_S
 from burdocklug.pools._part import CONFIGURATION_POLL, LEADER_LISTING, MISSING_GRACE_S
+from burdocklug.pools.election._following import HEARTBEAT_S
 from tests.pools.builders import spec, step
 from tests.pools.test_partitions import ENDPOINTS, PROCESSES, QUEUE
 from tests.pools.virtual_deployment import VirtualDeployment, now_s, run_in_virtual_time
--- a/tests/pools/test_answer_times.py
+++ b/tests/pools/agents/test_answer_times.py
@@ -1,11 +1,11 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._answer_times import FIRST_SLACK_S, MAX_SLACK_S, AnswerTimes
 from burdocklug.pools._models import JobOutcome
-from burdocklug.pools._order_sender import START_TIMEOUT_S
+from burdocklug.pools.agents._answer_times import FIRST_SLACK_S, MAX_SLACK_S, AnswerTimes
+from burdocklug.pools.agents._order_sender import START_TIMEOUT_S
+from tests.pools.agents.test_endpoint import AgentTestCase
 from tests.pools.builders import step
-from tests.pools.test_endpoint import AgentTestCase
 
 LATE_S = 0.1  # time that each answer takes at a scheduler that is overloaded
 
--- a/tests/pools/test_endpoint.py
+++ b/tests/pools/agents/test_endpoint.py
@@ -3,16 +3,21 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools import _endpoint, _order_sender
-from burdocklug.pools._answer_times import AnswerTimes
-from burdocklug.pools._endpoint import EndpointAgent
-from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._messages import JobProgress
 from burdocklug.pools._models import JobOutcome, RunEndKind
-from burdocklug.pools._order_sender import RunOrder
-from burdocklug.pools._orders import OrderFenced, OrderRefused, OrderUnanswered, RefusalReason
-from burdocklug.pools._scheduler import Scheduler
-from burdocklug.pools._start_holds import TAKEOVER_DELAY_S
+from burdocklug.pools.agents import _endpoint, _order_sender
+from burdocklug.pools.agents._answer_times import AnswerTimes
+from burdocklug.pools.agents._endpoint import EndpointAgent
+from burdocklug.pools.agents._order_sender import RunOrder
+from burdocklug.pools.agents._orders import (
+    OrderFenced,
+    OrderRefused,
+    OrderUnanswered,
+    RefusalReason,
+)
+from burdocklug.pools.scheduling._jobs import TaskState
+from burdocklug.pools.scheduling._scheduler import Scheduler
+from burdocklug.pools.scheduling._start_holds import TAKEOVER_DELAY_S
 from tests.pools.builders import RULE, entry, spec, step
 from tests.pools.fake_endpoint import FakeEndpoint, Run
 from tests.scenarios import with_scenarios
--- a/tests/pools/builders.py
+++ b/tests/pools/builders.py
@@ -8,7 +8,7 @@
     RunEndKind,
     StepSpec,
 )
-from burdocklug.pools._scheduler import Scheduler
+from burdocklug.pools.scheduling._scheduler import Scheduler
 
 RULE = QueueRule(
     "checks",
--- a/tests/pools/test_fleet.py
+++ b/tests/pools/election/test_fleet.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._fleet import MEMBERS_PREFIX, MemberRecord, MemberRegistry
+from burdocklug.pools.election._fleet import MEMBERS_PREFIX, MemberRecord, MemberRegistry
 from burdocklug.store import DeletedRecord, LeaseEnded, Record
 
 
--- a/tests/pools/test_followers.py
+++ b/tests/pools/election/test_followers.py
@@ -1,8 +1,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._followers import Followers
 from burdocklug.pools._messages import Claim, FollowerHeartbeat
+from burdocklug.pools.election._followers import Followers
 
 CLAIM = Claim(True, 1, "leader")
 
--- a/tests/pools/test_leadership.py
+++ b/tests/pools/election/test_leadership.py
@@ -1,7 +1,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._leadership import (
+from burdocklug.pools._messages import Claim
+from burdocklug.pools.election._leadership import (
     ClaimKind,
     allowed_claim_kind,
     choose_successor,
@@ -9,7 +10,6 @@
     greater_claim,
     next_claim,
 )
-from burdocklug.pools._messages import Claim
 from tests.scenarios import with_scenarios
 
 FLEET = {"n2": "north", "n3": "north", "s1": "south", "s2": "south", "e1": "east", "e2": "east"}
--- a/tests/pools/fake_endpoint.py
+++ b/tests/pools/fake_endpoint.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from burdocklug.pools._models import ActiveRun, RunEnd, RunEndKind, RunReport
-from burdocklug.pools._orders import (
+from burdocklug.pools.agents._orders import (
     EndpointOrders,
     OrderFenced,
     OrderRefused,
--- a/tests/pools/test_job_states.py
+++ b/tests/pools/scheduling/test_job_states.py
@@ -5,8 +5,8 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._jobs import TaskState, progress_of
 from burdocklug.pools._models import JobOutcome, RunEndKind
+from burdocklug.pools.scheduling._jobs import TaskState, progress_of
 from tests.pools.builders import VirtualPool, entry, step
 
 JOBS = ("j1", "j2")
--- a/tests/pools/test_placement.py
+++ b/tests/pools/scheduling/test_placement.py
@@ -3,10 +3,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
-from burdocklug.pools import _placement
-from burdocklug.pools._jobs import make_job
 from burdocklug.pools._models import Resources
-from burdocklug.pools._placement import PoolEndpoint, choose_endpoint, place_tasks
+from burdocklug.pools.scheduling import _placement
+from burdocklug.pools.scheduling._jobs import make_job
+from burdocklug.pools.scheduling._placement import PoolEndpoint, choose_endpoint, place_tasks
 from tests.pools.builders import entry, spec, step
 
 NOW_S = 100.0
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/scheduling/test_scheduler.py
@@ -2,11 +2,11 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._capacity import find_placement_obstacle
-from burdocklug.pools._jobs import TaskState, progress_of
 from burdocklug.pools._messages import JobProgress
 from burdocklug.pools._models import JobOutcome, RunEndKind
-from burdocklug.pools._placement import SLOW_FACTOR, PoolEndpoint
+from burdocklug.pools.scheduling._capacity import find_placement_obstacle
+from burdocklug.pools.scheduling._jobs import TaskState, progress_of
+from burdocklug.pools.scheduling._placement import SLOW_FACTOR, PoolEndpoint
 from tests.pools.builders import RULE, VirtualPool, entry, spec, step
 
 
--- a/tests/pools/test_start_holds.py
+++ b/tests/pools/scheduling/test_start_holds.py
@@ -4,7 +4,7 @@
 from testtools.matchers import Equals
 
 from burdocklug.pools._messages import JobProgress
-from burdocklug.pools._start_holds import TAKEOVER_DELAY_S
+from burdocklug.pools.scheduling._start_holds import TAKEOVER_DELAY_S
 from tests.pools.builders import VirtualPool, entry, step
 
 
--- a/tests/pools/test_congestion.py
+++ b/tests/pools/submitting/test_congestion.py
@@ -5,7 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from burdocklug.pools._congestion import CongestionControl
+from burdocklug.pools.submitting._congestion import CongestionControl
 
 SATURATED_LAG_S = 0.02
 HEARTBEAT_S = 0.2
--- a/tests/pools/test_submitter.py
+++ b/tests/pools/submitting/test_submitter.py
@@ -8,7 +8,7 @@
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._messages import Claim, JobProgress, SubmitReply
 from burdocklug.pools._models import JobOutcome
-from burdocklug.pools._submitter import Submitter
+from burdocklug.pools.submitting._submitter import Submitter
 from tests.pools.builders import spec
 
 COMPLETED = SubmitReply(JobOutcome.COMPLETED)
--- a/tests/pools/test_leader.py
+++ b/tests/pools/test_leader.py
@@ -8,13 +8,13 @@
 
 from burdocklug.kernel import TimerService
 from burdocklug.pools._directory import Directory
-from burdocklug.pools._followers import Followers
 from burdocklug.pools._leader import SETTLE_S, Leader
 from burdocklug.pools._messages import Claim, FollowerHeartbeat, SubmitJob
 from burdocklug.pools._pause import PauseDetector
+from burdocklug.pools.election._followers import Followers
+from tests.pools.agents.test_endpoint import AgentTestCase
 from tests.pools.builders import entry, spec, step
 from tests.pools.fake_endpoint import FakeEndpoint
-from tests.pools.test_endpoint import AgentTestCase
 
 OWN = "10.0.0.1:7000~000000000000000010123abcd"
 PAUSE_S = 3.0
--- a/tests/pools/test_pauses.py
+++ b/tests/pools/test_pauses.py
@@ -4,10 +4,10 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._jobs import TaskState
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
+from burdocklug.pools.scheduling._jobs import TaskState
+from tests.pools.agents.test_endpoint import AgentTestCase
 from tests.pools.builders import spec, step
-from tests.pools.test_endpoint import AgentTestCase
 
 PAUSE_S = 3.0
 
--- a/tests/pools/virtual_deployment.py
+++ b/tests/pools/virtual_deployment.py
@@ -16,8 +16,8 @@
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.platform._part import CataloguePart
 from burdocklug.pools._models import RunEndKind
-from burdocklug.pools._orders import EndpointOrders, OrderUnanswered, order_protocols
 from burdocklug.pools._part import PoolPart
+from burdocklug.pools.agents._orders import EndpointOrders, OrderUnanswered, order_protocols
 from tests.platform.virtual_store import VirtualRecords, VirtualStore
 from tests.pools.fake_endpoint import FakeEndpoint
 
--- a/tests/pools/virtual_fleet.py
+++ b/tests/pools/virtual_fleet.py
@@ -4,7 +4,7 @@
 
 from burdocklug.kernel import TimerService
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
-from burdocklug.pools._following import SchedulerElection
+from burdocklug.pools.election._following import SchedulerElection
 
 __all__ = ["VirtualFleet"]
 
