Pools: a pool that one host can't carry is split into cells, each with a scheduler of its own

Change: the pool's endpoints and jobs are divided into cells by consistent hashing of their ids. The number of cells follows from the endpoints and the cores of the hosts and is kept in the store, beside the registry of processes and read with it. Each cell has an election, a leader and a submitter of its own; messages of cells but the first travel in an envelope. A change of the number ends no run: an endpoint that changes its cell is idle for 2 s, a job that does is given up and held as at a handover.

--- a/burdocklug/peers/__init__.py
+++ b/burdocklug/peers/__init__.py
@@ -1,5 +1,6 @@
 """Messaging between the processes of a fleet, and fleet membership."""
 
+from burdocklug.peers._codec import MessageTypes
 from burdocklug.peers._errors import MessageTooLarge, PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.peers._incarnation import address_of, mint_incarnation, started_ns
 from burdocklug.peers._member import Member, MemberState
@@ -10,6 +11,7 @@
     "Member",
     "MemberState",
     "MessageTooLarge",
+    "MessageTypes",
     "PeerNetwork",
     "PeerUnreachable",
     "PeerOutcomeUnknown",
--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -73,7 +73,7 @@
 
     def _dispatch(self, method, queue, job_id, req):
         if method == "GET" and not job_id:
-            return json_response(200, PendingAnswer(self._pool.control.pending(queue.name)))
+            return json_response(200, PendingAnswer(self._pool.cells.pending(queue.name)))
         if not JOB_ID.fullmatch(job_id):
             raise BurdocklugError(
                 ErrorKind.BAD_REQUEST, f"{job_id[:40]!r} is not 16 hexadecimal digits", path="path"
@@ -81,14 +81,14 @@
         if method == "POST":
             return self._submit(queue, job_id, req)
         if method == "GET":
-            return _state_response(self._pool.control.state(job_id))
+            return _state_response(self._pool.cells.state(job_id))
         if method == "DELETE":
-            return _state_response(self._pool.control.cancel(job_id))
+            return _state_response(self._pool.cells.cancel(job_id))
         raise BurdocklugError(ErrorKind.METHOD_NOT_ALLOWED, f"{method[:20]} is not served")
 
     def _submit(self, queue, job_id, req):
         spec = decode_job(job_id, queue, req.read_body(), max_tasks=self._max_tasks)
-        outcome = self._pool.submitter.submit(spec, wait_s=_wait_s(req, queue))
+        outcome = self._pool.cells.submit(spec, wait_s=_wait_s(req, queue))
         return json_response(200, StateAnswer(str(outcome)))
 
 
--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -15,7 +15,8 @@
     WithdrawJob,
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, bounded_retry_s
-from burdocklug.pools.scheduling import find_placement_obstacle, progress_of
+from burdocklug.pools.cells import CellView
+from burdocklug.pools.scheduling import TAKEOVER_DELAY_S, find_placement_obstacle, progress_of
 
 __all__ = ["JobServer"]
 
@@ -43,15 +44,18 @@
         Source of the last heartbeats of other processes.
     is_paused : callable
         Returns whether this process was paused and may have lost the scheduler's role meanwhile.
+    cell : CellView, optional
+        The jobs of the cell; all of them by default.
     """
 
-    def __init__(self, leader, network, timers, directory, election, *, is_paused):
+    def __init__(self, leader, network, timers, directory, election, *, is_paused, cell=None):
         self._leader = leader
         self._network = network
         self._timers = timers
         self._directory = directory
         self._election = election
         self._is_paused = is_paused
+        self._cell = cell or CellView(0)
         network.register(SubmitReply)
         network.register(PendingCountReply)
         network.register(JobStateReply)
@@ -66,6 +70,8 @@
         scheduler = self._leader.scheduler
         if scheduler is None or self._is_paused() or self._is_stale(sender, message):
             return SubmitReply(resubmit=True)
+        if message.plan_number != self._cell.plan_number:
+            return SubmitReply(resubmit=True)  # one of the two does not know the latest plan yet
         now = self._timers.now()
         spec = message.spec
         obstacle = (
@@ -80,13 +86,23 @@
             spec,
             received_s=now - message.age_s,
             wait_s=message.wait_s,
-            since_heard_s=message.since_heard_s,
+            since_heard_s=self._since_heard_s(message, now),
             progress=message.progress,
         )
         if job.outcome is not None:
             return SubmitReply(job.outcome)
         return self._wait_for_outcome(scheduler, job, sender)
 
+    def _since_heard_s(self, message, now):
+        """Return the seconds since another scheduler may have acted on a job; None if none has.
+
+        Just after a change of the cells, the scheduler that had the job before may still run it.
+        """
+        since_change_s = now - self._cell.changed_s
+        if message.since_heard_s is None and since_change_s < TAKEOVER_DELAY_S:
+            return since_change_s
+        return message.since_heard_s
+
     def _wait_for_outcome(self, scheduler, job, sender):
         done = Event()
         job.waiters.append(lambda job: None if done.ready() else done.send(job.suspended))
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -6,6 +6,7 @@
 
 from burdocklug.pools._job_server import JobServer
 from burdocklug.pools.agents import TOKEN_HOLDERS, AgentOrders, AnswerTimes, EndpointAgent
+from burdocklug.pools.cells import MOVE_DELAY_S, CellView, EndpointShare
 from burdocklug.pools.election import FENCED
 from burdocklug.pools.scheduling import Scheduler, dump_scheduler, scheduler_load
 
@@ -48,6 +49,8 @@
         multiple of the time on that rack.
     is_paused : callable
         Returns whether this process was paused and may have lost the scheduler's role meanwhile.
+    cell : CellView, optional
+        The endpoints and jobs of the cell; all of them by default.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         lease_s,
         distance_factor,
         is_paused,
+        cell=None,
     ):
         self.scheduler = None
         self._network = network
@@ -73,13 +77,16 @@
         self._lease_s = lease_s
         self._distance_factor = distance_factor
         self._is_paused = is_paused
+        self._cell = cell or CellView(0)
         self._agents = {}
         self._times = AnswerTimes()
         self._claim = None
         self._began_s = 0.0
         self._start_waiting_due = False
         self._is_view_usable = True
-        self._server = JobServer(self, network, timers, directory, election, is_paused=is_paused)
+        self._server = JobServer(
+            self, network, timers, directory, election, is_paused=is_paused, cell=self._cell
+        )
         directory.subscribe(self._sync_agents)
         timers.every(UPKEEP_S, self._upkeep)
         timers.every(LOAD_LOG_S, self._log_load)
@@ -139,8 +146,27 @@
             ):
                 scheduler.suspend(job)
 
+    def note_plan(self):
+        """Apply a change of the pool's division into cells.
+
+        Jobs that have gone to another cell are given up, and their callers' processes submit them
+        there; endpoints that have gone end their runs first.
+        """
+        if self.scheduler is None:
+            return
+        for job in list(self.scheduler.jobs.values()):
+            if job.outcome is None and not self._cell.has_job(job.job_id):
+                self.scheduler.suspend(job)
+        self._sync_agents()
+        self._timers.after(MOVE_DELAY_S, self._sync_agents)
+
     def _serves(self, entry):
-        return self._claim.serves(entry.failure_domain)
+        """Return whether this scheduler holds an endpoint, if only until its runs have ended."""
+        if not self._claim.serves(entry.failure_domain):
+            return False
+        share = self._cell.endpoint_share(entry.endpoint_id, self._timers.now())
+        is_held = entry.endpoint_id in self._agents
+        return share is EndpointShare.OWN or (share is EndpointShare.LEAVING and is_held)
 
     def _sync_agents(self):
         """Add and drop agents so that each listed endpoint of this scheduler has one."""
@@ -158,8 +184,13 @@
                 self._add_agent(entry)
             else:
                 agent.note_entry(entry)
+            self._agents[endpoint_id].set_leaving(self._is_leaving(endpoint_id))
         self.schedule_start_waiting()
 
+    def _is_leaving(self, endpoint_id):
+        share = self._cell.endpoint_share(endpoint_id, self._timers.now())
+        return share is EndpointShare.LEAVING
+
     @staticmethod
     def _is_restarted(before, entry):
         has_moved = before.address != entry.address
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -167,6 +167,8 @@
         there is none.
     progress : JobProgress or None
         Progress that the earlier scheduler reported, if it handed the job over.
+    plan_number : int
+        Number of the plan of cells by which the sender chose the scheduler.
     """
 
     spec: JobSpec
@@ -175,6 +177,7 @@
     reply_sequence: int = 0
     since_heard_s: float | None = None
     progress: JobProgress | None = None
+    plan_number: int = 0
 
 
 class SubmitReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_answer"):
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -5,19 +5,13 @@
 
 from burdocklug.kernel import part
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
+from burdocklug.pools._cells import Cells, CellServices
 from burdocklug.pools._directory import Directory
-from burdocklug.pools._leader import Leader
 from burdocklug.pools._messages import ConfigurationReply, ConfigurationRequest
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
 from burdocklug.pools._power import HostCapacity
 from burdocklug.pools.agents import order_protocols
-from burdocklug.pools.election import (
-    MemberRecord,
-    MemberRegistry,
-    SchedulerElection,
-    unreachable_domains,
-)
-from burdocklug.pools.submitting import JobControl, Submitter
+from burdocklug.pools.election import MemberRecord, MemberRegistry, unreachable_domains
 from burdocklug.store import PollIntervals
 
 __all__ = ["PoolPart"]
@@ -41,6 +35,7 @@
 CONFIGURATION_POLL = PollIntervals(pause_s=0.4, wait_s=0.0, retry_s=0.2)
 CONFIGURATION_WATCH = PollIntervals(pause_s=0.1)
 MAX_VERSION_AGE_S = 1.5  # one read without an answer
+PLAN_CHECK_S = 1.0  # period of the check whether another number of cells is wanted
 FETCH_TIMEOUT_S = 0.5  # timeout of a request for a peer's configuration
 
 log = structlog.get_logger(__name__)
@@ -71,64 +66,62 @@
         self._host = HostCapacity(
             (settings.pool.cpu_share or 1.0) * (settings.pool.cpu_speed or 1.0)
         )
+        self.probe_domains = unreachable_domains
         record = MemberRecord(self._network.incarnation, settings.process.failure_domain)
-        self.registry = MemberRegistry(process["records"], settings.process.name, record)
-        self.election = SchedulerElection(
-            self._network,
-            self._timers,
-            members=lambda: self.registry.others,
-            unreachable_domains=self._unreachable_domains,
-            on_change=self._apply_claim,
-            version=lambda: self.directory.configuration.version,
-            is_version_current=self._is_version_current,
-            usable_cores=lambda: self._host.usable_cores(self._timers.now()),
-            loop_lag_s=lambda: self._host.recent_lag_s,
-        )
-        self.submitter = Submitter(
-            self._network,
-            self.election,
-            self._timers,
-            priorities=self.directory.priorities,
-        )
-        self.control = JobControl(
-            self._network,
-            self.election,
-            self._timers,
-            longest_wait_s=self.directory.longest_wait_s,
-        )
-        self.leader = Leader(
-            self._network,
-            self._timers,
-            self.directory,
-            order_protocols.get(settings.pool.orders)(now=self._timers.now),
-            self.election,
-            self._host,
-            lease_s=settings.pool.max_lease_ms / 1000,
-            distance_factor=settings.pool.distance_factor,
-            is_paused=self._pauses.is_paused,
+        self.registry = MemberRegistry(
+            process["records"],
+            settings.process.name,
+            record,
+            on_plan=lambda plan: self.cells.apply_plan(plan),
         )
+        self.cells = Cells(self._cell_services())
         self._network.register(ConfigurationReply)
         self._network.register(ConfigurationRequest, self._on_configuration_request, inline=True)
-        self.election.on_newer_version = self._fetch_configuration
         self._is_fetching = False
         self._missing_since_s = {}
         self._grace_ends_s = float("-inf")
 
+    def _cell_services(self):
+        orders = order_protocols.get(self._settings.orders)
+        return CellServices(
+            network=self._network,
+            timers=self._timers,
+            directory=self.directory,
+            registry=self.registry,
+            host=self._host,
+            settings=self._settings,
+            protocol=orders(now=self._timers.now),
+            unreachable_domains=self._unreachable_domains,
+            is_version_current=self._is_version_current,
+            is_paused=self._pauses.is_paused,
+            on_elected=self._note_elected,
+            on_newer_version=self._fetch_configuration,
+        )
+
+    @property
+    def election(self):
+        """Election of the first cell."""
+        return self.cells.first.election
+
+    @property
+    def leader(self):
+        """Leader of the first cell."""
+        return self.cells.first.leader
+
     def start(self):
         """Start the election of the scheduler and the registration of this process."""
-        self.election.start()
+        self.cells.start()
         self.registry.start()
         self._timers.every(CHECK_PERIOD_S, self._check_pause)
+        self._timers.every(PLAN_CHECK_S, self.cells.check_plan)
 
-    def _apply_claim(self, claim):
-        if self.election.is_scheduler and self.on_elected is not None:
+    def _note_elected(self):
+        if self.on_elected is not None:
             self.on_elected()
-        self.leader.apply_claim(claim)
-        self.submitter.apply_claim(claim)
 
     def listing_pace(self):
         """Return the pace at which to list the platform's endpoints."""
-        return LEADER_LISTING if self.election.is_scheduler else FOLLOWER_LISTING
+        return LEADER_LISTING if self.cells.is_scheduler else FOLLOWER_LISTING
 
     def configuration_pace(self):
         """Return the pace at which to read the configuration."""
@@ -136,7 +129,7 @@
 
     def _must_read_configuration(self):
         """Return whether no other process tells this one of a new configuration in time."""
-        return self.election.is_scheduler or not self.election.learns_versions
+        return self.cells.is_scheduler or not self.cells.learns_versions
 
     def _is_version_current(self):
         age_s = self.directory.configuration_age.age_s(self._timers.now())
@@ -155,7 +148,7 @@
     def is_ready(self):
         """Whether callers' jobs can be accepted now."""
         has_configuration = self.directory.configuration.version > 0
-        return has_configuration and self.election.claim is not None
+        return has_configuration and self.cells.is_served
 
     def _on_configuration_request(self, _sender, _message):
         return ConfigurationReply(self.directory.configuration)
@@ -182,12 +175,12 @@
         now, paused_s = self._timers.now(), self._pauses.take_pause_s()
         # The timer is due at multiples of its period, so the remainder is how late it fired.
         self._host.note_lag(max(paused_s, now % CHECK_PERIOD_S), now)
-        self.election.ready = self.registry.is_loaded
+        self.cells.set_ready(self.registry.is_loaded)
         if paused_s > MAX_PAUSE_S:
             log.warning("process_was_paused", paused_s=round(paused_s, 3))
-            self.election.step_down("paused")
+            self.cells.step_down("paused")
         self._check_configuration()
-        self.control.inform_scheduler()
+        self.cells.inform_schedulers()
         self._forget_missing(now)
 
     def list_endpoints(self, entries):
@@ -215,7 +208,7 @@
                 self.directory.remove(endpoint_id, reason="not listed any more")
 
     def _unreachable_domains(self, domains):
-        return unreachable_domains(domains, self.directory.entries.values())
+        return self.probe_domains(domains, self.directory.entries.values())
 
     def drain(self):
         """Hand over the scheduler's role, then wait until all callers have their answers.
@@ -227,17 +220,17 @@
         end_s = self._timers.now() - self._pauses.recent_pause_s() + self._settings.grace_s
         self._grace_ends_s = end_s
         refuse_s = min(self._timers.now() + REFUSE_AFTER_S, end_s - self._settings.grace_s / 2)
-        self.election.hand_over()
+        self.cells.hand_over()
         self._wait_for_callers(until_s=end_s - WITHDRAW_WAITING_S, refuse_s=refuse_s)
-        self.submitter.withdraw_waiting(only_waiting=True)
+        self.cells.withdraw_waiting(only_waiting=True)
         self._wait_for_callers(until_s=end_s - WITHDRAW_STARTED_S, refuse_s=refuse_s)
         self.is_refusing = True
-        self.submitter.withdraw_waiting(only_waiting=False)
+        self.cells.withdraw_waiting(only_waiting=False)
         self._wait_for_callers(
             until_s=end_s - WITHDRAW_STARTED_S + WITHDRAW_REPLY_S, refuse_s=refuse_s
         )
-        log.info("drained", waiting=self.submitter.waiting)
-        self.submitter.abandon_waiting()
+        log.info("drained", waiting=self.cells.waiting)
+        self.cells.abandon_waiting()
         eventlet.sleep(0)
 
     def remaining_grace_s(self):
@@ -248,36 +241,28 @@
         """Wait until requests are refused and no caller waits any more, but not longer."""
         while (now := self._timers.now()) < until_s:
             self.is_refusing = now >= refuse_s
-            if self.is_refusing and not self.submitter.waiting:
+            if self.is_refusing and not self.cells.waiting:
                 return
             eventlet.sleep(DRAIN_POLL_S)
 
     def stop(self):
         """Stop scheduling and remove this process from the registry."""
-        self.leader.apply_claim(None)
+        self.cells.close()
         self.registry.stop()
 
     def dump(self):
         """Return the state of the pool as plain data."""
         return {
-            "following": self.election.dump(),
+            **self.cells.first.dump(),
+            "cells": [cell.dump() for cell in self.cells],
             "fleet": self.registry.dump(),
             "directory": self.directory.dump(),
-            "scheduler": self.leader.dump(),
-            "waiting": self.submitter.waiting,
+            "waiting": self.cells.waiting,
         }
 
     def counts(self):
-        """Return the scheduler's counters and the number of waiting submissions, by name."""
-        scheduler = self.leader.scheduler
-        if scheduler is None:
-            return {"schedules": 0, "waiting": self.submitter.waiting}
-        return {
-            **scheduler.counts,
-            "latency_s": scheduler.latencies.counts(),
-            "schedules": 1,
-            "waiting": self.submitter.waiting,
-        }
+        """Return the counters of this process's schedulers and of waiting submissions, by name."""
+        return {**self.cells.counts(), "waiting": self.cells.waiting}
 
 
 @part("pool", needs=("peers", "records"), profile="pool")
--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -83,6 +83,7 @@
         self.endpoint = endpoint
         self.token = None
         self.closed = False
+        self.is_leaving = False
         self.answered_s = None
         self.fenced = False
         self.scheduler = scheduler
@@ -281,14 +282,22 @@
     def set_usable(self, usable):
         """Set whether the endpoint may get tasks.
 
-        One that is draining, or whose entry describes another incarnation, never does.
+        One that is draining or goes to another scheduler, or whose entry describes another
+        incarnation, never does.
         """
-        if self.closed or self.endpoint.entry.draining or self.reports.is_entry_outdated:
+        is_excluded = self.endpoint.entry.draining or self.reports.is_entry_outdated
+        if self.closed or self.is_leaving or is_excluded:
             usable = False
         self.endpoint.usable = usable
         if usable:
             self.wake()
 
+    def set_leaving(self, is_leaving):
+        """Set whether the endpoint goes to another scheduler and may only end its runs here."""
+        self.is_leaving = is_leaving
+        if is_leaving:
+            self.endpoint.usable = False
+
     def requeue_after_restart(self, reason):
         """Requeue all tasks: another incarnation at the address runs none of the earlier orders."""
         self.reports.reset(reason)
--- a/burdocklug/pools/election/_fleet.py
+++ b/burdocklug/pools/election/_fleet.py
@@ -1,10 +1,11 @@
-"""Registry of the pool's processes: each one registers itself in the store under a lease."""
+"""Registry of the pool: its processes, each under a lease, and its division into cells."""
 
 import eventlet
 import msgspec
 import structlog
 
 from burdocklug.kernel import decode_json
+from burdocklug.pools.cells import CellPlan, decode_plan
 from burdocklug.store import (
     LeaseEnded,
     PollIntervals,
@@ -14,9 +15,11 @@
     StoreUncertain,
 )
 
-__all__ = ["MEMBERS_PREFIX", "MemberRegistry", "MemberRecord"]
+__all__ = ["CELLS_KEY", "MEMBERS_PREFIX", "MemberRegistry", "MemberRecord"]
 
-MEMBERS_PREFIX = "burdocklug/members/"
+REGISTRY_PREFIX = "burdocklug/"
+MEMBERS_PREFIX = REGISTRY_PREFIX + "members/"
+CELLS_KEY = REGISTRY_PREFIX + "cells"
 LEASE_TTL_S = 4.0  # a process that has lost power drops out of the registry after this time
 RENEW_PERIOD_S = 1.2  # allows three attempts within a lease
 PACE = PollIntervals(pause_s=0.1)  # the registry seldom changes
@@ -47,6 +50,8 @@
         Name of this process; after a restart, the new record replaces the old one.
     record : MemberRecord
         Record of this process.
+    on_plan : callable, optional
+        Called with each `CellPlan` that supersedes the one before.
 
     Attributes
     ----------
@@ -54,10 +59,14 @@
         Failure domains of the other registered processes, by incarnation.
     registered : bool
         Whether this process has ever written its record.
+    plan : CellPlan
+        Division of the pool into cells.
     """
 
-    def __init__(self, store, name, record):
+    def __init__(self, store, name, record, *, on_plan=None):
         self.registered = False
+        self.plan = CellPlan()
+        self._on_plan = on_plan
         self._store = store
         self._key = MEMBERS_PREFIX + name
         self._record = record
@@ -65,7 +74,7 @@
         self._members = {}
         self._stopped = False
         self._follower = PrefixFollower(
-            store, MEMBERS_PREFIX, replace=self._replace, apply=self._apply, pace=lambda: PACE
+            store, REGISTRY_PREFIX, replace=self._replace, apply=self._apply, pace=lambda: PACE
         )
 
     @property
@@ -116,7 +125,36 @@
         for record in records:
             self._apply(record)
 
+    def write_plan(self, plan):
+        """Write a plan to the store in the background, and apply it once it is stored."""
+        eventlet.spawn_n(self._run_write_plan, plan)
+
+    def _run_write_plan(self, plan):
+        try:
+            self._store.put(CELLS_KEY, msgspec.json.encode(plan))
+        except (StoreUnavailable, StoreUncertain) as exc:
+            log.info("cell_plan_not_written", cells=plan.cells, error=str(exc)[:120])
+
+    def _apply_plan(self, change):
+        if not isinstance(change, Record):
+            return  # the plan in force stays
+        try:
+            plan = decode_plan(change.value)
+        except ValueError as exc:
+            log.warning("cell_plan_malformed", error=str(exc)[:120])
+            return
+        if plan > self.plan:
+            log.info("cell_plan_in_force", number=plan.number, cells=plan.cells)
+            self.plan = plan
+            if self._on_plan is not None:
+                self._on_plan(plan)
+
     def _apply(self, change):
+        if change.key == CELLS_KEY:
+            self._apply_plan(change)
+            return
+        if not change.key.startswith(MEMBERS_PREFIX):
+            return
         if not isinstance(change, Record):
             self._members.pop(change.key, None)
             return
@@ -138,5 +176,9 @@
             log.info("deregistration_failed", error=str(exc)[:120])
 
     def dump(self):
-        """Return whether this process is registered, and the other processes, as plain data."""
-        return {"registered": self.registered, "others": sorted(self.others)}
+        """Return this process's registration, the other processes and the plan, as plain data."""
+        return {
+            "registered": self.registered,
+            "others": sorted(self.others),
+            "cells": self.plan.cells,
+        }
--- a/burdocklug/pools/election/_following.py
+++ b/burdocklug/pools/election/_following.py
@@ -48,6 +48,8 @@
         Returns the failure domains of the other registered processes, by incarnation.
     unreachable_domains : callable
         Takes failure domains and returns those without a reachable endpoint; it may block.
+    rank : int, optional
+        Number of older eligible processes that this election passes over.
 
     Attributes
     ----------
@@ -69,6 +71,7 @@
         is_version_current,
         usable_cores,
         loop_lag_s,
+        rank=0,
     ):
         super().__init__(
             network,
@@ -82,6 +85,7 @@
         self.draining = False
         self.ready = False
         self._members = members
+        self._rank = rank
         self._unreachable_domains = unreachable_domains
         self._announced_s = 0.0
         self._full_cores = 0.0
@@ -195,10 +199,8 @@
             self._make_claim(members, replies)
 
     def _is_first_candidate(self, replies):
-        return (
-            first_candidate({self.incarnation: self._usable_cores(), **candidate_cores(replies)})
-            == self.incarnation
-        )
+        cores = {self.incarnation: self._usable_cores(), **candidate_cores(replies)}
+        return first_candidate(cores, self._rank) == self.incarnation
 
     def _propose_claim(self, members, replies):
         """Return the kind of claim that this process may make, and the claim itself."""
--- a/burdocklug/pools/election/_leadership.py
+++ b/burdocklug/pools/election/_leadership.py
@@ -92,8 +92,11 @@
     return min(others) > 0.0 or full_cores < MIN_CORES_RATIO * largest
 
 
-def first_candidate(cores):
-    """Return the oldest eligible process, which makes the claim when there is no scheduler.
+def first_candidate(cores, rank=0):
+    """Return the eligible process that makes the claim when there is no scheduler.
+
+    It is the oldest one, or the one that is older than all others but `rank`, so that several
+    cells do not elect the same process.
 
     Examples
     --------
@@ -103,9 +106,10 @@
     >>> first_candidate({old: 0.5, young: 2.0}) == young
     True
     """
-    return min(
+    oldest_first = sorted(
         eligible_processes(cores), key=lambda incarnation: (started_ns(incarnation), incarnation)
     )
+    return oldest_first[rank % len(oldest_first)]
 
 
 def choose_successor(cores):
--- a/burdocklug/pools/scheduling/__init__.py
+++ b/burdocklug/pools/scheduling/__init__.py
@@ -2,14 +2,18 @@
 
 from burdocklug.pools.scheduling._capacity import find_placement_obstacle
 from burdocklug.pools.scheduling._jobs import TaskState, progress_of
+from burdocklug.pools.scheduling._latency import merge_counts
 from burdocklug.pools.scheduling._load import dump_scheduler, scheduler_load
 from burdocklug.pools.scheduling._scheduler import Scheduler
+from burdocklug.pools.scheduling._start_holds import TAKEOVER_DELAY_S
 
 __all__ = [
     "Scheduler",
+    "TAKEOVER_DELAY_S",
     "TaskState",
     "dump_scheduler",
     "find_placement_obstacle",
+    "merge_counts",
     "progress_of",
     "scheduler_load",
 ]
--- a/burdocklug/pools/scheduling/_latency.py
+++ b/burdocklug/pools/scheduling/_latency.py
@@ -3,7 +3,7 @@
 import bisect
 from collections import Counter
 
-__all__ = ["BUCKET_BOUNDS_S", "LatencyCounts"]
+__all__ = ["BUCKET_BOUNDS_S", "LatencyCounts", "merge_counts"]
 
 BUCKET_BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)  # upper bounds of the buckets
 
@@ -38,3 +38,18 @@
             }
             shown[label] = {**up_to, "count": sum(buckets.values())}
         return shown
+
+
+def merge_counts(parts):
+    """Return the sums of several results of `LatencyCounts.counts`, by label.
+
+    Examples
+    --------
+    >>> merge_counts([{"checks": {"count": 2}}, {"checks": {"count": 1}, "plans": {"count": 4}}])
+    {'checks': {'count': 3}, 'plans': {'count': 4}}
+    """
+    merged = {}
+    for part in parts:
+        for label, counts in part.items():
+            merged.setdefault(label, Counter()).update(counts)
+    return {label: dict(counts) for label, counts in merged.items()}
--- a/burdocklug/pools/submitting/__init__.py
+++ b/burdocklug/pools/submitting/__init__.py
@@ -2,6 +2,6 @@
 
 from burdocklug.pools.submitting._congestion import CongestionControl
 from burdocklug.pools.submitting._job_control import JobControl
-from burdocklug.pools.submitting._submitter import Submitter
+from burdocklug.pools.submitting._submitter import JobMoved, Submission, Submitter
 
-__all__ = ["CongestionControl", "JobControl", "Submitter"]
+__all__ = ["CongestionControl", "JobControl", "JobMoved", "Submission", "Submitter"]
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -10,8 +10,9 @@
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._messages import SubmitJob, WithdrawJob
 from burdocklug.pools._models import JobOutcome
+from burdocklug.pools.cells import CellView
 
-__all__ = ["Submitter"]
+__all__ = ["JobMoved", "Submission", "Submitter"]
 
 NO_SCHEDULER_WAIT_S = 0.5  # longest wait for a scheduler by a job that can't have started yet
 HANDOVER_GRACE_S = 0.05  # wait for the last replies of a scheduler that hands over its jobs
@@ -21,19 +22,38 @@
 log = structlog.get_logger(__name__)
 
 
+class JobMoved(Exception):
+    """The job has gone to another cell, whose submitter has to go on with the submission."""
+
+
 class _SchedulerLost(Exception):
     """Raised in calls to a scheduler that is no longer followed, or that does not reply in time."""
 
 
 @dataclass(slots=True)
-class _Submission:
-    """A job to submit, and what is known of its runs under earlier schedulers."""
+class Submission:
+    """A job to submit, and what is known of its runs under earlier schedulers.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        The job.
+    received_s, wait_s : float
+        When the job was received, and the seconds from then for which its caller waits.
+    earlier_reply_s : float or None
+        Time of the last reply of a scheduler that may have started the job.
+    progress : JobProgress or None
+        Progress of the job there.
+    is_passed_on : bool
+        Whether no endpoint of the job's own cell can hold it, so that other cells are asked.
+    """
 
     spec: object
     received_s: float
     wait_s: float
-    earlier_reply_s: float | None = None  # last reply of a scheduler that may have started it
+    earlier_reply_s: float | None = None
     progress: object = None
+    is_passed_on: bool = False
 
     @property
     def may_have_started(self):
@@ -53,15 +73,18 @@
         Clock and timers.
     priorities : callable
         Returns the priorities of the queues in force, as a set; the lowest is the most urgent.
+    cell : CellView, optional
+        The jobs of the cell whose scheduler is `election`'s; all of them by default.
     """
 
-    def __init__(self, network, election, timers, *, priorities):
+    def __init__(self, network, election, timers, *, priorities, cell=None):
         self.waiting = 0
         self._is_closing = False
         self._network = network
         self._election = election
         self._timers = timers
         self._priorities = priorities
+        self._cell = cell or CellView(0)
         self._calls = {}  # scheduler and job id of each call, by its event
 
     def apply_claim(self, claim):
@@ -128,7 +151,19 @@
             Of kind ``would_miss_deadline``, ``no_endpoint`` or ``no_scheduler`` if no task ran, of
             kind ``outcome_unknown`` or ``deadline_exceeded`` if a task may have run.
         """
-        submission = _Submission(spec, self._timers.now(), wait_s)
+        return self.resume(Submission(spec, self._timers.now(), wait_s))
+
+    def resume(self, submission):
+        """Go on with a submission that another cell's submitter began, or begin a new one.
+
+        Raises
+        ------
+        JobMoved
+            If the job has gone to another cell; nothing is under way for it here.
+        BurdocklugError
+            See `submit`.
+        """
+        spec = submission.spec
         self.waiting += 1
         try:
             return self._submit(submission)
@@ -152,6 +187,8 @@
         deadline_s = submission.received_s + submission.wait_s + REPLY_MARGIN_S
         while True:
             claim = self._wait_for_scheduler(submission, deadline_s)
+            if not submission.is_passed_on and not self._cell.has_job(submission.spec.job_id):
+                raise JobMoved()
             self._admit(submission)
             sequence = self._election.reply_sequence
             reply = self._call(claim.scheduler, submission, deadline_s)
@@ -271,6 +308,7 @@
             reply_sequence=self._election.reply_sequence,
             since_heard_s=now - submission.earlier_reply_s if submission.may_have_started else None,
             progress=submission.progress,
+            plan_number=self._cell.plan_number,
         )
         try:
             reply = self._network.call(scheduler, message, timeout_s=max(deadline_s - now, POLL_S))
--- a/tests/pools/test_cancellations.py
+++ b/tests/pools/test_cancellations.py
@@ -90,7 +90,7 @@
             if self.cancel_after_s > 1.0:
                 deployment.kill(leader)
             eventlet.sleep(self.cancel_after_s)
-            deployment.processes[other].pool.control.cancel("j1")
+            deployment.processes[other].pool.cells.cancel("j1")
             acked_s = now_s()
             if self.killed_after_s is not None and self.cancel_after_s < 1.0:
                 eventlet.sleep(self.killed_after_s)
--- a/tests/pools/virtual_deployment.py
+++ b/tests/pools/virtual_deployment.py
@@ -243,7 +243,7 @@
         self.pool._pauses._boot_now = now_s  # no suspension of the host
         self.pool._pauses.take_pause_s()
         self.pool.leader._protocol.connect(deployment, self)
-        self.pool.election._unreachable_domains = self._unreachable_domains
+        self.pool.probe_domains = lambda domains, _entries: self._unreachable_domains(domains)
         self["catalogue"] = CataloguePart(self)
 
     def _unreachable_domains(self, domains):
@@ -346,7 +346,7 @@
 
         def run():
             try:
-                answers.append(self.processes[name].pool.submitter.submit(spec, wait_s=wait_s))
+                answers.append(self.processes[name].pool.cells.submit(spec, wait_s=wait_s))
             except BurdocklugError as exc:
                 answers.append(exc)
 
