Pools: a plan that is in force at the start is no change; a new cell waits for endpoints that leave another

Cause: a cell that a change of the plan made took its endpoints over at once and stopped their runs, as its view began with the new plan; once that was mended, a scheduler elected after the change never took them over, as the timer was set only where there was one already. Both shown by tests/pools/cells/test_cells.py, which counts the runs of jobs that stay. Change: the view of a new cell begins with the plan before; the timer is set in any case; the plan that a process reads at its start delays nothing.

--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -68,8 +68,8 @@
 
     Parameters
     ----------
-    number : int
-        Number of the cell, from 0.
+    view : CellView
+        Endpoints and jobs of the cell.
     services : CellServices
         What the cells share.
     network : object
@@ -79,8 +79,6 @@
 
     Attributes
     ----------
-    view : CellView
-        Endpoints and jobs of the cell.
     election : SchedulerElection
         Finds the cell's scheduler.
     submitter : Submitter
@@ -91,10 +89,10 @@
         Runs the cell's scheduler if this process has the role.
     """
 
-    def __init__(self, number, services, network, *, usable_cores):
+    def __init__(self, view, services, network, *, usable_cores):
         directory, timers, host = services.directory, services.timers, services.host
         self._on_elected = services.on_elected
-        self.view = CellView(number, services.registry.plan)
+        self.view = view
         self.election = SchedulerElection(
             network,
             timers,
@@ -105,7 +103,7 @@
             is_version_current=services.is_version_current,
             usable_cores=usable_cores,
             loop_lag_s=lambda: host.recent_lag_s,
-            rank=number,
+            rank=view.number,
         )
         self.election.on_newer_version = services.on_newer_version
         self.submitter = Submitter(
@@ -155,7 +153,7 @@
         self._is_started = False
         self._is_draining = False
         self._all = []  # cells that the plan in force does not have are kept, without a scheduler
-        self._add_missing()
+        self._add_missing(self._plan)
 
     def __iter__(self):
         return iter(self._all[: self._plan.cells])
@@ -174,11 +172,11 @@
         for cell in self._all:
             cell.election.start()
 
-    def _add_missing(self):
+    def _add_missing(self, plan_before):
         while len(self._all) < self._plan.cells:
             number = len(self._all)
             cell = Cell(
-                number,
+                CellView(number, plan_before),
                 self._services,
                 self._networks.for_cell(number),
                 usable_cores=lambda number=number: self._usable_cores(number),
@@ -193,13 +191,17 @@
         held = sum(cell.election.is_scheduler for cell in self if cell.view.number != number)
         return services.host.usable_cores(services.timers.now()) / (1 + held)
 
-    def apply_plan(self, plan):
-        """Apply a plan that supersedes the one in force."""
-        now = self._services.timers.now()
-        self._plan = plan
-        self._add_missing()
+    def apply_plan(self, plan, *, is_initial=False):
+        """Apply a plan that supersedes the one in force.
+
+        A plan that was in force when this process began is no change: this process has had no role
+        under another one.
+        """
+        changed_s = float("-inf") if is_initial else self._services.timers.now()
+        before, self._plan = self._plan, plan
+        self._add_missing(before)
         for cell in self._all:
-            cell.view.apply(plan, now)
+            cell.view.apply(plan, changed_s)
             is_in_plan = cell.view.number < plan.cells
             cell.election.draining = self._is_draining or not is_in_plan
             if not is_in_plan:
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -152,13 +152,13 @@
         Jobs that have gone to another cell are given up, and their callers' processes submit them
         there; endpoints that have gone end their runs first.
         """
+        self._timers.after(MOVE_DELAY_S, self._sync_agents)
         if self.scheduler is None:
             return
         for job in list(self.scheduler.jobs.values()):
             if job.outcome is None and not self._cell.has_job(job.job_id):
                 self.scheduler.suspend(job)
         self._sync_agents()
-        self._timers.after(MOVE_DELAY_S, self._sync_agents)
 
     def _serves(self, entry):
         """Return whether this scheduler holds an endpoint, if only until its runs have ended."""
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -72,7 +72,7 @@
             process["records"],
             settings.process.name,
             record,
-            on_plan=lambda plan: self.cells.apply_plan(plan),
+            on_plan=lambda plan, **options: self.cells.apply_plan(plan, **options),
         )
         self.cells = Cells(self._cell_services())
         self._network.register(ConfigurationReply)
--- a/burdocklug/pools/election/_fleet.py
+++ b/burdocklug/pools/election/_fleet.py
@@ -51,7 +51,8 @@
     record : MemberRecord
         Record of this process.
     on_plan : callable, optional
-        Called with each `CellPlan` that supersedes the one before.
+        Called with each `CellPlan` that supersedes the one before, and whether it was in force
+        when this process first read the registry.
 
     Attributes
     ----------
@@ -147,7 +148,7 @@
             log.info("cell_plan_in_force", number=plan.number, cells=plan.cells)
             self.plan = plan
             if self._on_plan is not None:
-                self._on_plan(plan)
+                self._on_plan(plan, is_initial=not self._follower.is_loaded)
 
     def _apply(self, change):
         if change.key == CELLS_KEY:
--- a/tests/pools/cells/test_cells.py
+++ b/tests/pools/cells/test_cells.py
@@ -1,6 +1,7 @@
 """Pools of several cells in virtual time: routing of jobs, lost schedulers, changes of the plan."""
 
 import random
+from collections import Counter
 
 import eventlet
 import msgspec
@@ -202,9 +203,13 @@
             eventlet.spawn_after(2.0, set_plan, deployment, CellPlan(2, 3))
             answers = play(deployment, for_s=8.0, per_s=20)
             late = [got for _name, _at, got in answers[-40:]]
-            return outcomes(answers), late, deployment.overlaps(), schedulers(deployment)
+            staying = {IDS[n] for n in range(len(answers)) if cell_of(IDS[n], 3) == 0}
+            runs = Counter(row[0] for row in deployment.history if row[0][:16] in staying)
+            found = schedulers(deployment)
+            return outcomes(answers), late, deployment.overlaps(), found, runs
 
-        answers, late, overlaps, found = run_in_virtual_time(scenario)
+        answers, late, overlaps, found, runs = run_in_virtual_time(scenario)
+        self.assertThat(max(runs.values()), Equals(1))
         self.assertThat(overlaps, Equals([]))
         self.assertThat([len(names) for names in found], Equals([1, 1, 1]))
         self.assertThat(late, Equals([[JobOutcome.COMPLETED]] * 40))
@@ -227,6 +232,18 @@
         self.assertThat(overlaps, Equals([]))
         self.assertThat({str(a[0]) for a in answers}, Equals({"completed"}))
 
+    def test_a_plan_that_is_in_force_at_the_start_delays_nothing(self):
+        def scenario(cells):
+            deployment = make_deployment(cells).start(for_s=0.1)
+            answers = [deployment.submit("p1", job(n), wait_s=3.0) for n in range(9)]
+            began_s = now_s()
+            while not all(answers) and now_s() < began_s + 10.0:
+                eventlet.sleep(0.01)
+            return now_s() - began_s
+
+        one, three = (run_in_virtual_time(lambda c=cells: scenario(c)) for cells in (1, 3))
+        self.assertThat(three, LessThan(one + 0.2))
+
     def test_the_scheduler_of_the_first_cell_writes_the_plan_that_the_endpoints_need(self):
         def scenario():
             deployment = VirtualDeployment(
