Tests: the fake pool of the callers' tests has the cells' name

Cause: callers' requests go to the pool's cells now. Change: one attribute of the fake. Result: tests/platform/test_callers.py passes; before, 2 failed for the name.

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -18,7 +18,7 @@
         self.on_count = lambda: None
         queue = QueueRule(name="q", host="a.example", prefix="/a/", service="s")
         self.directory = SimpleNamespace(configuration=PoolConfiguration(1, (queue,)))
-        self.control = self
+        self.cells = self
 
     def pending(self, _queue):
         self.on_count()
