Pools: evacuation of failure domains

Change: one follower reads all that the operators write, configuration and evacuations, with one age and one poll; a scheduler starts nothing from an evacuation view that may be too old, and a new one reads it first. Views merge by the revisions of the requests, so that no older state replaces a newer one; heartbeats carry the revision and a digest, and a process that knows less fetches the view with the configuration. Endpoints there are not available, leave the forecast, and what only they could hold is refused as not run. An answer of the store that is older than an earlier one no longer counts as a read, nor does it replace the list in full.

--- a/burdocklug/platform/_entries.py
+++ b/burdocklug/platform/_entries.py
@@ -1,4 +1,4 @@
-"""Decoding of the workers' registrations and the operator's configuration in the store."""
+"""Decoding of the workers' registrations and of what the operator writes in the store."""
 
 import ipaddress
 import re
@@ -9,9 +9,21 @@
 from burdocklug.platform._ranges import Amount, Duration, Moment, Number, Share
 from burdocklug.pools import EndpointEntry, PoolConfiguration, QueueRule, Resources, ServiceRule
 
-__all__ = ["CONFIG_KEY", "SERVERS_PREFIX", "decode_configuration", "decode_entry", "worker_id"]
-
+__all__ = [
+    "CONFIG_KEY",
+    "EVACUATE_PREFIX",
+    "OPERATOR_PREFIX",
+    "SERVERS_PREFIX",
+    "decode_configuration",
+    "decode_entry",
+    "evacuated_domain",
+    "is_evacuation_value",
+    "worker_id",
+]
+
+OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
+EVACUATE_PREFIX = "op/evacuate/"
 SERVERS_PREFIX = "servers/"
 WORKER_ID = re.compile(r"[!-~]{1,200}")  # sent as a header
 MAX_PORT = 65_535
@@ -96,6 +108,26 @@
     return key.removeprefix(SERVERS_PREFIX)
 
 
+def evacuated_domain(key):
+    """Return the failure domain that a key of the operator evacuates; empty if it names none.
+
+    Examples
+    --------
+    >>> evacuated_domain("op/evacuate/perg"), evacuated_domain("op/wave/1")
+    ('perg', '')
+    """
+    return key.removeprefix(EVACUATE_PREFIX) if key.startswith(EVACUATE_PREFIX) else ""
+
+
+def is_evacuation_value(value):
+    """Return whether the value of a request to evacuate is an object, as it should be."""
+    try:
+        decode_json(value, dict)
+    except MalformedValue:
+        return False
+    return True
+
+
 def decode_entry(key, value):
     """Return the endpoint that a store entry describes, or None if the entry is not valid.
 
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -4,13 +4,8 @@
 
 from burdocklug.kernel import part
 from burdocklug.platform._callers import ClientsApp, ReadinessApp
-from burdocklug.platform._entries import (
-    CONFIG_KEY,
-    SERVERS_PREFIX,
-    decode_configuration,
-    decode_entry,
-    worker_id,
-)
+from burdocklug.platform._entries import SERVERS_PREFIX, decode_entry, worker_id
+from burdocklug.platform._operator import OperatorFollower
 from burdocklug.store import PrefixFollower, Record, record_stores
 from burdocklug.web import HttpListener
 
@@ -36,7 +31,7 @@
 
 
 class CataloguePart:
-    """Updates the pool's directory from the worker entries and configuration in the store."""
+    """Updates the pool's directory from the worker entries and the operator's keys."""
 
     def __init__(self, process):
         self._pool = process["pool"]
@@ -52,25 +47,25 @@
             on_failure=self._note_listing_failed,
             now=process.timers.now,
         )
-        self._config = PrefixFollower(
-            store,
-            CONFIG_KEY,
-            replace=self._replace_config,
-            apply=self._apply_config,
-            pace=self._pool.configuration_pace,
-            on_answer=directory.configuration_age.note_answer,
-            now=process.timers.now,
+        self._operator = OperatorFollower(
+            store, directory, pace=self._pool.configuration_pace, now=process.timers.now
         )
-        self._pool.on_configuration_doubtful = self._config.poll_now
-        self._pool.on_elected = self._worker_entries.poll_now
+        self._pool.on_configuration_doubtful = self._operator.poll_now
+        self._pool.on_elected = self._read_all_now
+
+    def _read_all_now(self):
+        self._worker_entries.poll_now()
+        self._operator.poll_now()
 
     def _note_listing_failed(self):
-        self._pool.directory.entries_age.note_failure()
-        self._config.poll_now()
+        directory = self._pool.directory
+        directory.entries_age.note_failure()
+        directory.configuration_age.note_failure()  # its call in flight is cancelled without answer
+        self._operator.poll_now()
 
     def start(self):
-        """Start to follow the configuration and the worker entries."""
-        self._config.start()
+        """Start to follow the operator's keys and the worker entries."""
+        self._operator.start()
         self._worker_entries.start()
 
     def _replace_worker_entries(self, records):
@@ -100,20 +95,6 @@
         else:
             self._pool.list_endpoint(entry)
 
-    def _replace_config(self, records):
-        for record in records:
-            self._apply_config(record)
-
-    def _apply_config(self, change):
-        if not isinstance(change, Record) or change.key != CONFIG_KEY:
-            return
-        try:
-            configuration = decode_configuration(change.value)
-        except ValueError as exc:
-            log.error("configuration_malformed", revision=change.revision, error=str(exc)[:200])
-            return
-        self._pool.directory.take_configuration(configuration, source="store")
-
 
 class ClientsPart:
     """Listeners for clients and for the load balancer's readiness checks."""
--- a/burdocklug/pools/__init__.py
+++ b/burdocklug/pools/__init__.py
@@ -14,6 +14,7 @@
 """
 
 from burdocklug.pools._directory import Directory
+from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import (
     ActiveRun,
     EndpointEntry,
@@ -43,6 +44,7 @@
     "Directory",
     "EndpointEntry",
     "EndpointOrders",
+    "EvacuationView",
     "JobOutcome",
     "JobSpec",
     "OrderFenced",
--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import PoolConfiguration
 from burdocklug.pools._view_age import ViewAge
 
@@ -19,13 +20,16 @@
         Configuration with the highest version seen.
     entries : dict
         `EndpointEntry` by endpoint id.
+    evacuation_view : EvacuationView
+        Failure domains in which nothing may be started.
     configuration_age, entries_age : ViewAge
-        When each was last read from the store.
+        When each was last read from the store; the evacuations are read with the configuration.
     """
 
     def __init__(self):
         self.configuration = PoolConfiguration()
         self.entries = {}
+        self.evacuation_view = EvacuationView()
         self.configuration_age = ViewAge()
         self.entries_age = ViewAge()
         self._subscribers = []
@@ -61,6 +65,42 @@
         self._notify()
         return True
 
+    @property
+    def evacuations(self):
+        """Revisions of the operators' requests, by evacuated failure domain."""
+        return self.evacuation_view.requests
+
+    def take_evacuations(self, view, *, source, age_s):
+        """Replace the view of the evacuations by a newer one; return whether it changed any.
+
+        Parameters
+        ----------
+        view : EvacuationView
+            The present view after a change, or merged with another one.
+        source : str
+            Where it comes from, for the log.
+        age_s : float or None
+            Seconds since this process last read the evacuations, None if it never has; no change
+            has waited here for longer.
+        """
+        before, self.evacuation_view = self.evacuations, view
+        if view.requests == before:
+            return False
+        details = {"source": source, "age_s": None if age_s is None else round(age_s, 3)}
+        for domain, revision in view.requests.items():
+            if before.get(domain) != revision:
+                log.info("failure_domain_evacuated", domain=domain, revision=revision, **details)
+        for domain in sorted(set(before).difference(view.requests)):
+            log.info(
+                "failure_domain_taken_back",
+                domain=domain,
+                revision=before[domain],
+                known_up_to=view.revision,
+                **details,
+            )
+        self._notify()
+        return True
+
     def put(self, entry):
         """Add or replace the entry of an endpoint."""
         before = self.entries.get(entry.endpoint_id)
@@ -94,4 +134,5 @@
             "configuration_version": self.configuration.version,
             "queues": [queue.name for queue in self.configuration.queues],
             "endpoints": sorted(self.entries),
+            "evacuations": dict(sorted(self.evacuations.items())),
         }
--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -26,6 +26,10 @@
 log = structlog.get_logger(__name__)
 
 
+def _refuse_unplaceable(obstacle):
+    return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
+
+
 class JobServer:
     """Serves the messages about jobs that processes send to the scheduler.
 
@@ -75,7 +79,7 @@
         )
         if obstacle is not None:
             log.info("job_impossible", job=spec.job_id, reason=obstacle)
-            return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
+            return _refuse_unplaceable(obstacle)
         job = scheduler.submit(
             spec,
             received_s=now - message.age_s,
@@ -103,6 +107,8 @@
             return SubmitReply(
                 resubmit=True, may_have_started=job.started, progress=progress_of(job)
             )
+        if job.obstacle:
+            return _refuse_unplaceable(job.obstacle)
         return SubmitReply(refused="overload", retry_after_s=self._retry_after_s())
 
     def _is_stale(self, sender, message):
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from burdocklug.pools._evacuations import mark_evacuated
 from burdocklug.pools._job_server import JobServer
 from burdocklug.pools.agents import TOKEN_HOLDERS, AgentOrders, AnswerTimes, EndpointAgent
 from burdocklug.pools.election import FENCED
@@ -158,8 +159,15 @@
                 self._add_agent(entry)
             else:
                 agent.note_entry(entry)
+        self._apply_evacuations()
         self.schedule_start_waiting()
 
+    def _apply_evacuations(self):
+        endpoints = self.scheduler.endpoints.values()
+        has_changed = mark_evacuated(endpoints, self._directory.evacuations, self._timers.now())
+        if has_changed and self.scheduler.is_reconciled:
+            self.scheduler.refuse_unplaceable()
+
     @staticmethod
     def _is_restarted(before, entry):
         has_moved = before.address != entry.address
@@ -206,11 +214,14 @@
 
     def _start_tasks(self):
         now = self._timers.now()
-        is_usable = self._directory.entries_age.is_usable(now, since_s=self._began_s)
+        ages = self._directory.entries_age, self._directory.configuration_age
+        is_usable = all(age.is_usable(now, since_s=self._began_s) for age in ages)
         if is_usable != self._is_view_usable:
             self._is_view_usable = is_usable
-            age_s = min(self._directory.entries_age.age_s(now), now)
-            log.info("endpoint_view", usable=is_usable, age_s=round(age_s, 3))
+            entries_s, operators_s = (round(min(age.age_s(now), now), 3) for age in ages)
+            log.info(
+                "endpoint_view", usable=is_usable, age_s=entries_s, evacuations_age_s=operators_s
+            )
         if is_usable:
             self.scheduler.start_waiting()
 
@@ -225,6 +236,8 @@
             ) or now > self._began_s + SETTLE_S:
                 log.info("scheduling_settled", after_s=round(now - self._began_s, 3))
                 self.scheduler.mark_reconciled()
+                if self._directory.evacuations:
+                    self.scheduler.refuse_unplaceable()
         self.scheduler.expire_overdue()
         self._suspend_abandoned(now)
         self.scheduler.forget_ended()
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import JobOutcome, JobSpec, PoolConfiguration
 
 __all__ = [
@@ -72,6 +73,8 @@
         Usable cores of the sender's host, 0 while it is overloaded.
     reply_sequence : int
         Number of the last heartbeat whose reply the sender has received; 0 for none.
+    evacuations_revision, evacuations_digest : int
+        Revision up to which the sender knows the evacuations, and a digest of those that stand.
     """
 
     sequence: int
@@ -79,6 +82,8 @@
     configuration_version: int = 0
     usable_cores: float = 1.0
     reply_sequence: int = 0
+    evacuations_revision: int = 0
+    evacuations_digest: int = 0
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_followed"):
@@ -97,6 +102,8 @@
     is_version_current : bool
         Whether the replying process has just read that version from the store, so that the
         receiver need not do so.
+    evacuations_revision, evacuations_digest : int
+        As in `FollowerHeartbeat`.
     """
 
     sequence: int
@@ -104,6 +111,8 @@
     configuration_version: int = 0
     loop_lag_s: float = 0.0
     is_version_current: bool = False
+    evacuations_revision: int = 0
+    evacuations_digest: int = 0
 
 
 class ReachRequest(msgspec.Struct, frozen=True, array_like=True, tag="pool_reach"):
@@ -269,10 +278,11 @@
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag="pool_config_ask"):
-    """Asks a peer for its configuration."""
+    """Asks a peer for its configuration and the evacuations that it knows."""
 
 
 class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_config"):
     """Reply to `ConfigurationRequest`."""
 
     configuration: PoolConfiguration
+    evacuations: EvacuationView = EvacuationView()
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -4,10 +4,9 @@
 import structlog
 
 from burdocklug.kernel import part
-from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._directory import Directory
+from burdocklug.pools._exchange import ConfigurationExchange
 from burdocklug.pools._leader import Leader
-from burdocklug.pools._messages import ConfigurationReply, ConfigurationRequest
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
 from burdocklug.pools._power import HostCapacity
 from burdocklug.pools.agents import order_protocols
@@ -41,7 +40,6 @@
 CONFIGURATION_POLL = PollIntervals(pause_s=0.4, wait_s=0.0, retry_s=0.2)
 CONFIGURATION_WATCH = PollIntervals(pause_s=0.1)
 MAX_VERSION_AGE_S = 1.5  # one read without an answer
-FETCH_TIMEOUT_S = 0.5  # timeout of a request for a peer's configuration
 
 log = structlog.get_logger(__name__)
 
@@ -107,10 +105,9 @@
             distance_factor=settings.pool.distance_factor,
             is_paused=self._pauses.is_paused,
         )
-        self._network.register(ConfigurationReply)
-        self._network.register(ConfigurationRequest, self._on_configuration_request, inline=True)
-        self.election.on_newer_version = self._fetch_configuration
-        self._is_fetching = False
+        self._exchange = ConfigurationExchange(self._network, self._timers, self.directory)
+        self.election.on_newer_version = self._exchange.fetch
+        self.election.evacuations = lambda: self.directory.evacuation_view
         self._missing_since_s = {}
         self._grace_ends_s = float("-inf")
 
@@ -122,6 +119,7 @@
 
     def _apply_claim(self, claim):
         if self.election.is_scheduler and self.on_elected is not None:
+            self._reads_configuration = True  # `on_elected` reads it
             self.on_elected()
         self.leader.apply_claim(claim)
         self.submitter.apply_claim(claim)
@@ -157,27 +155,6 @@
         has_configuration = self.directory.configuration.version > 0
         return has_configuration and self.election.claim is not None
 
-    def _on_configuration_request(self, _sender, _message):
-        return ConfigurationReply(self.directory.configuration)
-
-    def _fetch_configuration(self, peer):
-        """Fetch the newer configuration of a peer in the background.
-
-        This process may not reach the store that the peer has it from.
-        """
-        if not self._is_fetching:
-            self._is_fetching = True
-            eventlet.spawn(self._run_fetch, peer)
-
-    def _run_fetch(self, peer):
-        try:
-            reply = self._network.call(peer, ConfigurationRequest(), timeout_s=FETCH_TIMEOUT_S)
-            self.directory.take_configuration(reply.configuration, source=peer)
-        except (PeerUnreachable, PeerOutcomeUnknown) as exc:
-            log.info("configuration_not_fetched", peer=peer, error=str(exc)[:120])
-        finally:
-            self._is_fetching = False
-
     def _check_pause(self):
         now, paused_s = self._timers.now(), self._pauses.take_pause_s()
         # The timer is due at multiples of its period, so the remainder is how late it fired.
@@ -269,14 +246,18 @@
 
     def counts(self):
         """Return the scheduler's counters and the number of waiting submissions, by name."""
+        known = {
+            "evacuated_domains": len(self.directory.evacuations),
+            "waiting": self.submitter.waiting,
+        }
         scheduler = self.leader.scheduler
         if scheduler is None:
-            return {"schedules": 0, "waiting": self.submitter.waiting}
+            return {"schedules": 0, **known}
         return {
             **scheduler.counts,
             "latency_s": scheduler.latencies.counts(),
             "schedules": 1,
-            "waiting": self.submitter.waiting,
+            **known,
         }
 
 
--- a/burdocklug/pools/_view_age.py
+++ b/burdocklug/pools/_view_age.py
@@ -47,6 +47,10 @@
         """Return the time since the view was known to be current, in seconds."""
         return now_s - self.read_s
 
+    def known_age_s(self, now_s):
+        """Return the same, or None if the view was never read."""
+        return None if self.read_s == float("-inf") else self.age_s(now_s)
+
     def is_usable(self, now_s, *, since_s):
         """Return whether a scheduler may base the start of tasks on the view.
 
--- a/burdocklug/pools/agents/_order_sender.py
+++ b/burdocklug/pools/agents/_order_sender.py
@@ -92,6 +92,8 @@
             self._agent.drop_order(order, "process_paused")
         elif self._agent.endpoint.entry.draining:
             self._agent.drop_order(order, "endpoint_leaves")
+        elif self._agent.endpoint.evacuated:
+            self._agent.drop_order(order, "failure_domain_evacuated")
         else:
             self._call_start(order)
 
--- a/burdocklug/pools/election/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -2,6 +2,7 @@
 
 import structlog
 
+from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._messages import ClaimNotice, FollowerHeartbeat, HeartbeatReply
 from burdocklug.pools.election._followers import Followers
 from burdocklug.pools.election._leadership import greater_claim
@@ -55,7 +56,10 @@
     learns_versions : bool
         Whether the scheduler that is followed reads new configurations and passes them on.
     on_newer_version : callable or None
-        Called with the incarnation of a peer that has a newer configuration.
+        Called with the incarnation of a peer that has a newer configuration or knows of a change
+        of the evacuations.
+    evacuations : callable
+        Returns the `EvacuationView` of this process.
     """
 
     def __init__(
@@ -78,6 +82,7 @@
         self.former_reply_s = {}
         self.learns_versions = False
         self.on_newer_version = None
+        self.evacuations = EvacuationView
         self._network = network
         self._timers = timers
         self._on_change = on_change
@@ -144,30 +149,36 @@
     def _send_heartbeat(self):
         self._sequence += 1
         self.heartbeat_sent_s = self._timers.now()
+        evacuations = self.evacuations()
         heartbeat = FollowerHeartbeat(
             self._sequence,
             self.claim,
             self._version(),
             self._usable_cores(),
             self.reply_sequence,
+            evacuations.revision,
+            evacuations.digest,
         )
         self.congestion.note_sent(self._sequence)
         self._network.send(self.claim.scheduler, heartbeat)
 
     def _on_heartbeat(self, sender, message):
         self.followers.note_heartbeat(sender, message, self._timers.now())
+        evacuations = self.evacuations()
         reply = HeartbeatReply(
             message.sequence,
             self.claim,
             self._version(),
             self._loop_lag_s(),
             self.is_scheduler and self._is_version_current(),
+            evacuations.revision,
+            evacuations.digest,
         )
         self._network.send(sender, reply)
-        self._note_version(sender, message.configuration_version)
+        self._note_version(sender, message)
 
     def _on_heartbeat_reply(self, sender, message):
-        self._note_version(sender, message.configuration_version)
+        self._note_version(sender, message)
         if self.claim is None or sender != self.claim.scheduler:
             return
         if message.claim is None or message.claim.scheduler != sender:
@@ -179,8 +190,14 @@
         self.learns_versions = message.is_version_current
         self.congestion.note_reply(message.sequence, message.loop_lag_s)
 
-    def _note_version(self, sender, version):
-        if version > self._version() and self.on_newer_version is not None:
+    def _note_version(self, sender, message):
+        evacuations = self.evacuations()
+        knows_change = (
+            message.evacuations_revision > evacuations.revision
+            and message.evacuations_digest != evacuations.digest
+        )
+        is_newer = message.configuration_version > self._version() or knows_change
+        if is_newer and self.on_newer_version is not None:
             self.on_newer_version(sender)
 
     def dump(self):
--- a/burdocklug/pools/scheduling/_capacity.py
+++ b/burdocklug/pools/scheduling/_capacity.py
@@ -42,21 +42,23 @@
         return self._slots[key]
 
     def _count(self, service, demand):
-        entries = [
-            endpoint.entry for endpoint in self._endpoints.values() if not endpoint.entry.draining
-        ]
+        endpoints = self._endpoints.values()
+        entries = [e.entry for e in endpoints if not (e.entry.draining or e.evacuated)]
         return sum(count_slots(demand, e.capacity) for e in entries if e.service == service)
 
 
 def find_placement_obstacle(spec, endpoints):
     """Return why the endpoints can never run a job, or None if they can.
 
-    An endpoint that is merely full counts; one that is draining does not.
+    An endpoint that is merely full counts; one that is draining or evacuated does not.
     """
     probe = make_job(spec, received_s=0.0, wait_s=1.0)
-    endpoints = [endpoint for endpoint in endpoints if not endpoint.entry.draining]
+    staying = [endpoint for endpoint in endpoints if not endpoint.entry.draining]
+    accepting = [endpoint for endpoint in staying if not endpoint.evacuated]
     first_of_step = {task.step: task for task in reversed(probe.tasks)}
     for step, task in first_of_step.items():
-        if not any(is_eligible(task, endpoint) for endpoint in endpoints):
-            return f"no endpoint of {spec.queue.service!r} can hold a task of step {step}"
+        if not any(is_eligible(task, endpoint) for endpoint in accepting):
+            is_evacuated = any(is_eligible(task, endpoint) for endpoint in staying)
+            which = "only an evacuated" if is_evacuated else "no"
+            return f"{which} endpoint of {spec.queue.service!r} can hold a task of step {step}"
     return None
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -76,6 +76,8 @@
         Why none of its tasks may start yet, if another scheduler may have started some.
     suspended : bool
         Whether it was stopped for lack of a waiting caller; a new submission resumes it.
+    obstacle : str or None
+        Why no endpoint can run it, if it was refused for that.
     waiters : list
         Functions to call with the job when it ends, is refused or moves to another scheduler.
     callers : Counter
@@ -94,6 +96,7 @@
     started: bool = False
     hold: object = None
     suspended: bool = False
+    obstacle: object = None
     waiters: list = field(default_factory=list)
     callers: Counter = field(default_factory=Counter)
 
--- a/burdocklug/pools/scheduling/_load.py
+++ b/burdocklug/pools/scheduling/_load.py
@@ -19,6 +19,7 @@
         "waiting_tasks": scheduler.waiting_tasks,
         "runs": sum(len(endpoint.runs) for endpoint in endpoints),
         "endpoints": len(endpoints),
+        "evacuated_endpoints": sum(endpoint.evacuated for endpoint in endpoints),
         "open_endpoints": sum(endpoint.is_available(now_s) for endpoint in endpoints),
         "free_cpu": sum(
             endpoint.free.cpu for endpoint in endpoints if endpoint.is_available(now_s)
@@ -40,6 +41,7 @@
                 "id": endpoint.entry.endpoint_id,
                 "usable": endpoint.usable,
                 "draining": endpoint.entry.draining,
+                "evacuated": endpoint.evacuated,
                 "runs": len(endpoint.runs),
                 "slowness": round(endpoint.slowness, 2),
             }
--- a/burdocklug/pools/scheduling/_placement.py
+++ b/burdocklug/pools/scheduling/_placement.py
@@ -45,6 +45,10 @@
         End of the ejection after several consecutive faults; 0 if it was never ejected.
     reported_s : float
         When its last report was requested; ``-inf`` while it does not obey this scheduler.
+    evacuated : bool
+        Whether nothing may be started there, as operators evacuate its failure domain.
+    cold_until_s : float
+        Time until which it is slow after its start; 0 if it is not.
 
     Attributes
     ----------
@@ -61,6 +65,8 @@
     faults: int = 0
     ejected_until_s: float = 0.0
     reported_s: float = float("-inf")
+    evacuated: bool = False
+    cold_until_s: float = 0.0
     free: Resources = field(init=False)
 
     def is_available(self, now_s):
@@ -68,13 +74,17 @@
 
         After an ejection, it gets one trial task at a time until a run succeeds.
         """
-        if not self.usable or now_s < self.ejected_until_s:
+        if not self.usable or self.evacuated or now_s < self.ejected_until_s:
             return False
         return not self.ejected_until_s or not self.faults or not self.runs
 
     def __post_init__(self):
         self.free = self.entry.capacity
 
+    def warm_up(self, now_s, *, for_s):
+        """Count the endpoint as cold for a time."""
+        self.cold_until_s = max(self.cold_until_s, now_s + for_s)
+
     def update_entry(self, entry):
         """Replace the entry and recompute the free resources."""
         self.entry = entry
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -7,6 +7,7 @@
 import structlog
 
 from burdocklug.pools._models import JobOutcome, RunEndKind
+from burdocklug.pools.scheduling._capacity import find_placement_obstacle
 from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
 from burdocklug.pools.scheduling._health import (
     add_fault,
@@ -95,7 +96,7 @@
             least_cpu=least_cpu,
             forecast=self._forecast(now),
             is_reconciled=self.is_reconciled,
-            reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * len(self.endpoints)),
+            reserved_slots=self._count_reserved_slots(),
             distance_factor=self._distance_factor,
             median_slowness=self._median_slowness,
         )
@@ -103,10 +104,15 @@
             starts += self._carry_out(decision, now)
         return starts
 
+    def _count_reserved_slots(self):
+        in_use = sum(not endpoint.evacuated for endpoint in self.endpoints.values())
+        return int(RESERVED_SLOTS_PER_ENDPOINT * in_use)
+
     def _forecast(self, now):
         runs = (
             (task, endpoint)
             for endpoint in self.endpoints.values()
+            if not endpoint.evacuated
             for task in endpoint.runs.values()
         )
         return CapacityForecast(now, expected_ends(runs, now, self.expected_run_s))
@@ -132,13 +138,23 @@
         else:
             self._refuse(job, self._now())
 
+    def refuse_unplaceable(self):
+        """Refuse the jobs without a started task that the endpoints left can never hold."""
+        now = self._now()
+        self._slot_counts.invalidate()
+        for job in list(self._waiting.values()):
+            if not job.started and job.hold is None:
+                job.obstacle = find_placement_obstacle(job.spec, self.endpoints.values())
+                if job.obstacle:
+                    self._refuse(job, now)
+
     def _refuse(self, job, now):
         self.counts["jobs_refused"] += 1
         log.info(
             "job_refused",
             job=job.job_id,
             queue=job.spec.queue.name,
-            reason="overload",
+            reason=job.obstacle or "overload",
             age_s=round(now - job.received_s, 3),
             tasks=len(job.tasks),
             waiting=len(self._waiting),
--- a/burdocklug/store/_follower.py
+++ b/burdocklug/store/_follower.py
@@ -83,7 +83,8 @@
     on_answer : callable, optional
         Called after each answered call with the time at which it was sent.
     on_failure : callable, optional
-        Called without arguments after each failed call.
+        Called without arguments after each failed call, and after one whose answer was older than
+        an earlier one.
     now : callable, optional
         Returns monotonic seconds.
 
@@ -121,8 +122,14 @@
         self._wakeup = Event()
         self._in_flight = None
         self._revision = None
+        self._newest_revision = 0
         self._backoff_s = INITIAL_BACKOFF_S
 
+    @property
+    def revision(self):
+        """Revision up to which changes were applied; None while all records must be read."""
+        return self._revision
+
     def start(self):
         """Start following in a new greenlet."""
         eventlet.spawn(self._run)
@@ -131,7 +138,7 @@
         while True:
             sent_s = self._now()
             try:
-                self._step()
+                is_current = self._step()
             except RevisionCompacted:
                 log.info("store_history_lost", prefix=self._prefix, revision=self._revision)
                 self._revision = None
@@ -147,10 +154,15 @@
                 eventlet.sleep(MAX_BACKOFF_S)
             else:
                 self._record_success()
-                if self._on_answer is not None:
-                    self._on_answer(sent_s)
+                self._report(sent_s, is_current)
                 self._wait_for_wakeup(self._pace().pause_s)
 
+    def _report(self, sent_s, is_current):
+        if is_current and self._on_answer is not None:
+            self._on_answer(sent_s)
+        elif not is_current and self._on_failure is not None:
+            self._on_failure()
+
     def _wait_for_wakeup(self, timeout_s):
         self._wakeup.wait(timeout=timeout_s)
         self._wakeup = Event()
@@ -181,19 +193,25 @@
         self._backoff_s = INITIAL_BACKOFF_S
 
     def _step(self):
+        """Read once, and return whether the answer was at least as new as the last one."""
         if self._revision is None:
-            records, self._revision = self._store.read(self._prefix)
+            records, revision = self._store.read(self._prefix)
+            if revision < self._newest_revision:
+                log.info("store_answer_stale", prefix=self._prefix, revision=revision)
+                return False
+            self._revision = self._newest_revision = revision
             self._replace(records)
             self.is_loaded = True
-            return
+            return True
         may_wait = self.reached and not self._is_suspect
         changes, revision = self._fetch_changes(self._pace().wait_s if may_wait else 0.0)
         if revision < self._revision:
             log.info("store_answer_stale", prefix=self._prefix, revision=revision)
-            return
+            return False
         for change in changes:
             self._apply_change(change)
-        self._revision = revision
+        self._revision = self._newest_revision = revision
+        return True
 
     def _apply_change(self, change):
         """Apply a change; one that the reader can't handle must not hold up those after it."""
--- a/tests/platform/virtual_store.py
+++ b/tests/platform/virtual_store.py
@@ -41,6 +41,7 @@
         self.compacted = 0
         self.connections = []
         self.answer_s = ANSWER_S
+        self.shown = None  # records and revision of stale answers; None for current ones
 
     def put(self, key, value):
         self.revision += 1
@@ -63,6 +64,18 @@
         """Forget all changes so far, as a compaction does."""
         self.compacted = self.revision
 
+    def show_present_state(self):
+        """Answer all reads with the present state, whatever changes, until `shown` is None."""
+        self.shown = (list(self.records.values()), self.revision)
+
+    def evacuate(self, domain, *, value=b"{}"):
+        """Write an operator's request to start nothing in a failure domain."""
+        self.put(f"op/evacuate/{domain}", value)
+
+    def take_back(self, domain):
+        """Remove the request."""
+        self.delete(f"op/evacuate/{domain}")
+
     def put_worker(self, name, domain, *, state="ready", **changes):
         number = 1 + sum(key.startswith("servers/") for key in self.records)
         fields = {
@@ -134,17 +147,19 @@
         return conn
 
     def read(self, prefix):
-        return self._call(
-            lambda _late: (
-                [r for key, r in self._store.records.items() if key.startswith(prefix)],
-                self._store.revision,
-            )
-        )
+        def answer(_is_late):
+            store = self._store
+            records, revision = store.shown or (store.records.values(), store.revision)
+            return [r for r in records if r.key.startswith(prefix)], revision
+
+        return self._call(answer)
 
     def follow(self, prefix, after, *, wait_s):
         def answer(is_late):
             if after < self._store.compacted:
                 raise RevisionCompacted(prefix)
+            if self._store.shown is not None:
+                return ([], self._store.shown[1]) if is_late else None
             events = [
                 e for e in self._store.events if e.key.startswith(prefix) and e.revision > after
             ]
