--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -15,7 +15,7 @@
     WithdrawJob,
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, bounded_retry_s
-from burdocklug.pools.scheduling import find_placement_obstacle, progress_of
+from burdocklug.pools.scheduling import progress_of
 
 __all__ = ["JobServer"]
 
@@ -72,11 +72,7 @@
             return SubmitReply(resubmit=True)
         now = self._timers.now()
         spec = message.spec
-        obstacle = (
-            find_placement_obstacle(spec, scheduler.endpoints.values())
-            if scheduler.is_reconciled
-            else None
-        )
+        obstacle = self._leader.find_obstacle(spec) if scheduler.is_reconciled else None
         if obstacle is not None:
             log.info("job_impossible", job=spec.job_id, reason=obstacle)
             return _refuse_unplaceable(obstacle)
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -8,7 +8,12 @@
 from burdocklug.pools._job_server import JobServer
 from burdocklug.pools.agents import TOKEN_HOLDERS, AgentOrders, AnswerTimes, EndpointAgent
 from burdocklug.pools.election import FENCED
-from burdocklug.pools.scheduling import Scheduler, dump_scheduler, scheduler_load
+from burdocklug.pools.scheduling import (
+    Scheduler,
+    dump_scheduler,
+    find_placement_obstacle,
+    scheduler_load,
+)
 
 __all__ = ["Leader"]
 
@@ -166,7 +171,12 @@
         endpoints = self.scheduler.endpoints.values()
         has_changed = mark_evacuated(endpoints, self._directory.evacuations, self._timers.now())
         if has_changed and self.scheduler.is_reconciled:
-            self.scheduler.refuse_unplaceable()
+            self.scheduler.refuse_unplaceable(self.find_obstacle)
+
+    def find_obstacle(self, spec):
+        """Return why no endpoint can ever run a job, or None if one can."""
+        endpoints = self.scheduler.endpoints.values()
+        return find_placement_obstacle(spec, endpoints, has_others=not self._claim.is_full)
 
     @staticmethod
     def _is_restarted(before, entry):
@@ -237,7 +247,7 @@
                 log.info("scheduling_settled", after_s=round(now - self._began_s, 3))
                 self.scheduler.mark_reconciled()
                 if self._directory.evacuations:
-                    self.scheduler.refuse_unplaceable()
+                    self.scheduler.refuse_unplaceable(self.find_obstacle)
         self.scheduler.expire_overdue()
         self._suspend_abandoned(now)
         self.scheduler.forget_ended()
--- a/burdocklug/pools/scheduling/_capacity.py
+++ b/burdocklug/pools/scheduling/_capacity.py
@@ -47,14 +47,24 @@
         return sum(count_slots(demand, e.capacity) for e in entries if e.service == service)
 
 
-def find_placement_obstacle(spec, endpoints):
+def find_placement_obstacle(spec, endpoints, *, has_others=False):
     """Return why the endpoints can never run a job, or None if they can.
 
     An endpoint that is merely full counts; one that is draining or evacuated does not.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        The job.
+    endpoints : iterable of PoolEndpoint
+        All endpoints of the scheduler.
+    has_others : bool, optional
+        Whether there are endpoints that this scheduler doesn't serve. Then a job that only
+        evacuated endpoints here could hold may wait for a scheduler that serves them.
     """
     probe = make_job(spec, received_s=0.0, wait_s=1.0)
     staying = [endpoint for endpoint in endpoints if not endpoint.entry.draining]
-    accepting = [endpoint for endpoint in staying if not endpoint.evacuated]
+    accepting = [endpoint for endpoint in staying if has_others or not endpoint.evacuated]
     first_of_step = {task.step: task for task in reversed(probe.tasks)}
     for step, task in first_of_step.items():
         if not any(is_eligible(task, endpoint) for endpoint in accepting):
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -7,7 +7,6 @@
 import structlog
 
 from burdocklug.pools._models import JobOutcome, RunEndKind
-from burdocklug.pools.scheduling._capacity import find_placement_obstacle
 from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
 from burdocklug.pools.scheduling._health import (
     add_fault,
@@ -138,13 +137,13 @@
         else:
             self._refuse(job, self._now())
 
-    def refuse_unplaceable(self):
-        """Refuse the jobs without a started task that the endpoints left can never hold."""
+    def refuse_unplaceable(self, find_obstacle):
+        """Refuse the jobs without a started task for which `find_obstacle` returns a reason."""
         now = self._now()
         self._slot_counts.invalidate()
         for job in list(self._waiting.values()):
             if not job.started and job.hold is None:
-                job.obstacle = find_placement_obstacle(job.spec, self.endpoints.values())
+                job.obstacle = find_obstacle(job.spec)
                 if job.obstacle:
                     self._refuse(job, now)
 
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -8,7 +8,7 @@
 __all__ = ["PLANNED", "fault_kinds"]
 
 fault_kinds = Registry("soak fault")
-PLANNED = frozenset({"configuration", "hangup", "stop", "worker_drain"})
+PLANNED = frozenset({"configuration", "evacuate", "hangup", "stop", "worker_drain"})
 SHARE = 0.3  # of the calls that a fault of a share hits
 DELAY_S = 0.15  # over what peers usually take, under their timeouts
 
@@ -98,6 +98,15 @@
     _store_fault(_name, _value)
 
 
+@fault_kinds.register("evacuate")
+def evacuate(fleet, rng):
+    """Evacuate a failure domain and take it back."""
+    domain = rng.choice(sorted(set(fleet.processes.values())))
+    fleet.control("PUT", f"/operator/op/evacuate/{domain}", {})
+    yield
+    fleet.control("DELETE", f"/operator/op/evacuate/{domain}")
+
+
 @fault_kinds.register("compact")
 def compact(fleet, _rng):
     """Discard the store's history."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,6 +7,7 @@
 
 =========================  ===================================================================
 ``PUT /operator/KEY``      writes a key as the operator does
+``DELETE /operator/KEY``   removes it
 ``GET /record``            starts and ends of every worker, and calls at the store by path
 ``POST /faults``           any fields of `Faults` to change
 ``POST /compact``          discards the store's history
@@ -178,7 +179,12 @@
     def control(self, method, path, body):
         """Return status and answer of a call of the test."""
         if path.startswith("/operator/"):
-            self.put(path.removeprefix("/operator/"), body)
+            key = path.removeprefix("/operator/")
+            if method == "DELETE":
+                self.store.delete(key)
+                self._tell()
+            else:
+                self.put(key, body)
             return 200, {}
         if path == "/faults":
             for name, value in body.items():
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -4,7 +4,12 @@
 from testtools.matchers import Equals
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
-from burdocklug.platform._entries import decode_configuration, decode_entry
+from burdocklug.platform._entries import (
+    decode_configuration,
+    decode_entry,
+    evacuated_domain,
+    is_evacuation_value,
+)
 from burdocklug.platform._jobs import decode_job
 from tests.pools.builders import RULE
 from tests.scenarios import with_scenarios
@@ -123,3 +128,26 @@
     def test_a_text_that_is_too_long_is_refused(self):
         exc = self.assertRaises(BurdocklugError, self.decode, spec="x" * 4001)
         self.assertThat(exc.path, Equals("$.spec"))
+
+
+@with_scenarios
+class EvacuationKeyTest(TestCase):
+    scenarios = [
+        ("a failure domain", {"key": "op/evacuate/perg", "domain": "perg"}),
+        ("none", {"key": "op/evacuate/", "domain": ""}),
+        ("no prefix", {"key": "op/evacuate", "domain": ""}),
+        ("another key", {"key": "op/wave/1", "domain": ""}),
+        ("odd characters", {"key": "op/evacuate/a/b c", "domain": "a/b c"}),
+    ]
+
+    def test_key_names_the_failure_domain(self):
+        self.assertThat(evacuated_domain(self.key), Equals(self.domain))
+
+
+class EvacuationValueTest(TestCase):
+    def test_objects_are_well_formed_whatever_they_contain(self):
+        values = [b"{}", b'{"reason": "power"}', b"", b"[]", b"null", b"\xff"]
+        self.assertThat(
+            [is_evacuation_value(value) for value in values],
+            Equals([True, True, False, False, False, False]),
+        )
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -428,6 +428,32 @@
         self.assertThat(late, Equals([]))
 
 
+@with_scenarios
+class CutOffCallersTest(TestCase):
+    """The cut ends at any time between two reads and two notices of the schedulers' claims."""
+
+    scenarios = [(f"{n * 0.3:.2f} s", {"phase_s": n * 0.3}) for n in range(3)]
+
+    def test_callers_there_wait_for_a_scheduler_that_serves_other_domains(self):
+        def scenario():
+            deployment = VirtualDeployment(PROCESSES, ENDPOINTS, run_s=0.3).start(for_s=SETTLED_S)
+            eventlet.sleep(self.phase_s)
+            deployment.cut_off(DOMAIN, for_s=4.0)
+            eventlet.sleep(2.0)
+            deployment.store.evacuate(DOMAIN)
+            eventlet.sleep(1.5)
+            answers = []
+            for number in range(40):
+                job = spec(f"j{number}", step(cpu=1000, estimate_s=0.3), rule=QUEUE)
+                answers.append(deployment.submit("south-1", job, wait_s=6.0))
+                eventlet.sleep(0.05)
+            eventlet.sleep(8.0)
+            return answers
+
+        answers = run_in_virtual_time(scenario)
+        self.assertThat(answers, Equals([[JobOutcome.COMPLETED]] * 40))
+
+
 class TakenBackTest(TestCase):
     def test_work_returns_and_the_endpoints_count_as_cold_for_a_while(self):
         def scenario():
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -3,11 +3,12 @@
 
 import eventlet
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, GreaterThan
 
 from standins.platform_fleet import CONFIG, GIVEN_UP, RESUBMIT_S, PlatformFleet
 
 PROCESSES = {"north-1": "north", "north-2": "north", "south-1": "south"}
+EVACUATION_BOUND_S = 5.0
 
 
 class FleetTestCase(TestCase):
@@ -103,6 +104,22 @@
         for name in PROCESSES:
             self.assertThat(self.fleet.call(name, "GET", "/new/")[0], Equals(200))
 
+    def test_nothing_starts_in_an_evacuated_failure_domain_until_it_is_taken_back(self):
+        self.fleet.control("PUT", "/operator/op/evacuate/north", {})
+        eventlet.sleep(EVACUATION_BOUND_S)
+        before = len(self.fleet.starts())
+        for number in range(6):
+            self.fleet.submit("south-1", f"e{number:015x}", count=2)
+        during = {row[0] for row in self.fleet.starts()[before:]}
+        states = [self.fleet.state(name)[1]["pool"]["directory"] for name in PROCESSES]
+        self.fleet.control("DELETE", "/operator/op/evacuate/north")
+        eventlet.sleep(EVACUATION_BOUND_S)
+        after = [self.fleet.state(name)[1]["pool"]["directory"] for name in PROCESSES]
+        self.assertThat([list(s["evacuations"]) for s in states], Equals([["north"]] * 3))
+        self.assertThat([list(s["evacuations"]) for s in after], Equals([[]] * 3))
+        self.assertThat(len(during), GreaterThan(0))
+        self.assertThat(during.difference({"i-0001", "i-0003"}), Equals(set()))  # not in the south
+
     def test_state_and_metrics_show_the_scheduler_and_the_latency_of_jobs(self):
         self.fleet.submit("north-1", "8" * 16)
         states = [self.fleet.state(name)[1]["pool"] for name in PROCESSES]
--- a/tests/pools/election/test_following.py
+++ b/tests/pools/election/test_following.py
@@ -1,6 +1,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._messages import FollowerHeartbeat, ReachRequest
 from tests.pools.virtual_fleet import VirtualFleet
 
@@ -40,6 +41,33 @@
         self.fleet.run(0.2)
         self.assertThat(self.fleet.followed()[1:], Equals([1] * 6))
 
+    def test_a_follower_is_told_who_knows_of_a_newer_change_of_the_evacuations(self):
+        told = []
+        self.fleet[0].election.evacuations = lambda: EvacuationView(7, {"north": 6})
+        for node in self.fleet[1], self.fleet[2]:
+            node.election.on_newer_version = told.append
+        self.fleet[2].election.evacuations = lambda: EvacuationView(9, {"north": 6})
+        self.fleet.run(1.0)
+        self.assertThat(set(told), Equals({self.fleet[0].incarnation}))
+
+    def test_a_scheduler_is_told_by_its_followers_too(self):
+        told = []
+        self.fleet[0].election.on_newer_version = told.append
+        self.fleet[3].election.evacuations = lambda: EvacuationView(7, {"north": 6})
+        self.fleet.run(1.0)
+        self.assertThat(set(told), Equals({self.fleet[3].incarnation}))
+
+    def test_an_older_view_or_an_equal_one_is_not_asked_for(self):
+        told = []
+        for node in self.fleet.nodes.values():
+            node.election.on_newer_version = told.append
+            node.election.evacuations = lambda: EvacuationView(9, {"north": 6})
+        self.fleet[3].election.evacuations = lambda: EvacuationView(5, {"south": 4})
+        self.fleet[3].election.on_newer_version = None
+        self.fleet[4].election.evacuations = lambda: EvacuationView(12, {"north": 6})
+        self.fleet.run(1.0)
+        self.assertThat(told, Equals([]))
+
     def test_many_reach_requests_add_a_bounded_number_of_heartbeats(self):
         sent = []
         self.fleet[0].election.on_newer_version = None
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -101,6 +101,26 @@
         self.assertThat(applied, Equals([record("a/1", 11)]))
         self.assertThat(store.follow_revisions, Equals([10, 10]))
 
+    def test_a_stale_list_after_lost_history_replaces_nothing(self):
+        _store, replaced, _applied = self.follow(
+            [([], 5), ([record("a/1", 3)], 4), ([record("a/3", 40)], 40)],
+            [RevisionCompacted("a/")],
+            steps=4,
+        )
+        self.assertThat(replaced, Equals([[], [record("a/3", 40)]]))
+
+    def test_a_stale_answer_counts_as_a_failed_call(self):
+        store = ScriptedStore([([], 10)], [([], 9), ([], 11), greenlet.GreenletExit()])
+        events = []
+        follower, _applied = make_follower(
+            store,
+            on_answer=lambda _sent_s: events.append("answer"),
+            on_failure=lambda: events.append("failure"),
+        )
+        follower.start()
+        run_greenlets()
+        self.assertThat(events, Equals(["answer", "failure", "answer"]))
+
     def test_the_revision_is_kept_after_a_failure(self):
         store, _replaced, _applied = self.follow(
             [([], 3)], [StoreUnavailable("down"), ([], 4)], steps=2
