--- a/burdocklug/pools/_evacuations.py
+++ b/burdocklug/pools/_evacuations.py
@@ -40,6 +40,8 @@
     @property
     def digest(self):
         """Number that differs, as good as surely, between views with different requests."""
+        if not self.requests:
+            return 0
         return zlib.crc32(msgspec.json.encode(sorted(self.requests.items())))
 
     def merge(self, other):
