Tests: a scheduler that hands over during an outage of the store, beside one that is lost

Cause: outages of the store were played with a scheduler that stays or is lost only. No behaviour changes.

--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -88,6 +88,7 @@
         if not endpoints and now < self._last_pass_s + FULL_POOL_PASS_INTERVAL_S:
             return 0
         self._last_pass_s = now
+        endpoints_in_use = sum(not endpoint.evacuated for endpoint in self.endpoints.values())
         starts = 0
         view = PoolView(
             now_s=now,
@@ -95,7 +96,7 @@
             least_cpu=least_cpu,
             forecast=self._forecast(now),
             is_reconciled=self.is_reconciled,
-            reserved_slots=self._count_reserved_slots(),
+            reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * endpoints_in_use),
             distance_factor=self._distance_factor,
             median_slowness=self._median_slowness,
         )
@@ -103,10 +104,6 @@
             starts += self._carry_out(decision, now)
         return starts
 
-    def _count_reserved_slots(self):
-        in_use = sum(not endpoint.evacuated for endpoint in self.endpoints.values())
-        return int(RESERVED_SLOTS_PER_ENDPOINT * in_use)
-
     def _forecast(self, now):
         runs = (
             (task, endpoint)
@@ -139,13 +136,11 @@
 
     def refuse_unplaceable(self, find_obstacle):
         """Refuse the jobs without a started task for which `find_obstacle` returns a reason."""
-        now = self._now()
         self._slot_counts.invalidate()
-        for job in list(self._waiting.values()):
-            if not job.started and job.hold is None:
-                job.obstacle = find_obstacle(job.spec)
-                if job.obstacle:
-                    self._refuse(job, now)
+        for job in [j for j in self._waiting.values() if not j.started and j.hold is None]:
+            job.obstacle = find_obstacle(job.spec)
+            if job.obstacle:
+                self._refuse(job, self._now())
 
     def _refuse(self, job, now):
         self.counts["jobs_refused"] += 1
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -88,11 +88,11 @@
 
     scenarios = [
         (
-            f"{outage_s} s, scheduler {'lost' if is_killed else 'stays'}",
-            {"outage_s": outage_s, "is_killed": is_killed},
+            f"{outage_s} s, scheduler {what}",
+            {"outage_s": outage_s, "what": what},
         )
         for outage_s in (0.3, 0.7, 1.0, 1.3, 1.7, 2.0, 2.6, 3.3, 4.0, 4.7, 5.3, 6.0)
-        for is_killed in (False, True)
+        for what in ("stays", "is lost", "hands over")
     ]
 
     def test_nothing_starts_there_once_the_bound_is_over(self):
@@ -102,8 +102,10 @@
             acked_s = now_s()
             cut_from_store(deployment, PROCESSES, for_s=self.outage_s)
             eventlet.sleep(self.outage_s / 2)
-            if self.is_killed:
+            if self.what == "is lost":
                 deployment.kill(deployment.scheduler().name)
+            elif self.what == "hands over":
+                eventlet.spawn(deployment.scheduler().pool.election.hand_over)
             eventlet.sleep(self.outage_s / 2)
             bound_s = max(acked_s + EVACUATION_BOUND_S, now_s() + CONTACT_S)
             eventlet.sleep(bound_s - now_s() + 4.0)
