--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -46,7 +46,7 @@
     on_elected : callable
         Called without arguments when this process becomes the scheduler of a cell.
     on_newer_version : callable
-        Called with the incarnation of a peer that has a newer configuration.
+        Called with the incarnation of a peer that has a newer configuration or newer evacuations.
     """
 
     network: object
@@ -106,6 +106,7 @@
             rank=view.number,
         )
         self.election.on_newer_version = services.on_newer_version
+        self.election.evacuations = lambda: directory.evacuation_view
         self.submitter = Submitter(
             network, self.election, timers, priorities=directory.priorities, cell=self.view
         )
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -4,10 +4,9 @@
 import structlog
 
 from burdocklug.kernel import part
-from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._cells import Cells, CellServices
 from burdocklug.pools._directory import Directory
-from burdocklug.pools._messages import ConfigurationReply, ConfigurationRequest
+from burdocklug.pools._exchange import ConfigurationExchange
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
 from burdocklug.pools._power import HostCapacity
 from burdocklug.pools.agents import order_protocols
@@ -36,7 +35,6 @@
 CONFIGURATION_WATCH = PollIntervals(pause_s=0.1)
 MAX_VERSION_AGE_S = 1.5  # one read without an answer
 PLAN_CHECK_S = 1.0  # period of the check whether another number of cells is wanted
-FETCH_TIMEOUT_S = 0.5  # timeout of a request for a peer's configuration
 
 log = structlog.get_logger(__name__)
 
@@ -74,10 +72,8 @@
             record,
             on_plan=lambda plan, **options: self.cells.apply_plan(plan, **options),
         )
+        self._exchange = ConfigurationExchange(self._network, self._timers, self.directory)
         self.cells = Cells(self._cell_services())
-        self._network.register(ConfigurationReply)
-        self._network.register(ConfigurationRequest, self._on_configuration_request, inline=True)
-        self._is_fetching = False
         self._missing_since_s = {}
         self._grace_ends_s = float("-inf")
 
@@ -95,7 +91,7 @@
             is_version_current=self._is_version_current,
             is_paused=self._pauses.is_paused,
             on_elected=self._note_elected,
-            on_newer_version=self._fetch_configuration,
+            on_newer_version=self._exchange.fetch,
         )
 
     @property
@@ -117,6 +113,7 @@
 
     def _note_elected(self):
         if self.on_elected is not None:
+            self._reads_configuration = True  # `on_elected` reads it
             self.on_elected()
 
     def listing_pace(self):
@@ -150,27 +147,6 @@
         has_configuration = self.directory.configuration.version > 0
         return has_configuration and self.cells.is_served
 
-    def _on_configuration_request(self, _sender, _message):
-        return ConfigurationReply(self.directory.configuration)
-
-    def _fetch_configuration(self, peer):
-        """Fetch the newer configuration of a peer in the background.
-
-        This process may not reach the store that the peer has it from.
-        """
-        if not self._is_fetching:
-            self._is_fetching = True
-            eventlet.spawn(self._run_fetch, peer)
-
-    def _run_fetch(self, peer):
-        try:
-            reply = self._network.call(peer, ConfigurationRequest(), timeout_s=FETCH_TIMEOUT_S)
-            self.directory.take_configuration(reply.configuration, source=peer)
-        except (PeerUnreachable, PeerOutcomeUnknown) as exc:
-            log.info("configuration_not_fetched", peer=peer, error=str(exc)[:120])
-        finally:
-            self._is_fetching = False
-
     def _check_pause(self):
         now, paused_s = self._timers.now(), self._pauses.take_pause_s()
         # The timer is due at multiples of its period, so the remainder is how late it fired.
@@ -262,7 +238,11 @@
 
     def counts(self):
         """Return the counters of this process's schedulers and of waiting submissions, by name."""
-        return {**self.cells.counts(), "waiting": self.cells.waiting}
+        return {
+            **self.cells.counts(),
+            "evacuated_domains": len(self.directory.evacuations),
+            "waiting": self.cells.waiting,
+        }
 
 
 @part("pool", needs=("peers", "records"), profile="pool")
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -88,6 +88,7 @@
         if not endpoints and now < self._last_pass_s + FULL_POOL_PASS_INTERVAL_S:
             return 0
         self._last_pass_s = now
+        endpoints_in_use = sum(not endpoint.evacuated for endpoint in self.endpoints.values())
         starts = 0
         view = PoolView(
             now_s=now,
@@ -95,7 +96,7 @@
             least_cpu=least_cpu,
             forecast=self._forecast(now),
             is_reconciled=self.is_reconciled,
-            reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * len(self.endpoints)),
+            reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * endpoints_in_use),
             distance_factor=self._distance_factor,
             median_slowness=self._median_slowness,
         )
@@ -107,6 +108,7 @@
         runs = (
             (task, endpoint)
             for endpoint in self.endpoints.values()
+            if not endpoint.evacuated
             for task in endpoint.runs.values()
         )
         return CapacityForecast(now, expected_ends(runs, now, self.expected_run_s))
@@ -132,13 +134,21 @@
         else:
             self._refuse(job, self._now())
 
+    def refuse_unplaceable(self, find_obstacle):
+        """Refuse the jobs without a started task for which `find_obstacle` returns a reason."""
+        self._slot_counts.invalidate()
+        for job in [j for j in self._waiting.values() if not j.started and j.hold is None]:
+            job.obstacle = find_obstacle(job.spec)
+            if job.obstacle:
+                self._refuse(job, self._now())
+
     def _refuse(self, job, now):
         self.counts["jobs_refused"] += 1
         log.info(
             "job_refused",
             job=job.job_id,
             queue=job.spec.queue.name,
-            reason="overload",
+            reason=job.obstacle or "overload",
             age_s=round(now - job.received_s, 3),
             tasks=len(job.tasks),
             waiting=len(self._waiting),
