Cold endpoints: run times and the rate of starts follow the remaining cold time

Cause: an endpoint is slow for a time after its start. It got as many starts as any other, its runs took longer than expected, and its learnt speed was spoilt by them.

Change: entries carry the remaining cold time (in seconds, not stated in some), services the length of that time and a rate of starts. The directory keeps the end of the cold time and notifies its subscribers only when that moves later by more than 1 s, so heartbeats cause no notification. Expected run times grow by what a run loses at half speed until the endpoint is warm, so others are preferred. Runs that begin cold give no sample of the speed.

--- a/burdocklug/platform/_entries.py
+++ b/burdocklug/platform/_entries.py
@@ -35,6 +35,7 @@
     slots: Amount = 1
     labels: list[str] = []
     born: Moment = 0  # start of the current incarnation, Unix milliseconds
+    cold_remaining_ms: Duration | None = None  # remaining time of being slow after the start
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -69,6 +70,17 @@
     name: str
     max_conns: Amount = 1
     enforce_capacity: bool = True
+    cold_start_s: Share = 0.0
+    cold_per_s: Share = 0.0
+
+    def to_rule(self):
+        return ServiceRule(
+            self.name,
+            self.enforce_capacity,
+            self.max_conns,
+            cold_start_s=self.cold_start_s,
+            cold_starts_per_s=self.cold_per_s,
+        )
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -110,6 +122,7 @@
     is_valid = WORKER_ID.fullmatch(endpoint_id) and worker.service and _is_address(worker.address)
     if not is_valid or worker.state not in ("ready", "draining"):
         return None
+    cold_ms = worker.cold_remaining_ms
     return EndpointEntry(
         endpoint_id,
         worker.service,
@@ -120,6 +133,7 @@
         slots=worker.slots,
         draining=worker.state == "draining",
         started_ms=worker.born,
+        cold_s=None if cold_ms is None else cold_ms / 1000,
     )
 
 
@@ -157,7 +171,7 @@
     return PoolConfiguration(
         config.version,
         tuple(route.to_rule() for route in config.routes),
-        tuple(ServiceRule(s.name, s.enforce_capacity, s.max_conns) for s in config.services),
+        tuple(service.to_rule() for service in config.services),
         max_body_bytes=limits.max_body_bytes,
         max_header_bytes=limits.max_header_bytes,
         header_timeout_s=limits.header_timeout_ms / 1000,
--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -1,5 +1,6 @@
 """Endpoints and configuration known to a process."""
 
+import msgspec
 import structlog
 
 from burdocklug.pools._models import PoolConfiguration
@@ -7,6 +8,8 @@
 
 __all__ = ["Directory"]
 
+COLD_CHANGE_S = 1.0  # later end of a cold time from which subscribers are notified
+
 log = structlog.get_logger(__name__)
 
 
@@ -18,7 +21,9 @@
     configuration : PoolConfiguration
         Configuration with the highest version seen.
     entries : dict
-        `EndpointEntry` by endpoint id.
+        `EndpointEntry` by endpoint id, without the remaining cold time.
+    cold_until_s : dict
+        Monotonic time until which an endpoint is slow after its start, by endpoint id.
     configuration_age, entries_age : ViewAge
         When each was last read from the store.
     """
@@ -26,6 +31,8 @@
     def __init__(self):
         self.configuration = PoolConfiguration()
         self.entries = {}
+        self.cold_until_s = {}
+        self._cold_reports = {}  # incarnation and remaining cold time in the last entry, by id
         self.configuration_age = ViewAge()
         self.entries_age = ViewAge()
         self._subscribers = []
@@ -61,10 +68,16 @@
         self._notify()
         return True
 
-    def put(self, entry):
-        """Add or replace the entry of an endpoint."""
+    def put(self, entry, *, now_s=0.0):
+        """Add or replace the entry of an endpoint that was read at a monotonic time.
+
+        The remaining cold time differs in each entry that an endpoint writes, so subscribers are
+        only notified if the cold time ends later than was known.
+        """
         before = self.entries.get(entry.endpoint_id)
-        if before == entry:
+        is_colder = self._note_cold(entry, before, now_s)
+        entry = msgspec.structs.replace(entry, cold_s=None)
+        if before == entry and not is_colder:
             return
         self.entries[entry.endpoint_id] = entry
         if before is None or before.draining != entry.draining:
@@ -77,8 +90,31 @@
             )
         self._notify()
 
+    def _note_cold(self, entry, before, now_s):
+        """Record until when an endpoint is cold; return whether that is later than was known.
+
+        An entry that was read again says how long the endpoint was cold when it was written.
+        """
+        endpoint_id, report = entry.endpoint_id, (entry.started_ms, entry.cold_s)
+        if self._cold_reports.get(endpoint_id) == report:
+            return False
+        self._cold_reports[endpoint_id] = report
+        cold_s = entry.cold_s
+        if cold_s is None and before is not None and before.started_ms != entry.started_ms:
+            cold_s = self.configuration.find_service(entry.service).cold_start_s
+        if not cold_s:
+            return False
+        known_s = max(self.cold_until_s.get(endpoint_id, 0.0), now_s)
+        self.cold_until_s[endpoint_id] = now_s + cold_s
+        if now_s + cold_s <= known_s + COLD_CHANGE_S:
+            return False
+        log.info("endpoint_cold", endpoint=endpoint_id, for_s=round(cold_s, 3))
+        return True
+
     def remove(self, endpoint_id, *, reason):
         """Remove an endpoint."""
+        self.cold_until_s.pop(endpoint_id, None)
+        self._cold_reports.pop(endpoint_id, None)
         if self.entries.pop(endpoint_id, None) is not None:
             log.info("endpoint_unlisted", endpoint=endpoint_id, reason=reason)
             self._notify()
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -158,8 +158,17 @@
                 self._add_agent(entry)
             else:
                 agent.note_entry(entry)
+            self._apply_cold_time(self._agents[endpoint_id].endpoint)
         self.schedule_start_waiting()
 
+    def _apply_cold_time(self, endpoint):
+        rule = self._directory.configuration.find_service(endpoint.entry.service)
+        endpoint.cold_pace.rate_per_s = rule.cold_starts_per_s
+        now = self._timers.now()
+        until_s = self._directory.cold_until_s.get(endpoint.entry.endpoint_id, 0.0)
+        if until_s > now:
+            endpoint.warm_up(now, for_s=until_s - now)
+
     @staticmethod
     def _is_restarted(before, entry):
         has_moved = before.address != entry.address
@@ -258,4 +267,4 @@
 
     def dump(self):
         """Return the scheduler's state as plain data, None while this process does not lead."""
-        return dump_scheduler(self.scheduler) if self.scheduler else None
+        return dump_scheduler(self.scheduler, self._timers.now()) if self.scheduler else None
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -86,6 +86,8 @@
         Whether it accepts no new tasks before it leaves.
     started_ms : int
         Start of its current incarnation, Unix milliseconds; 0 if not known.
+    cold_s : float or None
+        Remaining time of being slow after its start, when this was written; None if not stated.
     """
 
     endpoint_id: str
@@ -97,6 +99,7 @@
     slots: int = 1
     draining: bool = False
     started_ms: int = 0
+    cold_s: float | None = None
 
 
 class QueueRule(msgspec.Struct, frozen=True):
@@ -140,12 +143,15 @@
     """Configuration of a service.
 
     `guards_capacity` states whether its endpoints refuse tasks that do not fit; `max_connections`
-    limits the connections to each of them.
+    limits the connections to each of them. An endpoint is slow for `cold_start_s` after its start,
+    and then gets `cold_starts_per_s` tasks a second at most; 0 if these are not known.
     """
 
     name: str
     guards_capacity: bool = True
     max_connections: int = 1
+    cold_start_s: float = 0.0
+    cold_starts_per_s: float = 0.0
 
 
 class PoolConfiguration(msgspec.Struct, frozen=True):
@@ -176,6 +182,10 @@
         matches = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
         return max(matches, key=lambda queue: len(queue.prefix), default=None)
 
+    def find_service(self, name):
+        """Return the configuration of a service, with its defaults if none is given."""
+        return next((s for s in self.services if s.name == name), None) or ServiceRule(name)
+
 
 class StepSpec(msgspec.Struct, frozen=True, array_like=True):
     """One step of a job, consisting of identical tasks.
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -201,7 +201,7 @@
     def list_endpoint(self, entry):
         """Add or update one endpoint."""
         self._missing_since_s.pop(entry.endpoint_id, None)
-        self.directory.put(entry)
+        self.directory.put(entry, now_s=self._timers.now())
 
     def unlist_endpoint(self, endpoint_id):
         """Note that an endpoint is not listed; it is removed after `MISSING_GRACE_S`."""
--- a/burdocklug/pools/scheduling/_load.py
+++ b/burdocklug/pools/scheduling/_load.py
@@ -20,6 +20,7 @@
         "runs": sum(len(endpoint.runs) for endpoint in endpoints),
         "endpoints": len(endpoints),
         "open_endpoints": sum(endpoint.is_available(now_s) for endpoint in endpoints),
+        "cold_endpoints": sum(now_s < endpoint.cold_until_s for endpoint in endpoints),
         "free_cpu": sum(
             endpoint.free.cpu for endpoint in endpoints if endpoint.is_available(now_s)
         ),
@@ -29,8 +30,8 @@
     }
 
 
-def dump_scheduler(scheduler):
-    """Return the counts, jobs and endpoints of a scheduler."""
+def dump_scheduler(scheduler, now_s):
+    """Return the counts, jobs and endpoints of a scheduler at a time."""
     return {
         "counts": dict(scheduler.counts),
         "jobs": len(scheduler.jobs),
@@ -42,6 +43,7 @@
                 "draining": endpoint.entry.draining,
                 "runs": len(endpoint.runs),
                 "slowness": round(endpoint.slowness, 2),
+                "cold_s": round(max(0.0, endpoint.cold_until_s - now_s), 3),
             }
             for endpoint in scheduler.endpoints.values()
         ],
--- a/burdocklug/pools/scheduling/_placement.py
+++ b/burdocklug/pools/scheduling/_placement.py
@@ -4,21 +4,19 @@
 from dataclasses import dataclass, field
 
 from burdocklug.pools._models import Resources
+from burdocklug.pools.scheduling._run_times import DISTANCE_FACTOR, expected_run_s
+from burdocklug.pools.speed import ColdPace
 
 __all__ = [
     "PoolEndpoint",
     "choose_endpoint",
     "count_free_slots",
     "count_slots",
-    "exclude_slow",
-    "expected_run_s",
     "is_eligible",
     "place_tasks",
 ]
 
 MAX_SLOTS = 1000  # slots counted on one endpoint for tasks without resource demands
-SLOW_FACTOR = 1.8  # multiple of the median slowness; healthy workers are within 0.8 to 1.25
-DISTANCE_FACTOR = 1.5  # default factor on run times outside the rack of the data
 
 
 @dataclass(slots=True)
@@ -45,6 +43,10 @@
         End of the ejection after several consecutive faults; 0 if it was never ejected.
     reported_s : float
         When its last report was requested; ``-inf`` while it does not obey this scheduler.
+    cold_until_s : float
+        Time until which it is slow after its start; 0 if it is not known to be.
+    cold_pace : ColdPace
+        Limits its starts until then.
 
     Attributes
     ----------
@@ -61,17 +63,37 @@
     faults: int = 0
     ejected_until_s: float = 0.0
     reported_s: float = float("-inf")
+    cold_until_s: float = 0.0
+    cold_pace: ColdPace = field(default_factory=ColdPace)
     free: Resources = field(init=False)
 
     def is_available(self, now_s):
         """Return whether the endpoint may get a task.
 
-        After an ejection, it gets one trial task at a time until a run succeeds.
+        After an ejection, it gets one trial task at a time until a run succeeds. While it is cold,
+        its rate of starts is limited.
         """
         if not self.usable or now_s < self.ejected_until_s:
             return False
+        if now_s < self.cold_until_s and not self.cold_pace.starts(now_s):
+            return False
         return not self.ejected_until_s or not self.faults or not self.runs
 
+    def warm_up(self, now_s, *, for_s):
+        """Mark the endpoint as cold for a time; a longer cold time that it has stays."""
+        if now_s >= self.cold_until_s:
+            self.cold_pace.begin(now_s)
+        self.cold_until_s = max(self.cold_until_s, now_s + for_s)
+
+    def note_start(self, now_s):
+        """Count a start against the limit while the endpoint is cold."""
+        if now_s < self.cold_until_s:
+            self.cold_pace.take(now_s)
+
+    def limit_starts(self, count, now_s):
+        """Return how many of `count` starts the endpoint may get now."""
+        return min(count, self.cold_pace.starts(now_s)) if now_s < self.cold_until_s else count
+
     def __post_init__(self):
         self.free = self.entry.capacity
 
@@ -112,51 +134,17 @@
     return placed < limit
 
 
-def expected_run_s(task, endpoint, *, distance_factor=DISTANCE_FACTOR):
-    """Return the expected run time of a task on an endpoint, in seconds."""
-    rack = task.job.spec.steps[task.step].preferred_rack
-    factor = distance_factor if rack and rack not in endpoint.entry.labels else 1.0
-    return task.estimate_s * endpoint.slowness * factor
-
-
 def count_free_slots(task, endpoints, now_s, *, limit):
     """Return how many tasks like this one can start now, counting up to `limit`."""
     slots = 0
     for endpoint in endpoints:
         if endpoint.is_available(now_s) and is_eligible(task, endpoint):
-            slots += count_slots(task.demand, endpoint.free)
+            slots += endpoint.limit_starts(count_slots(task.demand, endpoint.free), now_s)
             if slots >= limit:
                 return limit
     return slots
 
 
-def exclude_slow(
-    task, endpoints, now_s, deadline_s, *, median_slowness, distance_factor=DISTANCE_FACTOR
-):
-    """Return the endpoints except slow ones on which a task would miss its deadline.
-
-    Parameters
-    ----------
-    task : Task
-        The task to place.
-    endpoints : list of PoolEndpoint
-        The candidates.
-    now_s, deadline_s : float
-        The current time, and the time by which the task should end.
-    median_slowness : float
-        Median over all endpoints; if all are slow, none is excluded.
-    distance_factor : float, optional
-        Factor on the run time of a task outside the rack of its data.
-    """
-    limit = SLOW_FACTOR * median_slowness
-    return [
-        endpoint
-        for endpoint in endpoints
-        if endpoint.slowness <= limit
-        or now_s + expected_run_s(task, endpoint, distance_factor=distance_factor) <= deadline_s
-    ]
-
-
 def count_slots(demand, free):
     """Return how many tasks of a given demand fit into free resources.
 
@@ -200,7 +188,7 @@
         if not _can_start(task, endpoint, now_s):
             continue
         failed_here = endpoint.entry.endpoint_id in task.avoided_endpoints
-        key = (failed_here, *_preference(task, endpoint, distance_factor))
+        key = (failed_here, *_preference(task, endpoint, now_s, distance_factor))
         if best_key is None or key < best_key:
             best, best_key = endpoint, key
     return best
@@ -252,16 +240,16 @@
     )
 
 
-def _preference(task, endpoint, distance_factor):
+def _preference(task, endpoint, now_s, distance_factor):
     """Return the sort key of an endpoint for a task; the lowest is preferred."""
-    run_s = expected_run_s(task, endpoint, distance_factor=distance_factor)
+    run_s = expected_run_s(task, endpoint, now_s, distance_factor=distance_factor)
     left = endpoint.free.cpu - task.demand.cpu
     return round(run_s / max(task.estimate_s, 0.001), 1), left
 
 
 def _rank(task, endpoints, now_s, distance_factor):
     ranked = [
-        (*_preference(task, endpoint, distance_factor), number)
+        (*_preference(task, endpoint, now_s, distance_factor), number)
         for number, endpoint in enumerate(endpoints)
         if _can_start(task, endpoint, now_s)
     ]
@@ -277,7 +265,7 @@
         if not _can_start(task, endpoint, now_s):
             heapq.heappop(ranked)
             continue
-        present = _preference(task, endpoint, distance_factor)
+        present = _preference(task, endpoint, now_s, distance_factor)
         if present == tuple(key):
             return endpoint
         heapq.heapreplace(ranked, (*present, number))
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -16,7 +16,8 @@
 )
 from burdocklug.pools.scheduling._job_registry import JobRegistry
 from burdocklug.pools.scheduling._jobs import TaskState
-from burdocklug.pools.scheduling._placement import PoolEndpoint, expected_run_s
+from burdocklug.pools.scheduling._placement import PoolEndpoint
+from burdocklug.pools.scheduling._run_times import expected_run_s
 from burdocklug.pools.scheduling._starts import (
     PoolView,
     Refuse,
@@ -112,8 +113,13 @@
         return CapacityForecast(now, expected_ends(runs, now, self.expected_run_s))
 
     def expected_run_s(self, task, endpoint):
-        """Return the expected run time of a task on an endpoint, in seconds."""
-        return expected_run_s(task, endpoint, distance_factor=self._distance_factor)
+        """Return the expected time from start to end of a task on an endpoint, in seconds.
+
+        The start is that of its run there, or now if it has none.
+        """
+        is_placed = endpoint.runs.get(task.name) is task
+        start_s = task.started_s if is_placed else self._now()
+        return expected_run_s(task, endpoint, start_s, distance_factor=self._distance_factor)
 
     def _carry_out(self, decision, now):
         """Apply a decision and return the number of tasks started, 0 or 1."""
@@ -155,7 +161,9 @@
         task.started_s = now
         task.job.started = True
         endpoint.add(task)
+        endpoint.note_start(now)
         self.counts["starts"] += 1
+        self.counts["starts_cold"] += now < endpoint.cold_until_s
         self._orders.start(task, endpoint)
 
     def note_started(self, task, endpoint):
@@ -240,7 +248,7 @@
         is_placed = task.state.is_placed and endpoint.runs.get(task.name) is task
         if kind is RunEndKind.DONE and is_placed:
             endpoint.faults = 0
-            if is_prompt:
+            if is_prompt and task.started_s >= endpoint.cold_until_s:
                 update_slowness(endpoint, now - task.started_s, self.expected_run_s(task, endpoint))
         endpoint.remove(task)
         if not is_placed:
@@ -287,4 +295,5 @@
 
     def note_slow_run(self, task, endpoint, run_s):
         """Update an endpoint's slowness from the total time projected for an active run."""
-        update_slowness(endpoint, run_s, self.expected_run_s(task, endpoint))
+        if task.started_s >= endpoint.cold_until_s:
+            update_slowness(endpoint, run_s, self.expected_run_s(task, endpoint))
--- a/burdocklug/pools/scheduling/_starts.py
+++ b/burdocklug/pools/scheduling/_starts.py
@@ -8,7 +8,8 @@
     latest_useful_end_s,
     priority_key,
 )
-from burdocklug.pools.scheduling._placement import count_free_slots, exclude_slow, place_tasks
+from burdocklug.pools.scheduling._placement import count_free_slots, place_tasks
+from burdocklug.pools.scheduling._run_times import exclude_slow
 
 __all__ = [
     "Expire",
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -44,6 +44,12 @@
         self.assertThat((entry.endpoint_id, entry.capacity.accelerators), Equals(("i-7f3a", 1)))
         self.assertThat((entry.draining, entry.started_ms), Equals((False, 1700000000000)))
 
+    def test_the_remaining_cold_time_is_in_seconds_or_not_stated(self):
+        cold = {**WORKER, "cold_remaining_ms": 2500}
+        silent = {k: v for k, v in WORKER.items() if k != "cold_remaining_ms"}
+        entries = [decode_entry("servers/i-7f3a", json.dumps(w).encode()) for w in (cold, silent)]
+        self.assertThat([entry.cold_s for entry in entries], Equals([2.5, None]))
+
 
 @with_scenarios
 class BadEntryTest(TestCase):
@@ -56,6 +62,10 @@
         ("no_port", {"value": json.dumps({**WORKER, "address": "10.1.0.1"}).encode()}),
         ("unknown_state", {"value": json.dumps({**WORKER, "state": "asleep"}).encode()}),
         ("slots_of_another_type", {"value": json.dumps({**WORKER, "slots": "many"}).encode()}),
+        (
+            "cold_time_of_another_type",
+            {"value": json.dumps({**WORKER, "cold_remaining_ms": "long"}).encode()},
+        ),
         ("no_capacity", {"value": json.dumps({**WORKER, "capacity": 5}).encode()}),
     ]
 
@@ -77,6 +87,13 @@
         self.assertThat(configuration.find_queue("other.example", "/lohu930/5c"), Equals(None))
         self.assertThat(configuration.max_body_bytes, Equals(1000))
 
+    def test_cold_starts_of_a_service_are_decoded(self):
+        service = {"name": "press", "cold_start_s": 4.5, "cold_per_s": 2.0}
+        rule = self.config(services=[service]).find_service("press")
+        self.assertThat((rule.cold_start_s, rule.cold_starts_per_s), Equals((4.5, 2.0)))
+        rule = self.config().find_service("press")
+        self.assertThat((rule.cold_start_s, rule.cold_starts_per_s), Equals((0.0, 0.0)))
+
     def test_an_unreadable_one_is_an_error(self):
         for value in (b"", b"{}", b'{"version": "x"}', b"\xff"):
             self.assertRaises(ValueError, decode_configuration, value)
