Speed: endpoint, queue and run are told apart

Cause: an endpoint's slowness was a moving average of run time over estimate, moved by each run. Long runs of a queue's tail, and estimates that are too low, counted against the endpoint. A run that advanced by less than one percent in 0.15 s was stopped as stalled: 7 times the usual work on an endpoint 5 times slower takes 0.3 s for one percent.

Change: package pools/speed. An endpoint keeps probabilities of its slowness in 25 logarithmic bins, updated with each run by how likely its ratio is in the histogram of its queue, and mixed with those of a new endpoint since speeds change. A queue keeps a decaying histogram of real time over estimate at its endpoint's speed; long runs count there once the next runs on the endpoint tell their cause. A run keeps its progress, and expected_end_s follows from that. One sample a run; none from adopted runs, from runs that begin cold and from reports that are read late. A run is stalled only if it advances by nothing for three times as long as one percent took it. Dumps have queues' ratios and tails; counts have runs_slow, runs_stalled and endpoints_slow.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
 import bench._cases_faults  # noqa: E402, F401
 import bench._cases_overload  # noqa: E402, F401
 import bench._cases_routing  # noqa: E402, F401
+import bench._cases_speed  # noqa: E402, F401
 from bench._cases import cases, clock_cases  # noqa: E402
 from bench._side_by_side import run_side_by_side  # noqa: E402
 
--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -215,9 +215,11 @@
         now = self.now()
         expected_s = self.scheduler.expected_run_s(task, self.endpoint)
         started_s = now - run.percent / 100 * expected_s
-        self.scheduler.adopt(task, self.endpoint, attempt=run.attempt, started_s=started_s)
+        self.scheduler.adopt(
+            task, self.endpoint, attempt=run.attempt, started_s=started_s, percent=run.percent
+        )
         self.orders[task.name] = RunOrder(
-            task, run.attempt, started_s, confirmed_s=now, progressed_s=now
+            task, run.attempt, started_s, confirmed_s=now, percent=run.percent, progressed_s=now
         )
 
     def _find_waiting_task(self, name):
--- a/burdocklug/pools/agents/_order_sender.py
+++ b/burdocklug/pools/agents/_order_sender.py
@@ -49,8 +49,6 @@
         Fencing token of the order; None for an adopted run.
     percent, progressed_s : int, float
         Last reported progress, and when it was first reported.
-    is_slowness_sampled : bool
-        Whether its progress was used once to update the endpoint's slowness.
     """
 
     task: object
@@ -63,7 +61,6 @@
     token: int | None = None
     percent: int = -1
     progressed_s: float = 0.0
-    is_slowness_sampled: bool = False
 
 
 class OrderSender:
--- a/burdocklug/pools/agents/_reports.py
+++ b/burdocklug/pools/agents/_reports.py
@@ -14,6 +14,8 @@
 # Lag of the event loop, as a share of a run's expected time, up to which its end is read in time.
 MAX_LAG_SHARE = 0.1
 STALL_TIMEOUT_S = 0.15  # an overdue run without progress for this time counts as stalled
+# The same in multiples of the time that the run took for one percent, the unit of reports.
+STALL_PERCENT_TIMES = 3.0
 
 log = structlog.get_logger(__name__)
 
@@ -155,7 +157,9 @@
             self._agent.scheduler.note_started(order.task, self._agent.endpoint)
         if run.percent != order.percent:
             order.percent, order.progressed_s = run.percent, now
-            self._sample_slowness(order, now)
+            self._agent.scheduler.note_progress(
+                order.task, self._agent.endpoint, run.percent, is_prompt=self._is_prompt(order)
+            )
         elif now >= self.overdue_s(order) and not order.stopping:
             log.info(
                 "run_stands_still",
@@ -165,20 +169,10 @@
                 age_s=round(now - order.sent_s, 3),
             )
             self._agent.scheduler.last_missed_s = now
+            self._agent.scheduler.counts["runs_stalled"] += 1
             self._agent.scheduler.note_fault(order.task, self._agent.endpoint)
             self._agent.sender.begin_stop(order)
 
-    def _sample_slowness(self, order, now):
-        """Update the endpoint's slowness once from the progress of an overdue run."""
-        age_s = now - order.sent_s
-        overdue_age_s = OVERDUE_FACTOR * self._expected_run_s(order)
-        if order.token is None:
-            return  # the start of an adopted run is an estimate
-        if not order.is_slowness_sampled and order.percent > 0 and age_s > overdue_age_s:
-            order.is_slowness_sampled = True
-            total_s = 100 * age_s / order.percent
-            self._agent.scheduler.note_slow_run(order.task, self._agent.endpoint, total_s)
-
     def _stop_unknown_run(self, run):
         log.info(
             "unknown_run_stopped", task=run.task, endpoint=self._agent.endpoint.entry.endpoint_id
@@ -189,8 +183,15 @@
         return self._agent.scheduler.expected_run_s(order.task, self._agent.endpoint)
 
     def overdue_s(self, order):
-        """Return the time from which a run without progress counts as stalled."""
+        """Return the time from which a run without progress counts as stalled.
+
+        A run that advances is not stalled, however long it takes.
+        """
         expected_s = self._expected_run_s(order)
         factor = LOSSY_OVERDUE_FACTOR if self.is_lossy else OVERDUE_FACTOR
         due_s = order.sent_s + factor * expected_s + OVERDUE_SLACK_S
-        return max(due_s, order.progressed_s + STALL_TIMEOUT_S)
+        percent_s = (
+            (order.progressed_s - order.sent_s) / order.percent if order.percent > 0 else 0.0
+        )
+        stall_s = max(STALL_TIMEOUT_S, STALL_PERCENT_TIMES * percent_s)
+        return max(due_s, order.progressed_s + stall_s)
--- a/burdocklug/pools/scheduling/_forecast.py
+++ b/burdocklug/pools/scheduling/_forecast.py
@@ -4,7 +4,6 @@
 
 # Assumed wait for a slot if no task runs; endpoints that missed a report are back by then or gone.
 EMPTY_POOL_WAIT_S = 0.3
-MIN_REMAINING_S = 0.03  # expected remaining time of a run that has exceeded its estimate
 
 
 class CapacityForecast:
@@ -60,7 +59,7 @@
         self._reserved += count
 
 
-def expected_ends(runs, now_s, expected_s):
+def expected_ends(runs, now_s, expected_end_s):
     """Yield the expected ends of active runs.
 
     Parameters
@@ -69,8 +68,8 @@
         Pairs of a `Task` and the `PoolEndpoint` where it runs.
     now_s : float
         The current time.
-    expected_s : callable
-        Takes a task and an endpoint and returns the expected run time in seconds.
+    expected_end_s : callable
+        Takes a task, its endpoint and the current time, and returns when its run should end.
     """
     for task, endpoint in runs:
-        yield max(task.started_s + expected_s(task, endpoint), now_s + MIN_REMAINING_S)
+        yield expected_end_s(task, endpoint, now_s)
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -10,6 +10,7 @@
 from burdocklug.pools.scheduling._jobs import TaskState, apply_progress, make_job
 from burdocklug.pools.scheduling._latency import LatencyCounts
 from burdocklug.pools.scheduling._start_holds import hold_start, merge_holds, release_reason
+from burdocklug.pools.speed import RunSamples
 
 __all__ = ["JobRegistry"]
 
@@ -38,6 +39,8 @@
         Counts of events by name.
     latencies : LatencyCounts
         Histogram of the time from arrival to end of jobs, by queue and outcome.
+    samples : RunSamples
+        What runs tell of endpoints and queues.
     cancellations : Cancellations
         Cancelled jobs that a process may still submit.
     is_reconciled : bool
@@ -52,6 +55,7 @@
         self.counts = Counter()
         self.latencies = LatencyCounts()
         self.cancellations = Cancellations()
+        self.samples = RunSamples(self.counts)
         self.is_reconciled = True
         self.submitted_s = now()
         self._orders = orders
@@ -120,7 +124,8 @@
 
     def _add(self, spec, received_s, wait_s):
         wave = max(1, int(MAX_WAVE_SHARE * self._slot_counts.max_concurrent_tasks(spec)))
-        job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave)
+        times = self.samples.queue(spec.queue.name)
+        job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave, times=times)
         self.jobs[spec.job_id] = job
         self.submitted_s = self._now()
         self.counts["jobs"] += 1
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -7,11 +7,13 @@
 
 from burdocklug.pools._messages import JobProgress
 from burdocklug.pools._models import task_name
+from burdocklug.pools.speed import QueueTimes
 
 __all__ = ["Job", "Task", "TaskState", "apply_progress", "make_job", "progress_of"]
 
 
 UNLIMITED_WAVE = 1_000_000  # larger than any step
+NO_RUNS = QueueTimes()  # of a queue of which nothing is known
 
 
 class TaskState(enum.Enum):
@@ -32,7 +34,10 @@
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """One task; `attempt` is the number of its last start, `failures` counts its failed runs."""
+    """One task; `attempt` is the number of its last start, `failures` counts its failed runs.
+
+    `progress` is that of its run, a `RunProgress`.
+    """
 
     job: object
     step: int
@@ -45,6 +50,7 @@
     failures: int = 0
     endpoint_id: str | None = None
     started_s: float = 0.0
+    progress: object = None
     avoided_endpoints: set = field(default_factory=set)
 
 
@@ -64,6 +70,8 @@
         Time by which it should end to meet its queue's objective.
     tasks : list of Task
         All its tasks.
+    times : QueueTimes
+        What tasks of its queue take, in multiples of their estimates.
     wave : int
         Maximum number of tasks of a step planned to run at once; wider steps run in waves.
     waiting : list of Task
@@ -87,6 +95,7 @@
     expires_s: float
     due_s: float
     tasks: list
+    times: QueueTimes = NO_RUNS
     wave: int = 1
     waiting: list = field(default_factory=list)
     outcome: object = None
@@ -178,7 +187,7 @@
     return max(ends, default=0.0)
 
 
-def make_job(spec, *, received_s, wait_s, wave=UNLIMITED_WAVE):
+def make_job(spec, *, received_s, wait_s, wave=UNLIMITED_WAVE, times=NO_RUNS):
     """Return a new job with its tasks.
 
     Parameters
@@ -191,10 +200,12 @@
         Seconds from then for which its caller waits.
     wave : int, optional
         Maximum number of tasks of a step planned to run at once.
+    times : QueueTimes, optional
+        What tasks of its queue take.
     """
     rule = spec.queue
     due_s = received_s + rule.objective_factor * critical_path_s(spec.steps, wave) + rule.target_s
-    job = Job(spec, received_s, received_s + wait_s, due_s, [], wave=wave)
+    job = Job(spec, received_s, received_s + wait_s, due_s, [], times, wave=wave)
     for number, step in enumerate(spec.steps):
         state = TaskState.BLOCKED if step.after else TaskState.WAITING
         for index in range(step.count):
--- a/burdocklug/pools/scheduling/_load.py
+++ b/burdocklug/pools/scheduling/_load.py
@@ -36,6 +36,8 @@
         "counts": dict(scheduler.counts),
         "jobs": len(scheduler.jobs),
         "waiting_jobs": scheduler.waiting_jobs,
+        "queues": scheduler.samples.dump(),
+        "median_slowness": scheduler.samples.median_slowness,
         "endpoints": [
             {
                 "id": endpoint.entry.endpoint_id,
--- a/burdocklug/pools/scheduling/_placement.py
+++ b/burdocklug/pools/scheduling/_placement.py
@@ -5,7 +5,7 @@
 
 from burdocklug.pools._models import Resources
 from burdocklug.pools.scheduling._run_times import DISTANCE_FACTOR, expected_run_s
-from burdocklug.pools.speed import ColdPace
+from burdocklug.pools.speed import ColdPace, EndpointSpeed
 
 __all__ = [
     "PoolEndpoint",
@@ -34,9 +34,9 @@
     runs : dict
         Tasks that run or may run there, by name.
     slowness : float
-        Moving average of run times as a multiple of the estimates.
-    outliers : int
-        Consecutive runs that took far longer or shorter than expected.
+        Run times as a multiple of those on usual endpoints; 1 if not known.
+    speed : EndpointSpeed
+        What its runs tell of that.
     faults : int
         Consecutive faults: failed or stalled runs, and starts refused as unhealthy.
     ejected_until_s : float
@@ -59,7 +59,7 @@
     used: Resources = field(default_factory=Resources)
     runs: dict = field(default_factory=dict)
     slowness: float = 1.0
-    outliers: int = 0
+    speed: EndpointSpeed = field(default_factory=EndpointSpeed)
     faults: int = 0
     ejected_until_s: float = 0.0
     reported_s: float = float("-inf")
--- a/burdocklug/pools/scheduling/_run_times.py
+++ b/burdocklug/pools/scheduling/_run_times.py
@@ -1,23 +1,52 @@
 """Expected run times of tasks on endpoints, and which endpoints are too slow for a task."""
 
-from burdocklug.pools.speed import cold_extra_s
+from burdocklug.pools.speed import SLOW_FACTOR, cold_extra_s
 
-__all__ = ["DISTANCE_FACTOR", "SLOW_FACTOR", "exclude_slow", "expected_run_s"]
+__all__ = [
+    "DISTANCE_FACTOR",
+    "exclude_slow",
+    "expected_end_s",
+    "expected_run_s",
+    "usual_run_s",
+]
 
-SLOW_FACTOR = 1.8  # multiple of the median slowness; healthy workers are within 0.8 to 1.25
 DISTANCE_FACTOR = 1.5  # default factor on run times outside the rack of the data
+MIN_REMAINING_S = 0.03  # expected remaining time of a run that should have ended
 
 
-def expected_run_s(task, endpoint, start_s, *, distance_factor=DISTANCE_FACTOR):
-    """Return the expected run time of a task that starts on an endpoint at a time, in seconds."""
+def usual_run_s(task, endpoint, *, distance_factor=DISTANCE_FACTOR):
+    """Return a task's estimate, in seconds, multiplied if its data is far from the endpoint."""
     rack = task.job.spec.steps[task.step].preferred_rack
     factor = distance_factor if rack and rack not in endpoint.entry.labels else 1.0
-    run_s = task.estimate_s * endpoint.slowness * factor
+    return task.estimate_s * factor
+
+
+def expected_run_s(task, endpoint, start_s, *, distance_factor=DISTANCE_FACTOR):
+    """Return the expected run time of a task that starts on an endpoint at a time, in seconds."""
+    usual_s = usual_run_s(task, endpoint, distance_factor=distance_factor)
+    run_s = usual_s * task.job.times.ratio * endpoint.slowness
     if start_s < endpoint.cold_until_s:
         run_s += cold_extra_s(run_s, endpoint.cold_until_s - start_s)
     return run_s
 
 
+def expected_end_s(task, run_s, now_s):
+    """Return when a run that is under way should end, from its progress where that is known.
+
+    Parameters
+    ----------
+    task : Task
+        The task of the run.
+    run_s : float
+        Its expected run time, in seconds.
+    now_s : float
+        The current time.
+    """
+    projected_s = task.progress.projected_end_s() if task.progress is not None else None
+    end_s = task.started_s + run_s if projected_s is None else projected_s
+    return max(end_s, now_s + MIN_REMAINING_S)
+
+
 def exclude_slow(
     task, endpoints, now_s, deadline_s, *, median_slowness, distance_factor=DISTANCE_FACTOR
 ):
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -8,16 +8,10 @@
 
 from burdocklug.pools._models import JobOutcome, RunEndKind
 from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
-from burdocklug.pools.scheduling._health import (
-    add_fault,
-    decay_slowness,
-    median_slowness,
-    update_slowness,
-)
-from burdocklug.pools.scheduling._job_registry import JobRegistry
+from burdocklug.pools.scheduling._health import add_fault
 from burdocklug.pools.scheduling._jobs import TaskState
 from burdocklug.pools.scheduling._placement import PoolEndpoint
-from burdocklug.pools.scheduling._run_times import expected_run_s
+from burdocklug.pools.scheduling._run_estimates import RunEstimates
 from burdocklug.pools.scheduling._starts import (
     PoolView,
     Refuse,
@@ -26,6 +20,7 @@
     endpoints_with_capacity,
     least_waiting_cpu,
 )
+from burdocklug.pools.speed import RunProgress
 
 __all__ = ["Scheduler"]
 
@@ -33,10 +28,11 @@
 ATTEMPT_NUMBER_GAP = 8  # added to exceed the attempt numbers that earlier schedulers used
 RESERVED_SLOTS_PER_ENDPOINT = 0.15  # slots that late jobs leave free for jobs still in time
 
+
 log = structlog.get_logger(__name__)
 
 
-class Scheduler(JobRegistry):
+class Scheduler(RunEstimates):
     """Schedules the jobs of one pool on its endpoints.
 
     Parameters
@@ -55,11 +51,9 @@
     """
 
     def __init__(self, orders, *, now, distance_factor=1.5):
-        super().__init__(orders, now=now)
+        super().__init__(orders, now=now, distance_factor=distance_factor)
         self.last_missed_s = float("-inf")
         self._last_pass_s = 0.0
-        self._median_slowness = 1.0
-        self._distance_factor = distance_factor
 
     def add_endpoint(self, entry):
         """Add an endpoint, not usable yet, and return its state."""
@@ -98,7 +92,7 @@
             is_reconciled=self.is_reconciled,
             reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * len(self.endpoints)),
             distance_factor=self._distance_factor,
-            median_slowness=self._median_slowness,
+            median_slowness=self.samples.median_slowness,
         )
         for decision in decide(list(self._waiting.values()), view):
             starts += self._carry_out(decision, now)
@@ -110,16 +104,7 @@
             for endpoint in self.endpoints.values()
             for task in endpoint.runs.values()
         )
-        return CapacityForecast(now, expected_ends(runs, now, self.expected_run_s))
-
-    def expected_run_s(self, task, endpoint):
-        """Return the expected time from start to end of a task on an endpoint, in seconds.
-
-        The start is that of its run there, or now if it has none.
-        """
-        is_placed = endpoint.runs.get(task.name) is task
-        start_s = task.started_s if is_placed else self._now()
-        return expected_run_s(task, endpoint, start_s, distance_factor=self._distance_factor)
+        return CapacityForecast(now, expected_ends(runs, now, self.expected_end_s))
 
     def _carry_out(self, decision, now):
         """Apply a decision and return the number of tasks started, 0 or 1."""
@@ -159,6 +144,7 @@
         task.attempt += 1
         task.endpoint_id = endpoint.entry.endpoint_id
         task.started_s = now
+        task.progress = RunProgress(now)
         task.job.started = True
         endpoint.add(task)
         endpoint.note_start(now)
@@ -171,7 +157,7 @@
         if task.state is TaskState.STARTING and endpoint.runs.get(task.name) is task:
             task.state = TaskState.RUNNING
 
-    def adopt(self, task, endpoint, *, attempt, started_s):
+    def adopt(self, task, endpoint, *, attempt, started_s, percent=0):
         """Adopt an active run that an earlier scheduler started, at about `started_s`."""
         task.job.waiting.remove(task)
         self._update_waiting(task.job)
@@ -179,6 +165,7 @@
         task.attempt = max(task.attempt, attempt)
         task.endpoint_id = endpoint.entry.endpoint_id
         task.started_s = started_s
+        task.progress = RunProgress(self._now(), percent, is_adopted=True)
         task.job.started = True
         endpoint.add(task)
         self.counts["adopted"] += 1
@@ -248,8 +235,8 @@
         is_placed = task.state.is_placed and endpoint.runs.get(task.name) is task
         if kind is RunEndKind.DONE and is_placed:
             endpoint.faults = 0
-            if is_prompt and task.started_s >= endpoint.cold_until_s:
-                update_slowness(endpoint, now - task.started_s, self.expected_run_s(task, endpoint))
+            if is_prompt:
+                self.note_run_time(task, endpoint, now)
         endpoint.remove(task)
         if not is_placed:
             return
@@ -286,14 +273,3 @@
             self.end_job(task.job, JobOutcome.FAILED, reason="attempts_used_up")
         else:
             self._requeue(task)
-
-    def update_median_slowness(self):
-        """Update the median slowness and let idle endpoints recover; call it once a second."""
-        self._median_slowness = median_slowness(self.endpoints.values())
-        for endpoint in self.endpoints.values():
-            decay_slowness(endpoint, self._median_slowness)
-
-    def note_slow_run(self, task, endpoint, run_s):
-        """Update an endpoint's slowness from the total time projected for an active run."""
-        if task.started_s >= endpoint.cold_until_s:
-            update_slowness(endpoint, run_s, self.expected_run_s(task, endpoint))
--- a/tests/pools/agents/test_endpoint.py
+++ b/tests/pools/agents/test_endpoint.py
@@ -196,6 +196,36 @@
             [attempt for _t, attempt, _s in self.endpoint.executed_starts], Equals([1, 2])
         )
 
+    def test_a_long_run_that_advances_slowly_is_not_stopped(self):
+        """A run 7 times longer than usual on a slow endpoint takes 0.3 s for one percent."""
+        self.endpoint.run_s = 30.0
+        self.take_over()
+        job = self.submit("j1", step(estimate_s=0.8))
+        for _ in range(310):
+            self.pass_time(0.1)
+        self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat(len(self.endpoint.executed_starts), Equals(1))
+        self.assertThat(self.scheduler.counts["runs_stalled"], Equals(0))
+
+    def test_a_run_that_stops_advancing_is_stopped_and_started_again(self):
+        self.endpoint.run_s = 2.0
+        self.take_over()
+        job = self.submit("j1", step(estimate_s=0.4))
+        for _ in range(10):
+            self.pass_time(0.1)
+        (run,) = self.endpoint.runs.values()
+        began_s = self.clock[0]
+        advance, self.endpoint._percent = self.endpoint._percent, lambda _run: 50
+        run.stalled = True
+        while len(self.endpoint.executed_starts) == 1 and self.clock[0] < began_s + 2.0:
+            self.pass_time(0.05)
+        self.endpoint._percent = advance
+        self.assertTrue(self.clock[0] - began_s < 0.5, self.clock[0] - began_s)
+        self.assertThat(self.scheduler.counts["runs_stalled"], Equals(1))
+        for _ in range(30):
+            self.pass_time(0.1)
+        self.assertThat(job.outcome, Equals(JobOutcome.COMPLETED))
+
     def test_progress_reveals_a_slow_endpoint_before_the_run_ends(self):
         self.endpoint.run_s = 0.6
         self.take_over()
--- a/tests/pools/scheduling/test_cold.py
+++ b/tests/pools/scheduling/test_cold.py
@@ -61,7 +61,7 @@
         for _ in range(3):
             job = self.submit(f"j{self.pool.now_s}")
             self.pool.now_s += 1.2
-            self.pool.scheduler.note_slow_run(job.tasks[0], self.cold, 3.0)
+            self.pool.scheduler.note_progress(job.tasks[0], self.cold, 40)
             self.pool.end_all(job)
         self.assertThat(self.cold.slowness, Equals(1.0))
 
--- a/tests/pools/scheduling/test_scheduler.py
+++ b/tests/pools/scheduling/test_scheduler.py
@@ -7,7 +7,7 @@
 from burdocklug.pools.scheduling._capacity import find_placement_obstacle
 from burdocklug.pools.scheduling._jobs import TaskState, progress_of
 from burdocklug.pools.scheduling._placement import PoolEndpoint
-from burdocklug.pools.scheduling._run_times import SLOW_FACTOR
+from burdocklug.pools.speed import SLOW_FACTOR
 from tests.pools.builders import RULE, VirtualPool, entry, spec, step
 
 
