Election: a claim follows from what endpoints show, not only from registered processes

Cause: a process without a scheduler had to reach most registered processes, and those that lost power stay registered until the store's leases lapse (4 s, more with a slow store). The others refused all jobs meanwhile, with their endpoints idle.

Change: the first candidate among those reached probes a few endpoints of each failure domain: it takes them over and starts nothing. A live holder takes them back at its next renewal; where none does, the candidate claims the failure domain. The claim grows with the same scheduler. A fenced holder without a majority leaves a failure domain only if another one takes back what it probes. Processes that refuse connections are not counted as missing. A report that was requested before the endpoint was fenced no longer makes it usable, and a scheduler that says it stopped counts as having acted until then.

--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -42,6 +42,10 @@
         """Return the set of priorities of the configured queues."""
         return {queue.priority for queue in self.configuration.queues}
 
+    def failure_domains(self):
+        """Return the failure domains of the known endpoints, as a set."""
+        return {entry.failure_domain for entry in self.entries.values()}
+
     def longest_wait_s(self):
         """Return the longest time for which a caller of any queue waits, in seconds."""
         return max((queue.timeout_s for queue in self.configuration.queues), default=0.0)
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -1,11 +1,11 @@
 """The leader of a pool: runs the scheduler and its agents while this process has the role."""
 
-import zlib
+from collections import Counter
 
 import structlog
 
 from burdocklug.pools._job_server import JobServer
-from burdocklug.pools.agents import TOKEN_HOLDERS, AgentOrders, AnswerTimes, EndpointAgent
+from burdocklug.pools.agents import AgentOrders, AnswerTimes, EndpointAgent, holder_number
 from burdocklug.pools.election import FENCED
 from burdocklug.pools.scheduling import Scheduler, dump_scheduler, scheduler_load
 
@@ -21,7 +21,9 @@
 ABSENT_AFTER_S = 0.3  # longer than a follower's heartbeat period and a round trip
 UPKEEP_S = 0.1
 LOAD_LOG_S = 1.0
-FENCED_RATIO = 0.5  # share of fenced endpoints from which another scheduler is assumed
+# Share of fenced endpoints of a failure domain from which another scheduler is assumed there; more
+# than is sampled to find out whether they have a holder.
+FENCED_RATIO = 0.5
 
 log = structlog.get_logger(__name__)
 
@@ -173,11 +175,13 @@
             self._protocol,
             now=self._timers.now,
             lease_s=self._lease_s,
-            holder_number=zlib.crc32(self._network.incarnation.encode()) % TOKEN_HOLDERS,
+            holder_number=holder_number(self._network.incarnation),
             wake=self.schedule_start_waiting,
             is_paused=self._is_paused,
             times=self._times,
             loop_lag_s=lambda: self._host.recent_lag_s,
+            is_contested=lambda: entry.failure_domain in self._election.contested,
+            is_widely_fenced=lambda: self._is_widely_fenced(entry.failure_domain),
         )
         self._agents[entry.endpoint_id] = agent
         agent.begin()
@@ -229,9 +233,21 @@
         self._suspend_abandoned(now)
         self.scheduler.forget_ended()
         self._start_tasks()
-        fenced = sum(a.fenced for a in self._agents.values())
-        if fenced and fenced >= FENCED_RATIO * len(self._agents):
-            self._election.recheck_claim(FENCED)
+        fenced = self._fenced_domains(lambda agent: agent.fenced)
+        if fenced:
+            self._election.recheck_claim(FENCED, domains=fenced)
+
+    def _fenced_domains(self, is_fenced):
+        """Return the failure domains in which another scheduler is assumed, as a frozenset."""
+        domains = Counter(a.endpoint.entry.failure_domain for a in self._agents.values())
+        fenced = Counter(
+            a.endpoint.entry.failure_domain for a in self._agents.values() if is_fenced(a)
+        )
+        return frozenset(d for d, count in fenced.items() if count >= FENCED_RATIO * domains[d])
+
+    def _is_widely_fenced(self, domain):
+        """Return whether many endpoints of a failure domain obeyed another process just before."""
+        return domain in self._fenced_domains(lambda agent: agent.was_fenced)
 
     def _log_load(self):
         if self.scheduler is not None:
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -1,5 +1,7 @@
 """The pool as a part of a process, which follows the scheduler or is the scheduler."""
 
+from functools import partial
+
 import eventlet
 import structlog
 
@@ -10,11 +12,12 @@
 from burdocklug.pools._messages import ConfigurationReply, ConfigurationRequest
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
 from burdocklug.pools._power import HostCapacity
-from burdocklug.pools.agents import order_protocols
+from burdocklug.pools.agents import holder_number, order_protocols, probe_holder
 from burdocklug.pools.election import (
     MemberRecord,
     MemberRegistry,
     SchedulerElection,
+    sample_holders,
     unreachable_domains,
 )
 from burdocklug.pools.submitting import JobControl, Submitter
@@ -71,6 +74,7 @@
         self._host = HostCapacity(
             (settings.pool.cpu_share or 1.0) * (settings.pool.cpu_speed or 1.0)
         )
+        self._protocol = order_protocols.get(settings.pool.orders)(now=self._timers.now)
         record = MemberRecord(self._network.incarnation, settings.process.failure_domain)
         self.registry = MemberRegistry(process["records"], settings.process.name, record)
         self.election = SchedulerElection(
@@ -78,6 +82,8 @@
             self._timers,
             members=lambda: self.registry.others,
             unreachable_domains=self._unreachable_domains,
+            endpoint_domains=self.directory.failure_domains,
+            sample_holders=self._sample_holders,
             on_change=self._apply_claim,
             version=lambda: self.directory.configuration.version,
             is_version_current=self._is_version_current,
@@ -100,7 +106,7 @@
             self._network,
             self._timers,
             self.directory,
-            order_protocols.get(settings.pool.orders)(now=self._timers.now),
+            self._protocol,
             self.election,
             self._host,
             lease_s=settings.pool.max_lease_ms / 1000,
@@ -217,6 +223,13 @@
     def _unreachable_domains(self, domains):
         return unreachable_domains(domains, self.directory.entries.values())
 
+    def _sample_holders(self, is_wanted, on_free):
+        """Return the `HolderState` of the failure domains that `is_wanted` selects."""
+        number, now = holder_number(self._network.incarnation), self._timers.now
+        probe = partial(probe_holder, protocol=self._protocol, now=now, holder_number=number)
+        entries = self.directory.entries.values()
+        return sample_holders(entries, is_wanted, on_free, probe=probe, now=now)
+
     def drain(self):
         """Hand over the scheduler's role, then wait until all callers have their answers.
 
--- a/burdocklug/pools/agents/__init__.py
+++ b/burdocklug/pools/agents/__init__.py
@@ -2,7 +2,8 @@
 
 from burdocklug.pools.agents._agent_orders import AgentOrders
 from burdocklug.pools.agents._answer_times import AnswerTimes
-from burdocklug.pools.agents._endpoint import TOKEN_HOLDERS, EndpointAgent
+from burdocklug.pools.agents._endpoint import EndpointAgent
+from burdocklug.pools.agents._holder_probe import BUSY_HOLDER_WAIT_S, HolderState, probe_holder
 from burdocklug.pools.agents._orders import (
     EndpointOrders,
     OrderFenced,
@@ -12,17 +13,21 @@
     RefusalReason,
     order_protocols,
 )
+from burdocklug.pools.agents._tokens import holder_number
 
 __all__ = [
     "AgentOrders",
     "AnswerTimes",
+    "BUSY_HOLDER_WAIT_S",
     "EndpointAgent",
     "EndpointOrders",
+    "HolderState",
     "OrderFenced",
     "OrderRefused",
     "OrderUnanswered",
     "OtherIncarnation",
     "RefusalReason",
-    "TOKEN_HOLDERS",
+    "holder_number",
     "order_protocols",
+    "probe_holder",
 ]
--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -12,6 +12,7 @@
     OtherIncarnation,
 )
 from burdocklug.pools.agents._reports import ReportProcessor, order_lifetime_s
+from burdocklug.pools.agents._tokens import make_token
 from burdocklug.pools.scheduling import TaskState
 
 __all__ = ["EndpointAgent"]
@@ -31,10 +32,13 @@
 NO_ANSWER_RETRY_S = (0.02, 1.0)  # first and longest pause after a request without an answer
 HELD_RETRY_S = 0.2  # longest pause while the endpoint has runs; several fit into a lease
 PAUSED_RETRY_S = 0.02  # until the process has reacted to a pause
-FENCED_RETRY_S = 0.5  # pause before an endpoint is taken back; lets the other holder finish
-# Number of different tokens in each millisecond of the endpoint's clock, so that processes that
-# take over in the same millisecond have different ones.
-TOKEN_HOLDERS = 64
+# Pause before an endpoint is taken back, in which the scheduler asks its peers for a greater claim.
+FENCED_RETRY_S = 0.4
+# Pause before the first such return in a while: a process that looked whether the endpoint has a
+# holder may have fenced it. The pause shows whether most endpoints are fenced at the same time.
+PROMPT_RETAKE_S = 0.1
+RETAKE_MEMORY_S = 3.0  # time after a prompt return in which the next one is not prompt
+FENCED_MEMORY_S = 1.0  # time for which an endpoint that was taken back still counts as fenced
 
 log = structlog.get_logger(__name__)
 
@@ -55,7 +59,7 @@
     lease_s : float
         Longest lease that the endpoint grants a run, in seconds.
     holder_number : int
-        Number of this holder, from 0 to `TOKEN_HOLDERS` - 1, which makes its tokens unique.
+        Number of this holder, which makes its tokens unique.
     wake : callable
         Called when there may be capacity for more starts.
     is_paused : callable
@@ -64,6 +68,11 @@
         What answers of all endpoints took lately.
     loop_lag_s : callable
         Returns the recent lag of this process's event loop, in seconds.
+    is_contested : callable
+        Returns whether it is being found out whether another scheduler holds the endpoint, which
+        is not taken back meanwhile.
+    is_widely_fenced : callable
+        Returns whether many endpoints of the failure domain obey another process.
     """
 
     def __init__(
@@ -79,6 +88,8 @@
         is_paused,
         times,
         loop_lag_s,
+        is_contested=lambda: False,
+        is_widely_fenced=lambda: False,
     ):
         self.endpoint = endpoint
         self.token = None
@@ -95,6 +106,9 @@
         self.is_paused = is_paused
         self.times = times
         self.loop_lag_s = loop_lag_s
+        self.is_contested = is_contested
+        self.is_widely_fenced = is_widely_fenced
+        self._fenced_s = self._prompt_retake_s = float("-inf")
         self.orders = {}
         self.sender = OrderSender(self)
         self.reports = ReportProcessor(self)
@@ -121,7 +135,7 @@
     def _run_loop(self, loop_number):
         while not self.closed and loop_number == self._loop_number:
             try:
-                if self.is_paused():
+                if self.is_paused() or (self.fenced and self.is_contested()):
                     eventlet.sleep(PAUSED_RETRY_S)
                 elif self.token is None:
                     self._take_over()
@@ -149,11 +163,25 @@
                 self._pause_s = min(2 * self._pause_s, NO_ANSWER_RETRY_S[1])
             case OrderFenced():
                 self.note_fenced(exc)
-                eventlet.sleep(FENCED_RETRY_S)
+                self._wait_to_retake()
             case OtherIncarnation():
                 self.requeue_after_restart("other_incarnation")
                 eventlet.sleep(NO_ANSWER_RETRY_S[1])
 
+    def _wait_to_retake(self):
+        """Pause before the endpoint is taken back, for shorter if it is one of few."""
+        is_prompt = self.now() - self._prompt_retake_s > RETAKE_MEMORY_S
+        eventlet.sleep(PROMPT_RETAKE_S)
+        if is_prompt and not self.is_widely_fenced():
+            self._prompt_retake_s = self.now()
+        else:
+            eventlet.sleep(FENCED_RETRY_S - PROMPT_RETAKE_S)
+
+    @property
+    def was_fenced(self):
+        """Whether another process has taken the endpoint over just before."""
+        return self.fenced or self.now() - self._fenced_s < FENCED_MEMORY_S
+
     def lease_end_ms(self):
         """Return the end, on the endpoint's clock, of a lease that begins now.
 
@@ -170,8 +198,7 @@
             started_ms = max(started_ms, report.started_ms)
         except OrderFenced as exc:
             self.clock.update(exc.clock_ms)
-        # Its clock starts anew with each incarnation, and late orders carry tokens of earlier ones.
-        token = (started_ms + self.clock.last_ms) * TOKEN_HOLDERS + self._holder_number
+        token = make_token(started_ms, self.clock.last_ms, self._holder_number)
         sent_s = self.now()
         report = self._request_report(token=token, lease_ms=None, wait_s=0.0)
         self.token = token
@@ -230,17 +257,19 @@
         sent_s, loop_number = self.now(), self._loop_number
         wait_s = self._wait_s(sent_s)
         self._long_report_until_s = sent_s + wait_s if wait_s > self._renew_wait_s else 0.0
-        report = self._request_report(token=self.token, lease_ms=self.lease_end_ms(), wait_s=wait_s)
-        if loop_number == self._loop_number:
+        token = self.token
+        report = self._request_report(token=token, lease_ms=self.lease_end_ms(), wait_s=wait_s)
+        if loop_number == self._loop_number and token == self.token:
             self.reports.process(report, sent_s)
 
     def fetch_report(self):
         """Request a report without a wait, and process it."""
         if self.token is None:
             return  # the takeover that follows requests a report itself
-        sent_s = self.now()
-        report = self._request_report(token=self.token, lease_ms=self.lease_end_ms(), wait_s=0.0)
-        self.reports.process(report, sent_s)
+        sent_s, token = self.now(), self.token
+        report = self._request_report(token=token, lease_ms=self.lease_end_ms(), wait_s=0.0)
+        if token == self.token:  # else the endpoint has obeyed another process since
+            self.reports.process(report, sent_s)
 
     def _request_report(self, *, token, lease_ms, wait_s):
         timeout_s = LOSSY_ANSWER_TIMEOUT_S if self.reports.is_lossy else ANSWER_TIMEOUT_S
@@ -346,6 +375,7 @@
         self.endpoint.usable = False
         self.give_up_token()
         self.fenced = True
+        self._fenced_s = self.now()
         self.clock.update(exc.clock_ms)
 
     def note_entry(self, entry):
--- a/burdocklug/pools/election/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -105,9 +105,12 @@
         if claim == self.claim:
             return
         before, self.claim = self.claim, claim
+        self._greatest_claim = greater_claim(self._greatest_claim, claim)
+        if before is not None and claim is not None and before.scheduler == claim.scheduler:
+            self._change_extent(before, claim, reason)
+            return
         if before is not None:
             self._leave(before, claim)
-        self._greatest_claim = greater_claim(self._greatest_claim, claim)
         self.last_reply_s = self._claim_since_s = self._timers.now()
         self.reply_sequence = 0
         self.learns_versions = False
@@ -124,6 +127,19 @@
         if claim is not None and not self.is_scheduler:
             self._send_heartbeat()
 
+    def _change_extent(self, before, claim, reason):
+        """Go on with the same scheduler, whose claim serves other failure domains than before."""
+        log.info(
+            "claim_changed",
+            scheduler=claim.scheduler,
+            term=claim.term,
+            before=before.term,
+            whole=claim.is_full,
+            domains=list(claim.domains),
+            reason=reason,
+        )
+        self._on_change(claim)
+
     def _leave(self, before, claim):
         """Record when the former scheduler last acted, and tell it of the claim that replaced it.
 
@@ -171,9 +187,10 @@
         if self.claim is None or sender != self.claim.scheduler:
             return
         if message.claim is None or message.claim.scheduler != sender:
+            self.last_reply_s = self._timers.now()  # it may have scheduled until it replied
             self._set_claim(None, "not_scheduling")
             return
-        self.claim = message.claim
+        self._set_claim(message.claim, "heartbeat_reply")
         self.last_reply_s = self._timers.now()
         self.reply_sequence = max(self.reply_sequence, message.sequence)
         self.learns_versions = message.is_version_current
--- a/burdocklug/pools/election/_reach.py
+++ b/burdocklug/pools/election/_reach.py
@@ -33,7 +33,7 @@
     return {i: reply.usable_cores for i, reply in replies.items() if not reply.draining}
 
 
-def evaluate_reach(own_domain, members, replies, unreachable_domains):
+def evaluate_reach(own_domain, members, replies, unreachable_domains, *, ended=frozenset()):
     """Return the kind of claim that a process may make, and the failure domains that it reaches.
 
     Parameters
@@ -46,6 +46,14 @@
         `ReachReply` of each member that replied, by incarnation.
     unreachable_domains : callable
         Takes failure domains and returns those without a reachable endpoint; it may block.
+    ended : set of str
+        Incarnations at whose addresses connections are refused.
+
+    Notes
+    -----
+    A process that refuses connections has ended, so it is not missing, unless its failure domain
+    cannot be reached: a cut may refuse connections too. A process that reaches no other relies on
+    no such refusal, as it may be the one that is cut off.
 
     Returns
     -------
@@ -53,12 +61,20 @@
     """
     domains = {*members.values(), own_domain}
     unreachable = unreachable_domains(domains) if len(replies) < len(members) else set()
-    kind = allowed_claim_kind(own_domain, members, set(replies), unreachable_domains=unreachable)
+    gone = {
+        incarnation
+        for incarnation, domain in members.items()
+        if replies and incarnation in ended and incarnation not in replies
+        if domain not in unreachable
+    }
+    present = {i: domain for i, domain in members.items() if i not in gone}
+    kind = allowed_claim_kind(own_domain, present, set(replies), unreachable_domains=unreachable)
     log.info(
         "claim_evaluated",
         kind=kind.value,
         members=len(members),
         reached=len(replies),
+        ended=len(gone),
         cut=sorted(unreachable),
     )
     return kind, domains - unreachable
--- a/tests/platform/virtual_store.py
+++ b/tests/platform/virtual_store.py
@@ -7,6 +7,7 @@
 
 from burdocklug.store import (
     DeletedRecord,
+    LeaseEnded,
     Record,
     RecordStore,
     RevisionCompacted,
@@ -41,6 +42,8 @@
         self.compacted = 0
         self.connections = []
         self.answer_s = ANSWER_S
+        self.leases = {}  # end and keys of each lease, by its id
+        self._lease_count = 0
 
     def put(self, key, value):
         self.revision += 1
@@ -53,6 +56,36 @@
         self.records.pop(key, None)
         self.events.append(DeletedRecord(key, self.revision))
 
+    def grant_lease(self, ttl_s):
+        self._lease_count += 1
+        self.leases[self._lease_count] = [self.now() + ttl_s, ttl_s, set()]
+        return self._lease_count, ttl_s
+
+    def keep_lease(self, lease):
+        self.end_lapsed()
+        if lease not in self.leases:
+            raise LeaseEnded(lease)
+        self.leases[lease][0] = self.now() + self.leases[lease][1]
+        return True
+
+    def end_lease(self, lease):
+        if lease not in self.leases:
+            raise LeaseEnded(lease)
+        for key in self.leases.pop(lease)[2]:
+            self.delete(key)
+        return True
+
+    def put_leased(self, key, value, lease):
+        if lease:
+            self.keep_lease(lease)
+            self.leases[lease][2].add(key)
+        self.put(key, value)
+        return True
+
+    def end_lapsed(self):
+        for lease in [n for n, row in self.leases.items() if row[0] < self.now()]:
+            self.end_lease(lease)
+
     def silence_connections(self, *, idle_s=0.0):
         """Let open connections go silent that carried nothing for some time; new ones work."""
         for conn in self.connections:
@@ -134,15 +167,16 @@
         return conn
 
     def read(self, prefix):
-        return self._call(
-            lambda _late: (
-                [r for key, r in self._store.records.items() if key.startswith(prefix)],
-                self._store.revision,
-            )
-        )
+        def answer(_is_late):
+            self._store.end_lapsed()
+            records = [r for key, r in self._store.records.items() if key.startswith(prefix)]
+            return records, self._store.revision
+
+        return self._call(answer)
 
     def follow(self, prefix, after, *, wait_s):
         def answer(is_late):
+            self._store.end_lapsed()
             if after < self._store.compacted:
                 raise RevisionCompacted(prefix)
             events = [
@@ -153,13 +187,13 @@
         return self._call(answer, wait_s=wait_s)
 
     def put(self, key, value, *, lease=0):
-        self._call(lambda _late: self._store.put(key, value) or True)
+        self._call(lambda _late: self._store.put_leased(key, value, lease))
 
     def grant_lease(self, ttl_s):
-        return self._call(lambda _late: (1, ttl_s))
+        return self._call(lambda _late: self._store.grant_lease(ttl_s))
 
     def keep_lease(self, lease):
-        self._call(lambda _late: True)
+        self._call(lambda _late: self._store.keep_lease(lease))
 
     def end_lease(self, lease):
-        self._call(lambda _late: True)
+        self._call(lambda _late: self._store.end_lease(lease))
--- a/tests/pools/agents/test_endpoint.py
+++ b/tests/pools/agents/test_endpoint.py
@@ -493,6 +493,18 @@
         self.take_over()
         self.assertThat(self.endpoint.lease_ms, Equals(lease_ms))
 
+    def test_a_report_that_was_requested_before_the_endpoint_was_fenced_shows_nothing(self):
+        """Guards against starts without a token while another process holds the endpoint."""
+        self.take_over()
+        self.endpoint.report_hold = eventlet.event.Event()
+        renewal = eventlet.spawn(self.agent._renew)
+        eventlet.sleep(0)
+        self.agent.note_fenced(OrderFenced(int(self.clock[0] * 1000)))
+        self.endpoint.report_hold.send(None)
+        renewal.wait()
+        self.assertFalse(self.agent.endpoint.usable)
+        self.assertThat(self.agent.endpoint.reported_s, Equals(float("-inf")))
+
     def test_the_previous_holder_is_fenced(self):
         self.take_over()
         self.clock[0] += 0.01
--- a/tests/pools/fake_endpoint.py
+++ b/tests/pools/fake_endpoint.py
@@ -140,6 +140,9 @@
         self._renew_lease(lease_ms)
         self.ends = [end for end in self.ends if end.number > acknowledged]
         self._leave("renew")
+        return self.report()
+
+    def report(self):
         lines = tuple(ActiveRun(r.task, r.attempt, self._percent(r)) for r in self.runs.values())
         return RunReport(self.clock_ms, self.started_ms, lines, tuple(self.ends))
 
--- a/tests/pools/virtual_deployment.py
+++ b/tests/pools/virtual_deployment.py
@@ -18,6 +18,7 @@
 from burdocklug.pools._models import RunEndKind
 from burdocklug.pools._part import PoolPart
 from burdocklug.pools.agents._orders import EndpointOrders, OrderUnanswered, order_protocols
+from burdocklug.pools.agents._tokens import TOKEN_HOLDERS
 from tests.platform.virtual_store import VirtualRecords, VirtualStore
 from tests.pools.fake_endpoint import FakeEndpoint
 
@@ -139,9 +140,10 @@
         until_s = now_s() + wait_s
         options = {"acknowledged": acknowledged, "wait_s": wait_s, "timeout_s": timeout_s}
         report = endpoint.renew(entry, **order, **options)
+        self._deployment.note_token(endpoint.name, order["token"])
         while now_s() < until_s and not any(end.number > acknowledged for end in report.ended):
             eventlet.sleep(TICK_S)
-            report = endpoint.renew(entry, **order, **options)
+            report = endpoint.report()
         if not self._deployment.links.is_open(endpoint.name, self._process.name):
             eventlet.sleep(timeout_s)
             raise OrderUnanswered("cut")
@@ -173,6 +175,8 @@
         """Wait until a message has arrived; a connection delivers it after a cut."""
         eventlet.sleep(TRIP_S)
         while not self._deployment.links.is_open(sender.name, receiver.name):
+            if not (sender.is_alive and receiver.is_alive):
+                raise eventlet.greenlet.GreenletExit
             eventlet.sleep(TICK_S)
 
     def _deliver(self, other, message):
@@ -183,7 +187,8 @@
 
     def call(self, incarnation, message, *, timeout_s):
         other = self._deployment.by_incarnation[incarnation]
-        if not other.is_alive:
+        if not other.is_alive and not other.is_silent:
+            self._on_refused(incarnation)
             raise PeerUnreachable(incarnation, "connection refused")
         if incarnation == self.incarnation:
             return self._handlers[type(message)](incarnation, message)
@@ -196,7 +201,7 @@
         other = self._deployment.by_incarnation[incarnation]
         if other.is_alive:
             eventlet.spawn(self._deliver, other, message)
-        else:
+        elif not other.is_silent:
             self._on_refused(incarnation)
 
 
@@ -225,6 +230,7 @@
         self._deployment = deployment
         self.name, self.failure_domain = name, failure_domain
         self.is_alive = True
+        self.is_silent = False  # once it has ended, whether nothing refuses connections to it
         self.timers = TimerService(now=now_s)
         self.settings = SimpleNamespace(
             process=SimpleNamespace(name=name, failure_domain=failure_domain),
@@ -281,6 +287,7 @@
         self.links = Links()
         self.store = VirtualStore(now_s)
         self.history = []
+        self.holders = {}
         self.domains = {**processes, **endpoints}
         self.endpoints = {}
         for name, domain in endpoints.items():
@@ -332,6 +339,11 @@
         self.links.heal((domain, "in"))
         self.links.heal((domain, "out"))
 
+    def lose_power(self, name):
+        """End a process together with its host, so that nothing answers at its address."""
+        self.processes[name].is_silent = True
+        self.kill(name)
+
     def kill(self, name):
         """End a process without notice."""
         process = self.processes[name]
@@ -353,6 +365,13 @@
         eventlet.spawn(run)
         return answers
 
+    def note_token(self, endpoint, token):
+        """Record the processes that each endpoint obeyed, in their order, by their numbers."""
+        if token and token == self.endpoints[endpoint].token:
+            holders = self.holders.setdefault(endpoint, [])
+            if holders[-1:] != [token % TOKEN_HOLDERS]:
+                holders.append(token % TOKEN_HOLDERS)
+
     def overlaps(self):
         """Return pairs of runs of one task that were active at the same time."""
         pairs = []
--- a/tests/pools/virtual_fleet.py
+++ b/tests/pools/virtual_fleet.py
@@ -4,6 +4,7 @@
 
 from burdocklug.kernel import TimerService
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
+from burdocklug.pools.agents import HolderState
 from burdocklug.pools.election._following import SchedulerElection
 
 __all__ = ["VirtualFleet"]
@@ -31,6 +32,8 @@
             fleet.timers,
             members=self.members,
             unreachable_domains=self.unreachable_domains,
+            endpoint_domains=lambda: {n.failure_domain for n in fleet.nodes.values()},
+            sample_holders=self.sample_holders,
             on_change=self.changes.append,
             version=lambda: 1,
             is_version_current=lambda: True,
@@ -49,6 +52,29 @@
         own = self.failure_domain
         return {d for d in domains if d != own and self.fleet.is_domain_cut(own, d)}
 
+    def sample_holders(self, is_wanted, _on_free):
+        """Return which failure domains have a live scheduler, as its endpoints would show."""
+        domains = {n.failure_domain for n in self.fleet.nodes.values()}
+        own = self.failure_domain
+        return {
+            domain: (
+                HolderState.UNREACHED
+                if self.fleet.is_domain_cut(own, domain)
+                else HolderState.HELD if self._is_held(domain) else HolderState.FREE
+            )
+            for domain in domains
+            if is_wanted(domain)
+        }
+
+    def _is_held(self, domain):
+        return any(
+            node.election.is_scheduler
+            and node.election.claim.serves(domain)
+            and not self.fleet.is_domain_cut(node.failure_domain, domain)
+            for node in self.fleet.nodes.values()
+            if node is not self and not node.ended and not node.frozen
+        )
+
     # Network interface that `SchedulerElection` uses
 
     def register(self, message_type, handler=None, *, inline=False):
