Starts: a call that timed out while the own loop was late does not show that the store is silent

Cause: ViewAge went on with a list of any age after one failed call. A process whose loop is late times out its calls to a sound store, and gave work to endpoints that had left seconds before (DRAIN, 70 starts on a busy machine, one 3.0 s after the leaving was acknowledged).

Change: a failure counts only if the loop was on time while the call was out; after one that did not count it takes two. A new scheduler that has waited for its first answer needs one counted failure too. Each order gets a last look at the list's age before it is sent. Not built: a process with a newer list that vouches for it.

--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -40,6 +40,7 @@
 
     def __init__(self, process):
         self._pool = process["pool"]
+        self._now = process.timers.now
         self._malformed = {}  # revision of each entry that is not valid, by key
         store, directory = process["records"], self._pool.directory
         self._worker_entries = PrefixFollower(
@@ -64,8 +65,11 @@
         self._pool.on_configuration_doubtful = self._config.poll_now
         self._pool.on_elected = self._worker_entries.poll_now
 
-    def _note_listing_failed(self):
-        self._pool.directory.entries_age.note_failure()
+    def _note_listing_failed(self, sent_s):
+        is_loop_late = self._pool.host.was_late_since(sent_s, self._now())
+        if is_loop_late:
+            log.info("listing_failed_late", age_s=round(self._now() - sent_s, 3))
+        self._pool.directory.entries_age.note_failure(is_loop_late=is_loop_late)
         self._config.poll_now()
 
     def start(self):
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -181,6 +181,7 @@
             times=self._times,
             loop_lag_s=lambda: self._host.recent_lag_s,
             is_contested=lambda: entry.failure_domain in self._election.contested,
+            is_list_usable=self._is_list_usable,
             is_widely_fenced=lambda: self._is_widely_fenced(entry.failure_domain),
         )
         self._agents[entry.endpoint_id] = agent
@@ -208,9 +209,13 @@
         if self.scheduler is not None and not self._is_paused():
             self._start_tasks()
 
+    def _is_list_usable(self):
+        age = self._directory.entries_age
+        return age.is_usable(self._timers.now(), since_s=self._began_s)
+
     def _start_tasks(self):
         now = self._timers.now()
-        is_usable = self._directory.entries_age.is_usable(now, since_s=self._began_s)
+        is_usable = self._is_list_usable()
         if is_usable != self._is_view_usable:
             self._is_view_usable = is_usable
             age_s = min(self._directory.entries_age.age_s(now), now)
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -71,7 +71,7 @@
         settings = process.settings
         self._settings = settings.pool
         self._pauses = PauseDetector(self._timers.now)
-        self._host = HostCapacity(
+        self.host = HostCapacity(
             (settings.pool.cpu_share or 1.0) * (settings.pool.cpu_speed or 1.0)
         )
         self._protocol = order_protocols.get(settings.pool.orders)(now=self._timers.now)
@@ -87,8 +87,8 @@
             on_change=self._apply_claim,
             version=lambda: self.directory.configuration.version,
             is_version_current=self._is_version_current,
-            usable_cores=lambda: self._host.usable_cores(self._timers.now()),
-            loop_lag_s=lambda: self._host.recent_lag_s,
+            usable_cores=lambda: self.host.usable_cores(self._timers.now()),
+            loop_lag_s=lambda: self.host.recent_lag_s,
         )
         self.submitter = Submitter(
             self._network,
@@ -108,7 +108,7 @@
             self.directory,
             self._protocol,
             self.election,
-            self._host,
+            self.host,
             lease_s=settings.pool.max_lease_ms / 1000,
             distance_factor=settings.pool.distance_factor,
             is_paused=self._pauses.is_paused,
@@ -187,7 +187,7 @@
     def _check_pause(self):
         now, paused_s = self._timers.now(), self._pauses.take_pause_s()
         # The timer is due at multiples of its period, so the remainder is how late it fired.
-        self._host.note_lag(max(paused_s, now % CHECK_PERIOD_S), now)
+        self.host.note_lag(max(paused_s, now % CHECK_PERIOD_S), now)
         self.election.ready = self.registry.is_loaded
         if paused_s > MAX_PAUSE_S:
             log.warning("process_was_paused", paused_s=round(paused_s, 3))
--- a/burdocklug/pools/_view_age.py
+++ b/burdocklug/pools/_view_age.py
@@ -4,7 +4,8 @@
 
 # A leaving endpoint must get no work 2 s after its entry changed; the rest is for a start's way.
 MAX_AGE_S = 1.8
-# A new scheduler waits for its first answer for a timeout of the store, a retry and a margin.
+# A new scheduler waits for its first answer for a timeout of the store, a retry and a margin; then
+# one failed call shows that the store does not answer.
 FIRST_ANSWER_WAIT_S = 1.4
 FAILURES_BEFORE_ANSWER = 2  # the first one may be due to a connection that has gone silent
 
@@ -17,7 +18,10 @@
     read_s : float
         When the last call was sent that the store answered.
     failures : int
-        Number of failed calls since then.
+        Number of calls since then that the store did not answer in time.
+    is_doubtful : bool
+        Whether another call since then had no answer while the event loop was late, so that the
+        view may be older than one failed call explains.
 
     Examples
     --------
@@ -25,6 +29,10 @@
     >>> view.note_answer(10.0)
     >>> view.is_usable(11.7, since_s=5.0), view.is_usable(11.9, since_s=5.0)
     (True, False)
+    >>> view.note_failure(is_loop_late=True)
+    >>> view.note_failure()
+    >>> view.is_usable(11.9, since_s=5.0)
+    False
     >>> view.note_failure()
     >>> view.is_usable(11.9, since_s=5.0)
     True
@@ -33,15 +41,27 @@
     def __init__(self):
         self.read_s = float("-inf")
         self.failures = 0
+        self.is_doubtful = False
 
     def note_answer(self, sent_s):
         """Record an answer to a call that was sent at `sent_s`."""
         self.read_s = sent_s
         self.failures = 0
+        self.is_doubtful = False
+
+    def note_failure(self, *, is_loop_late=False):
+        """Record a call without an answer.
 
-    def note_failure(self):
-        """Record a call without an answer."""
-        self.failures += 1
+        Parameters
+        ----------
+        is_loop_late : bool
+            Whether the event loop was late while the call was out. An answer may have arrived in
+            time then, so the failure does not show that the store is silent.
+        """
+        if is_loop_late:
+            self.is_doubtful = True
+        else:
+            self.failures += 1
 
     def age_s(self, now_s):
         """Return the time since the view was known to be current, in seconds."""
@@ -62,5 +82,7 @@
         """
         if self.read_s < since_s:
             is_overdue = now_s - since_s > FIRST_ANSWER_WAIT_S
-            return is_overdue or self.failures >= FAILURES_BEFORE_ANSWER
-        return self.failures > 0 or self.age_s(now_s) <= MAX_AGE_S
+            needed = 1 if is_overdue else FAILURES_BEFORE_ANSWER
+            return self.failures >= needed
+        needed = FAILURES_BEFORE_ANSWER if self.is_doubtful else 1
+        return self.failures >= needed or self.age_s(now_s) <= MAX_AGE_S
--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -71,6 +71,8 @@
     is_contested : callable
         Returns whether it is being found out whether another scheduler holds the endpoint, which
         is not taken back meanwhile.
+    is_list_usable : callable
+        Returns whether the list of endpoints is recent enough to start tasks.
     is_widely_fenced : callable
         Returns whether many endpoints of the failure domain obey another process.
     """
@@ -89,6 +91,7 @@
         times,
         loop_lag_s,
         is_contested=lambda: False,
+        is_list_usable=lambda: True,
         is_widely_fenced=lambda: False,
     ):
         self.endpoint = endpoint
@@ -107,6 +110,7 @@
         self.times = times
         self.loop_lag_s = loop_lag_s
         self.is_contested = is_contested
+        self.is_list_usable = is_list_usable
         self.is_widely_fenced = is_widely_fenced
         self._fenced_s = self._prompt_retake_s = float("-inf")
         self.orders = {}
--- a/burdocklug/pools/agents/_order_sender.py
+++ b/burdocklug/pools/agents/_order_sender.py
@@ -92,6 +92,8 @@
             self._agent.drop_order(order, "process_paused")
         elif self._agent.endpoint.entry.draining:
             self._agent.drop_order(order, "endpoint_leaves")
+        elif not self._agent.is_list_usable():
+            self._agent.drop_order(order, "endpoint_list_outdated")
         else:
             self._call_start(order)
 
--- a/burdocklug/store/_follower.py
+++ b/burdocklug/store/_follower.py
@@ -83,7 +83,7 @@
     on_answer : callable, optional
         Called after each answered call with the time at which it was sent.
     on_failure : callable, optional
-        Called without arguments after each failed call.
+        Called after each failed call with the time at which it was sent.
     now : callable, optional
         Returns monotonic seconds.
 
@@ -138,7 +138,7 @@
             except _CallCancelled:
                 log.debug("store_asked_anew", prefix=self._prefix, revision=self._revision)
             except (StoreUnavailable, StoreUncertain) as exc:
-                self._record_failure(exc)
+                self._record_failure(exc, sent_s)
                 backoff_s = min(self._backoff_s, self._pace().retry_s)
                 self._wait_for_wakeup(backoff_s * random.uniform(0.5, 1.0))
                 self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
@@ -166,12 +166,12 @@
         elif not self._wakeup.ready():
             self._wakeup.send(None)
 
-    def _record_failure(self, exc):
+    def _record_failure(self, exc, sent_s):
         if self.reached:
             log.warning("store_unreachable", prefix=self._prefix, error=str(exc)[:120])
         self.reached = False
         if self._on_failure is not None:
-            self._on_failure()
+            self._on_failure(sent_s)
 
     def _record_success(self):
         if not self.reached:
--- a/tests/platform/test_stale_views.py
+++ b/tests/platform/test_stale_views.py
@@ -9,6 +9,7 @@
 
 from burdocklug.pools._part import CONFIGURATION_POLL, LEADER_LISTING, MISSING_GRACE_S
 from burdocklug.pools.election._following import HEARTBEAT_S
+from burdocklug.store import StoreUnavailable
 from tests.pools.builders import spec, step
 from tests.pools.test_partitions import ENDPOINTS, PROCESSES, QUEUE
 from tests.pools.virtual_deployment import VirtualDeployment, now_s, run_in_virtual_time
@@ -121,6 +122,70 @@
         self.assertThat(starts, GreaterThan(60))
 
 
+@with_scenarios
+class LateLoopTest(TestCase):
+    """The scheduler's own loop is late, so that its calls to a sound store time out.
+
+    Guards against a scheduler that takes the store for silent and goes on with an old list: new
+    work on endpoints that are leaving (rule DRAIN of the users' record).
+    """
+
+    scenarios = [
+        (f"late by {lag_s} s for {for_s} s", {"lag_s": lag_s, "for_s": for_s})
+        for lag_s in (0.15, 0.5)
+        for for_s in (3.0, 6.0)
+    ]
+
+    def make_late(self, process):
+        """Let the calls of a process time out as a late loop lets them, and its lag show."""
+        records, host = process["records"], process.pool.host
+        call, until_s = records._call, now_s() + self.for_s
+
+        def time_out(answer, *, wait_s=0.0):
+            if now_s() >= until_s:
+                return call(answer, wait_s=wait_s)
+            eventlet.sleep(1.0)
+            raise StoreUnavailable("no response")
+
+        def note_lags():
+            while now_s() < until_s:
+                host.note_lag(self.lag_s, now_s())
+                eventlet.sleep(0.6)
+
+        records._call = time_out
+        eventlet.spawn(note_lags)
+
+    def play(self, prepare):
+        """Return late starts on a leaving endpoint, and the number of starts after that time."""
+
+        def scenario():
+            deployment = VirtualDeployment(PROCESSES, ENDPOINTS, run_s=0.3).start(for_s=8.0)
+            prepare(deployment)
+            eventlet.sleep(0.1)
+            deployment.store.set_worker_state("south-w", "draining")
+            acked_s = now_s()
+            for number in range(200):
+                job = spec(f"j{number}", step(3, cpu=1000, estimate_s=0.3), rule=QUEUE)
+                deployment.submit(list(PROCESSES)[number % 7], job, wait_s=3.0)
+                eventlet.sleep(0.05)
+            late = [row[4] for row in deployment.history if row[2] > acked_s + DRAIN_BOUND_S]
+            return late.count("south-w"), len(late)
+
+        return run_in_virtual_time(scenario)
+
+    def test_a_leaving_endpoint_gets_no_new_work(self):
+        late, starts = self.play(lambda deployment: self.make_late(deployment.scheduler()))
+        self.assertThat(late, Equals(0))
+        self.assertThat(starts, GreaterThan(60))
+
+    def test_a_store_that_is_silent_stops_no_starts_while_the_loop_is_on_time(self):
+        def silence(deployment):
+            deployment.links.cut("store", set(deployment.domains), {"store"})
+
+        _late, starts = self.play(silence)
+        self.assertThat(starts, GreaterThan(200))
+
+
 @with_scenarios
 class OddEntryTest(TestCase):
     """One entry that can't be read stands among those of the workers.
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -72,7 +72,7 @@
             except RevisionCompacted:
                 follower._revision = None
             except StoreUnavailable as exc:
-                follower._record_failure(exc)
+                follower._record_failure(exc, 0.0)
             else:
                 follower._record_success()
         self.follower = follower
@@ -190,7 +190,7 @@
     def test_a_failure_calls_on_failure(self):
         store = ScriptedStore([([], 3)], [StoreUnavailable("silent"), greenlet.GreenletExit()])
         failures = []
-        self.follow(store, PollIntervals(0.0), on_failure=lambda: failures.append(True))
+        self.follow(store, PollIntervals(0.0), on_failure=lambda _sent_s: failures.append(True))
         self.assertThat(failures, Equals([True]))
 
     def test_a_failure_reaches_the_follower_and_not_the_loop(self):
