--- a/burdocklug/pools/election/_own_claim.py
+++ b/burdocklug/pools/election/_own_claim.py
@@ -283,12 +283,15 @@
         if self.claim != claim or not self.is_scheduler or not lost:
             return
         kept = self._served_domains().difference(lost)
-        if not kept:
+        if kept:
+            self._is_claim_sampled = True
+            self._set_own_claim(self._next_claim(ClaimKind.PARTIAL, kept), FENCED)
+        else:
             self._set_claim(None, FENCED)
-            return
-        self._is_claim_sampled = True
-        claim = self._next_claim(ClaimKind.PARTIAL, kept)
-        self._set_own_claim(claim, FENCED)
+
+    def dump(self):
+        """Return the claim in force, and what the endpoints showed last, as plain data."""
+        return {**super().dump(), "holders": self._sampling.dump()}
 
     def step_down(self, reason):
         """Stop being the scheduler, for instance after a pause in which another was elected."""
