--- a/burdocklug/pools/_view_age.py
+++ b/burdocklug/pools/_view_age.py
@@ -4,8 +4,7 @@
 
 # A leaving endpoint must get no work 2 s after its entry changed; the rest is for a start's way.
 MAX_AGE_S = 1.8
-# A new scheduler waits for its first answer for a timeout of the store, a retry and a margin; then
-# one failed call shows that the store does not answer.
+# A new scheduler waits for its first answer for a timeout of the store, a retry and a margin.
 FIRST_ANSWER_WAIT_S = 1.4
 FAILURES_BEFORE_ANSWER = 2  # the first one may be due to a connection that has gone silent
 
@@ -82,7 +81,7 @@
         """
         if self.read_s < since_s:
             is_overdue = now_s - since_s > FIRST_ANSWER_WAIT_S
-            needed = 1 if is_overdue else FAILURES_BEFORE_ANSWER
-            return self.failures >= needed
+            is_silent = is_overdue and not self.is_doubtful
+            return is_silent or self.failures >= FAILURES_BEFORE_ANSWER
         needed = FAILURES_BEFORE_ANSWER if self.is_doubtful else 1
         return self.failures >= needed or self.age_s(now_s) <= MAX_AGE_S
