--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -15,7 +15,7 @@
     WithdrawJob,
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, bounded_retry_s
-from burdocklug.pools.scheduling import find_placement_obstacle, progress_of
+from burdocklug.pools.scheduling import progress_of
 
 __all__ = ["JobServer"]
 
@@ -26,6 +26,10 @@
 log = structlog.get_logger(__name__)
 
 
+def _refuse_unplaceable(obstacle):
+    return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
+
+
 class JobServer:
     """Serves the messages about jobs that processes send to the scheduler.
 
@@ -68,14 +72,10 @@
             return SubmitReply(resubmit=True)
         now = self._timers.now()
         spec = message.spec
-        obstacle = (
-            find_placement_obstacle(spec, scheduler.endpoints.values())
-            if scheduler.is_reconciled
-            else None
-        )
+        obstacle = self._leader.find_obstacle(spec) if scheduler.is_reconciled else None
         if obstacle is not None:
             log.info("job_impossible", job=spec.job_id, reason=obstacle)
-            return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
+            return _refuse_unplaceable(obstacle)
         job = scheduler.submit(
             spec,
             received_s=now - message.age_s,
@@ -103,6 +103,8 @@
             return SubmitReply(
                 resubmit=True, may_have_started=job.started, progress=progress_of(job)
             )
+        if job.obstacle:
+            return _refuse_unplaceable(job.obstacle)
         return SubmitReply(refused="overload", retry_after_s=self._retry_after_s())
 
     def _is_stale(self, sender, message):
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -1,13 +1,23 @@
 """The leader of a pool: runs the scheduler and its agents while this process has the role."""
 
-from collections import Counter
-
 import structlog
 
+from burdocklug.pools._evacuations import mark_evacuated
 from burdocklug.pools._job_server import JobServer
-from burdocklug.pools.agents import AgentOrders, AnswerTimes, EndpointAgent, holder_number
+from burdocklug.pools.agents import (
+    AgentOrders,
+    AnswerTimes,
+    EndpointAgent,
+    fenced_domains,
+    holder_number,
+)
 from burdocklug.pools.election import FENCED
-from burdocklug.pools.scheduling import Scheduler, dump_scheduler, scheduler_load
+from burdocklug.pools.scheduling import (
+    Scheduler,
+    dump_scheduler,
+    find_placement_obstacle,
+    scheduler_load,
+)
 
 __all__ = ["Leader"]
 
@@ -21,9 +31,6 @@
 ABSENT_AFTER_S = 0.3  # longer than a follower's heartbeat period and a round trip
 UPKEEP_S = 0.1
 LOAD_LOG_S = 1.0
-# Share of fenced endpoints of a failure domain from which another scheduler is assumed there; more
-# than is sampled to find out whether they have a holder.
-FENCED_RATIO = 0.5
 
 log = structlog.get_logger(__name__)
 
@@ -160,8 +167,20 @@
                 self._add_agent(entry)
             else:
                 agent.note_entry(entry)
+        self._apply_evacuations()
         self.schedule_start_waiting()
 
+    def _apply_evacuations(self):
+        endpoints = self.scheduler.endpoints.values()
+        has_changed = mark_evacuated(endpoints, self._directory.evacuations, self._timers.now())
+        if has_changed and self.scheduler.is_reconciled:
+            self.scheduler.refuse_unplaceable(self.find_obstacle)
+
+    def find_obstacle(self, spec):
+        """Return why no endpoint can ever run a job, or None if one can."""
+        endpoints = self.scheduler.endpoints.values()
+        return find_placement_obstacle(spec, endpoints, has_others=not self._claim.is_full)
+
     @staticmethod
     def _is_restarted(before, entry):
         has_moved = before.address != entry.address
@@ -210,16 +229,21 @@
             self._start_tasks()
 
     def _is_list_usable(self):
-        age = self._directory.entries_age
-        return age.is_usable(self._timers.now(), since_s=self._began_s)
+        """Return whether the views of the endpoints and of the evacuations allow starts now."""
+        ages = self._directory.entries_age, self._directory.configuration_age
+        now = self._timers.now()
+        return all(age.is_usable(now, since_s=self._began_s) for age in ages)
 
     def _start_tasks(self):
         now = self._timers.now()
+        ages = self._directory.entries_age, self._directory.configuration_age
         is_usable = self._is_list_usable()
         if is_usable != self._is_view_usable:
             self._is_view_usable = is_usable
-            age_s = min(self._directory.entries_age.age_s(now), now)
-            log.info("endpoint_view", usable=is_usable, age_s=round(age_s, 3))
+            entries_s, operators_s = (round(min(age.age_s(now), now), 3) for age in ages)
+            log.info(
+                "endpoint_view", usable=is_usable, age_s=entries_s, evacuations_age_s=operators_s
+            )
         if is_usable:
             self.scheduler.start_waiting()
 
@@ -234,25 +258,18 @@
             ) or now > self._began_s + SETTLE_S:
                 log.info("scheduling_settled", after_s=round(now - self._began_s, 3))
                 self.scheduler.mark_reconciled()
+                if self._directory.evacuations:
+                    self.scheduler.refuse_unplaceable(self.find_obstacle)
         self.scheduler.expire_overdue()
         self._suspend_abandoned(now)
         self.scheduler.forget_ended()
         self._start_tasks()
-        fenced = self._fenced_domains(lambda agent: agent.fenced)
-        if fenced:
+        if fenced := fenced_domains(self._agents.values(), lambda agent: agent.fenced):
             self._election.recheck_claim(FENCED, domains=fenced)
 
-    def _fenced_domains(self, is_fenced):
-        """Return the failure domains in which another scheduler is assumed, as a frozenset."""
-        domains = Counter(a.endpoint.entry.failure_domain for a in self._agents.values())
-        fenced = Counter(
-            a.endpoint.entry.failure_domain for a in self._agents.values() if is_fenced(a)
-        )
-        return frozenset(d for d, count in fenced.items() if count >= FENCED_RATIO * domains[d])
-
     def _is_widely_fenced(self, domain):
         """Return whether many endpoints of a failure domain obeyed another process just before."""
-        return domain in self._fenced_domains(lambda agent: agent.was_fenced)
+        return domain in fenced_domains(self._agents.values(), lambda a: a.was_fenced)
 
     def _log_load(self):
         if self.scheduler is not None:
--- a/burdocklug/pools/agents/__init__.py
+++ b/burdocklug/pools/agents/__init__.py
@@ -3,6 +3,7 @@
 from burdocklug.pools.agents._agent_orders import AgentOrders
 from burdocklug.pools.agents._answer_times import AnswerTimes
 from burdocklug.pools.agents._endpoint import EndpointAgent
+from burdocklug.pools.agents._fences import fenced_domains
 from burdocklug.pools.agents._holder_probe import BUSY_HOLDER_WAIT_S, HolderState, probe_holder
 from burdocklug.pools.agents._orders import (
     EndpointOrders,
@@ -27,6 +28,7 @@
     "OrderUnanswered",
     "OtherIncarnation",
     "RefusalReason",
+    "fenced_domains",
     "holder_number",
     "order_protocols",
     "probe_holder",
