--- a/burdocklug/pools/election/_following.py
+++ b/burdocklug/pools/election/_following.py
@@ -27,6 +27,8 @@
     ----------
     network, timers
         See `OwnClaim`, also for the named parameters.
+    rank : int, optional
+        Number of older eligible processes that this election passes over.
 
     Attributes
     ----------
@@ -34,9 +36,10 @@
         Whether the members have been loaded, so that the search for a scheduler may begin.
     """
 
-    def __init__(self, network, timers, **options):
+    def __init__(self, network, timers, *, rank=0, **options):
         super().__init__(network, timers, **options)
         self.ready = False
+        self._rank = rank
         self._candidate_s = float("-inf")
         network.register(ReachReply)
         network.register(ReachRequest, self._on_reach_request, inline=True)
@@ -113,10 +116,8 @@
             self._make_claim(members, replies)
 
     def _is_first_candidate(self, replies):
-        return (
-            first_candidate({self.incarnation: self._usable_cores(), **candidate_cores(replies)})
-            == self.incarnation
-        )
+        cores = {self.incarnation: self._usable_cores(), **candidate_cores(replies)}
+        return first_candidate(cores, self._rank) == self.incarnation
 
     def _make_claim(self, members, replies):
         kind, claim = self._propose_claim(members, replies)
--- a/tests/pools/agents/test_holder_probe.py
+++ b/tests/pools/agents/test_holder_probe.py
@@ -40,7 +40,7 @@
             eventlet.sleep(wait_s)
             pool = deployment.processes[PROBER].pool
             entry, began_s = pool.directory.entries[endpoint], now_s()
-            state = probe_holder(entry, pool._protocol, now=now_s, holder_number=60)
+            state = probe_holder(entry, pool.leader._protocol, now=now_s, holder_number=60)
             took_s = now_s() - began_s
             eventlet.sleep(3.0)
             return state, took_s, deployment
