--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -2,13 +2,22 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from functools import partial
 
 import structlog
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
 from burdocklug.pools._leader import Leader
-from burdocklug.pools.cells import CellNetworks, CellView, PlanChooser, cell_of, wanted_cells
-from burdocklug.pools.election import SchedulerElection
+from burdocklug.pools.agents import holder_number, probe_holder
+from burdocklug.pools.cells import (
+    CellNetworks,
+    CellView,
+    EndpointShare,
+    PlanChooser,
+    cell_of,
+    wanted_cells,
+)
+from burdocklug.pools.election import SchedulerElection, sample_holders
 from burdocklug.pools.scheduling import merge_counts
 from burdocklug.pools.submitting import JobControl, JobMoved, Submission, Submitter
 
@@ -93,11 +102,15 @@
         directory, timers, host = services.directory, services.timers, services.host
         self._on_elected = services.on_elected
         self.view = view
+        self._services = services
+        self._holder_number = holder_number(network.incarnation)
         self.election = SchedulerElection(
             network,
             timers,
             members=lambda: services.registry.others,
             unreachable_domains=services.unreachable_domains,
+            endpoint_domains=lambda: {entry.failure_domain for entry in self._own_entries()},
+            sample_holders=self._sample_holders,
             on_change=self._apply_claim,
             version=lambda: directory.configuration.version,
             is_version_current=services.is_version_current,
@@ -126,6 +139,26 @@
             cell=self.view,
         )
 
+    def _own_entries(self):
+        """Return the entries of the cell's endpoints, without those that move to or from it."""
+        now = self._services.timers.now()
+        return [
+            entry
+            for entry in self._services.directory.entries.values()
+            if self.view.endpoint_share(entry.endpoint_id, now) is EndpointShare.OWN
+        ]
+
+    def _sample_holders(self, is_wanted, on_free):
+        """Return the `HolderState` of the failure domains that `is_wanted` selects."""
+        now = self._services.timers.now
+        probe = partial(
+            probe_holder,
+            protocol=self._services.protocol,
+            now=now,
+            holder_number=self._holder_number,
+        )
+        return sample_holders(self._own_entries(), is_wanted, on_free, probe=probe, now=now)
+
     def _apply_claim(self, claim):
         if self.election.is_scheduler:
             self._on_elected()
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -61,7 +61,7 @@
         settings = process.settings
         self._settings = settings.pool
         self._pauses = PauseDetector(self._timers.now)
-        self._host = HostCapacity(
+        self.host = HostCapacity(
             (settings.pool.cpu_share or 1.0) * (settings.pool.cpu_speed or 1.0)
         )
         self.probe_domains = unreachable_domains
@@ -84,7 +84,7 @@
             timers=self._timers,
             directory=self.directory,
             registry=self.registry,
-            host=self._host,
+            host=self.host,
             settings=self._settings,
             protocol=orders(now=self._timers.now),
             unreachable_domains=self._unreachable_domains,
@@ -150,7 +150,7 @@
     def _check_pause(self):
         now, paused_s = self._timers.now(), self._pauses.take_pause_s()
         # The timer is due at multiples of its period, so the remainder is how late it fired.
-        self._host.note_lag(max(paused_s, now % CHECK_PERIOD_S), now)
+        self.host.note_lag(max(paused_s, now % CHECK_PERIOD_S), now)
         self.cells.set_ready(self.registry.is_loaded)
         if paused_s > MAX_PAUSE_S:
             log.warning("process_was_paused", paused_s=round(paused_s, 3))
