Election: in a pool of many processes the search asks few, the likely candidates among them

Cause: without a scheduler each process asked all others every 0.1 s, in each cell. Change: above 96 processes each asks the 32 oldest and 8 others; young processes ask less often; only one that may be the first candidate by these replies asks all before it claims. Up to 96 nothing changes.

--- a/burdocklug/pools/election/_following.py
+++ b/burdocklug/pools/election/_following.py
@@ -9,7 +9,13 @@
 from burdocklug.pools.election._held_claim import SCHEDULER_TIMEOUT_S
 from burdocklug.pools.election._leadership import ClaimKind, first_candidate
 from burdocklug.pools.election._own_claim import OwnClaim
-from burdocklug.pools.election._reach import candidate_cores
+from burdocklug.pools.election._reach import candidate_cores, query_members
+from burdocklug.pools.election._search import (
+    MAX_ASKED,
+    is_possible_candidate,
+    search_period_s,
+    search_sample,
+)
 
 __all__ = ["SchedulerElection"]
 
@@ -41,6 +47,7 @@
         self.ready = False
         self._rank = rank
         self._candidate_s = float("-inf")
+        self._searched_s = float("-inf")
         network.register(ReachReply)
         network.register(ReachRequest, self._on_reach_request, inline=True)
         network.register(ClaimNotice, self._on_notice, inline=True)
@@ -63,8 +70,28 @@
 
     def _search(self):
         """Search for a scheduler if none is followed."""
-        if self.claim is None and self.ready:
+        if self.claim is not None or not self.ready:
+            return
+        members = self._members()
+        if len(members) <= MAX_ASKED:
             self._query_members(self._find_scheduler)
+            return
+        now = self._timers.now()
+        if now - self._searched_s >= search_period_s(self.incarnation, members, least_s=SEARCH_S):
+            self._searched_s = now
+            self._query_members(self._find_in_sample, search_sample(self.incarnation, members))
+
+    def _find_in_sample(self, members, replies):
+        """Follow a claim that some members report, or ask all if this process may have to claim."""
+        if self.claim is not None:
+            return
+        is_claimed = any(reply.claim is not None for reply in replies.values())
+        cores = {self.incarnation: self._usable_cores(), **candidate_cores(replies)}
+        if not is_claimed and is_possible_candidate(self.incarnation, cores, self._rank):
+            replies = query_members(self._network, members)
+        elif not is_claimed:
+            return
+        self._find_scheduler(members, replies)
 
     def _on_notice(self, sender, message):
         self._consider_claim(message.claim, sender)
--- a/burdocklug/pools/election/_own_claim.py
+++ b/burdocklug/pools/election/_own_claim.py
@@ -119,19 +119,26 @@
             return False
         return not self._is_eligible(self.followers.live_cores(now))
 
-    def _query_members(self, handle):
-        """Query all members in the background and call ``handle(members, replies)``.
+    def _query_members(self, handle, asked=None):
+        """Query members in the background and call ``handle(members, replies)``.
 
         Does nothing while an earlier query is under way.
+
+        Parameters
+        ----------
+        handle : callable
+            Takes the failure domains of all members, by incarnation, and the replies.
+        asked : list of str, optional
+            The members to query; all by default.
         """
         if not self._is_querying:
             self._is_querying = True
-            eventlet.spawn(self._run_query, handle)
+            eventlet.spawn(self._run_query, handle, asked)
 
-    def _run_query(self, handle):
+    def _run_query(self, handle, asked):
         try:
             members = self._members()
-            handle(members, query_members(self._network, members))
+            handle(members, query_members(self._network, members if asked is None else asked))
         finally:
             self._is_querying = False
 
