Contention: select the jobs to serve when not all can be in time

Cause: past the capacity the one order, priority and then latest start, served jobs that take room from several others that could all have been in time, and nothing kept what each class of jobs got.

Change: package pools/contention with accounts by queue, caller's failure domain and size, a plan of each contended pass, verdicts, booked returns and a record of refusals; hopeless jobs are answered before their callers leave. A pool without contention keeps its order.

Tests: tests/pools, tests/platform and doctests of burdocklug/pools.

--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -14,14 +14,14 @@
     SubmitReply,
     WithdrawJob,
 )
-from burdocklug.pools._retry_after import MAX_RETRY_S, bounded_retry_s
+from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
 from burdocklug.pools.scheduling import find_placement_obstacle, progress_of
 
 __all__ = ["JobServer"]
 
 # Shorter than `SCHEDULER_TIMEOUT_S`: the sender cannot have resubmitted the job elsewhere yet.
 MAX_SUBMISSION_AGE_S = 0.7
-MIN_COMPLETIONS_PER_S = 50  # lowest throughput of a pool of the present size while jobs wait
+MAX_KNOWN_DOMAINS = 2000  # bound on the remembered failure domains of incarnations
 
 log = structlog.get_logger(__name__)
 
@@ -52,6 +52,7 @@
         self._directory = directory
         self._election = election
         self._is_paused = is_paused
+        self._domains = {}
         network.register(SubmitReply)
         network.register(PendingCountReply)
         network.register(JobStateReply)
@@ -82,6 +83,7 @@
             wait_s=message.wait_s,
             since_heard_s=message.since_heard_s,
             progress=message.progress,
+            caller_domain=self._failure_domain_of(sender),
         )
         if job.outcome is not None:
             return SubmitReply(job.outcome)
@@ -103,7 +105,7 @@
             return SubmitReply(
                 resubmit=True, may_have_started=job.started, progress=progress_of(job)
             )
-        return SubmitReply(refused="overload", retry_after_s=self._retry_after_s())
+        return SubmitReply(refused="overload", retry_after_s=self._book_return(job))
 
     def _is_stale(self, sender, message):
         if sender == self._network.incarnation:
@@ -115,9 +117,19 @@
         log.info("submission_stale", job=message.spec.job_id, sender=sender, age_s=age_s)
         return True
 
-    def _retry_after_s(self):
-        """Return the delay before a refused job may be retried; it grows with the waiting jobs."""
-        return bounded_retry_s(self._leader.scheduler.waiting_jobs / MIN_COMPLETIONS_PER_S)
+    def _book_return(self, job):
+        """Return the delay after which a refused job is expected back."""
+        returns = self._leader.scheduler.contention.returns
+        return returns.book(job.job_id, len(job.tasks), self._timers.now(), earliest_s=MIN_RETRY_S)
+
+    def _failure_domain_of(self, sender):
+        """Return the failure domain of a process; empty while this process does not know it."""
+        domain = self._domains.get(sender)
+        if domain is None:
+            domain = self._election.failure_domain_of(sender)
+            if domain and len(self._domains) < MAX_KNOWN_DOMAINS:
+                self._domains[sender] = domain
+        return domain
 
     def _on_cancel(self, _sender, message):
         if self._leader.scheduler is None or self._is_paused():
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -258,4 +258,4 @@
 
     def dump(self):
         """Return the scheduler's state as plain data, None while this process does not lead."""
-        return dump_scheduler(self.scheduler) if self.scheduler else None
+        return dump_scheduler(self.scheduler, self._timers.now()) if self.scheduler else None
--- a/burdocklug/pools/_retry_after.py
+++ b/burdocklug/pools/_retry_after.py
@@ -1,6 +1,6 @@
 """Bounds of the retry delay that refused jobs are given."""
 
-__all__ = ["MAX_RETRY_S", "bounded_retry_s"]
+__all__ = ["MAX_RETRY_S", "MIN_RETRY_S", "bounded_retry_s"]
 
 # Retries come from the second half of a burst of load to about its end.
 MIN_RETRY_S, MAX_RETRY_S = 1.0, 4.0
--- /dev/null
+++ b/burdocklug/pools/contention/_contention.py
@@ -0,0 +1,138 @@
+"""State of one scheduler for its decisions under contention; a new scheduler begins with none."""
+
+from dataclasses import dataclass, field
+from functools import partial
+
+import structlog
+
+from burdocklug.pools.contention._accounts import Accounts
+from burdocklug.pools.contention._lateness import priority_key
+from burdocklug.pools.contention._plan import plan
+from burdocklug.pools.contention._refusals import RecentRefusals
+from burdocklug.pools.contention._returns import Returns
+from burdocklug.pools.contention._supply import Supply
+
+__all__ = ["Contention", "PassPlan"]
+
+CONTENTION_LOG_S = 1.0  # minimum time between log lines on contention
+
+log = structlog.get_logger(__name__)
+
+
+@dataclass(slots=True)
+class PassPlan:
+    """Plans of one pass: the jobs in the order in which they are offered room.
+
+    Parameters
+    ----------
+    jobs : list of Job
+        All waiting jobs.
+    by_service : dict
+        Plan of each service whose jobs can't all be in time.
+    """
+
+    jobs: list
+    by_service: dict = field(default_factory=dict)
+
+    def of(self, job):
+        """Return the plan that a job competes under, or None if its service has no contention."""
+        return self.by_service.get(job.spec.queue.service)
+
+
+class Contention:
+    """Accounts, booked returns and recent refusals of one scheduler.
+
+    Parameters
+    ----------
+    counts : Counter
+        Counts of events by name.
+    """
+
+    def __init__(self, counts):
+        self.accounts = Accounts()
+        self.returns = Returns()
+        self.refusals = RecentRefusals()
+        self._counts = counts
+        self._logged_s = float("-inf")
+
+    def note_asked(self, job, now_s):
+        """Count a new job, and recognize one that returns when it was told to."""
+        job.has_returned = self.returns.take_returned(job.job_id, now_s)
+        self._counts["jobs_returned"] += job.has_returned
+        self.accounts.note_asked(job, now_s)
+
+    def note_refused(self, job, reason, now_s, *, plan=None):
+        """Count and record a refused or hopeless job, and return its record."""
+        self.accounts.note_refused(job, now_s)
+        self._counts[f"unanswered_{reason}"] += 1
+        return self.refusals.add(job, reason, now_s, plan=plan)
+
+    def plan_pass(self, jobs, now_s, *, count_free, expected_ends):
+        """Return the plan of a pass over waiting jobs.
+
+        Parameters
+        ----------
+        jobs : list of Job
+            Jobs with waiting tasks.
+        now_s : float
+            The current time.
+        count_free : callable
+            ``count_free(task, limit)`` returns how many tasks like one fit now, up to a limit.
+        expected_ends : callable
+            Takes the name of a service and returns the expected ends of the runs there.
+        """
+        groups = {}
+        for job in jobs:
+            if job.hold is None and job.expires_s >= now_s:
+                groups.setdefault(job.spec.queue.service, []).append(job)
+        plans = {}
+        for service, group in groups.items():
+            supply = _find_supply(group, now_s, count_free, partial(expected_ends, service))
+            found = plan(group, now_s, self.accounts, supply) if supply is not None else None
+            if found is not None and found.is_contended:
+                plans[service] = found
+        by_priority = sorted(jobs, key=lambda job: priority_key(job, now_s))
+        if not plans:
+            return PassPlan(by_priority)
+        self._note_contention(plans, now_s)
+        ordered = [job for found in plans.values() for job in found.jobs]
+        ordered_ids = {job.job_id for job in ordered}
+        ordered.extend(job for job in by_priority if job.job_id not in ordered_ids)
+        return PassPlan(ordered, plans)
+
+    def _note_contention(self, plans, now_s):
+        self._counts["contended_passes"] += 1
+        if now_s < self._logged_s + CONTENTION_LOG_S:
+            return
+        self._logged_s = now_s
+        for service, found in plans.items():
+            log.info(
+                "pool_contended",
+                service=service,
+                waiting=len(found.jobs),
+                displaced=len(found.displaced),
+                preferred=len(found.preferred),
+                asked_tasks_per_s=round(found.asked_tasks_per_s),
+            )
+
+    def dump(self, now_s):
+        """Return the shares served, the booked returns and the recent refusals as plain data."""
+        return {
+            "shares_served": self.accounts.shares(now_s),
+            "returns": self.returns.dump(now_s),
+            "recent_refusals": self.refusals.rows(),
+        }
+
+
+def _find_supply(jobs, now_s, count_free, expected_ends):
+    """Return the openings for jobs of one service; None if all fit now, or no slot is known."""
+    wanted = sum(job.next_wave() for job in jobs)
+    by_demand = sorted((job.waiting[0] for job in jobs), key=lambda task: task.demand.cpu)
+    free = count_free(by_demand[len(by_demand) // 2], wanted)
+    if free >= wanted:
+        return None
+    ends_s = list(expected_ends())
+    if not free and not ends_s:
+        return None  # no endpoint is known to take tasks now, which says nothing of those to come
+    task_s = sum(job.next_wave() * job.waiting[0].estimate_s for job in jobs)
+    return Supply(now_s, free, ends_s, mean_run_s=task_s / wanted)
--- /dev/null
+++ b/burdocklug/pools/contention/_hopeless.py
@@ -0,0 +1,42 @@
+"""Jobs that can't be answered in time any more, found before their callers stop waiting."""
+
+from burdocklug.pools.contention._lateness import is_too_late
+
+__all__ = ["MIN_RUN_FACTOR", "find_hopeless_reason"]
+
+# Shortest run time as a multiple of the estimate; estimates are rough.
+MIN_RUN_FACTOR = 0.5
+# Part of the time that an endpoint's report of progress projects for a run.
+MIN_PROJECTED_FACTOR = 0.8
+
+
+def find_hopeless_reason(job, now_s):
+    """Return why a job can't be answered in time, or an empty string if it may be.
+
+    Parameters
+    ----------
+    job : Job
+        A job that has not ended.
+    now_s : float
+        The current time.
+
+    Notes
+    -----
+    A job that has started is given up only if it can't end before its caller leaves, since a late
+    answer is delivered too. A job that waits for another scheduler's runs may be done already.
+    """
+    if job.hold is not None:
+        return ""
+    if not job.started:
+        return "too_late" if job.waiting and is_too_late(job, now_s) else ""
+    rest_s = max((_least_rest_s(task, now_s) for task in job.tasks), default=0.0)
+    return "ends_after_caller_leaves" if now_s + rest_s > job.expires_s else ""
+
+
+def _least_rest_s(task, now_s):
+    """Return the least time until a task can be done, in seconds; 0 if it may be any moment."""
+    if task.state.is_placed:
+        if task.projected_run_s is None:
+            return 0.0
+        return task.started_s + MIN_PROJECTED_FACTOR * task.projected_run_s - now_s
+    return 0.0 if task.state.is_over else MIN_RUN_FACTOR * task.estimate_s
--- a/burdocklug/pools/election/_following.py
+++ b/burdocklug/pools/election/_following.py
@@ -137,6 +137,12 @@
         finally:
             self._is_querying = False
 
+    def failure_domain_of(self, incarnation):
+        """Return the failure domain of a process; empty if it is not known."""
+        if incarnation == self._network.incarnation:
+            return self._network.failure_domain
+        return self._members().get(incarnation, "")
+
     def _announce(self, claim):
         self._announced_s = self._timers.now()
         for incarnation in self._members():
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -6,6 +6,7 @@
 
 from burdocklug.pools._cancellations import Cancellations, forget_after_s
 from burdocklug.pools._models import JobOutcome
+from burdocklug.pools.contention import Contention, find_hopeless_reason
 from burdocklug.pools.scheduling._capacity import SlotCounts
 from burdocklug.pools.scheduling._jobs import TaskState, apply_progress, make_job
 from burdocklug.pools.scheduling._latency import LatencyCounts
@@ -38,6 +39,8 @@
         Counts of events by name.
     latencies : LatencyCounts
         Histogram of the time from arrival to end of jobs, by queue and outcome.
+    contention : Contention
+        What the classes of jobs got lately, and the returns of refused jobs.
     cancellations : Cancellations
         Cancelled jobs that a process may still submit.
     is_reconciled : bool
@@ -51,6 +54,7 @@
         self.endpoints = {}
         self.counts = Counter()
         self.latencies = LatencyCounts()
+        self.contention = Contention(self.counts)
         self.cancellations = Cancellations()
         self.is_reconciled = True
         self.submitted_s = now()
@@ -59,7 +63,9 @@
         self._slot_counts = SlotCounts(self.endpoints, now=now)
         self._waiting = {}  # jobs that may start tasks, by id; kept by `_update_waiting`
 
-    def submit(self, spec, *, received_s, wait_s, since_heard_s=None, progress=None):
+    def submit(
+        self, spec, *, received_s, wait_s, since_heard_s=None, progress=None, caller_domain=""
+    ):
         """Add a job, or attach to the job that has its id, and return it.
 
         Parameters
@@ -75,10 +81,12 @@
             None if there is none.
         progress : JobProgress, optional
             Progress of the job at that scheduler.
+        caller_domain : str, optional
+            Failure domain of the caller's process.
         """
         job = self.jobs.get(spec.job_id)
         if job is None:
-            job = self._add(spec, received_s, wait_s)
+            job = self._add(spec, received_s, wait_s, caller_domain)
             if self.cancellations.has(spec.job_id, self._now()):
                 self.end_job(job, JobOutcome.CANCELLED, reason="cancelled_before")
                 return job
@@ -118,10 +126,12 @@
         if all(task.state is TaskState.DONE for task in job.tasks):
             self.end_job(job, JobOutcome.COMPLETED, reason="done_elsewhere")
 
-    def _add(self, spec, received_s, wait_s):
+    def _add(self, spec, received_s, wait_s, caller_domain):
         wave = max(1, int(MAX_WAVE_SHARE * self._slot_counts.max_concurrent_tasks(spec)))
         job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave)
+        job.caller_domain = caller_domain
         self.jobs[spec.job_id] = job
+        self.contention.note_asked(job, self._now())
         self.submitted_s = self._now()
         self.counts["jobs"] += 1
         return job
@@ -223,11 +233,46 @@
         return job
 
     def expire_overdue(self):
-        """End the jobs whose callers have stopped waiting, running ones included."""
+        """End the jobs whose callers have stopped waiting or can't be answered before they do."""
         now = self._now()
         for job in list(self.jobs.values()):
-            if job.outcome is None and not job.suspended and job.expires_s < now:
-                self._expire(job)
+            if job.outcome is not None or job.suspended:
+                continue
+            if job.expires_s < now:
+                self.give_up(job, "deadline")
+            elif reason := find_hopeless_reason(job, now):
+                self.give_up(job, reason)
+
+    def give_up(self, job, reason, *, plan=None):
+        """Refuse a job of which no task has started, or end it as expired.
+
+        Parameters
+        ----------
+        job : Job
+            The job.
+        reason : str
+            Why it can't be answered in time.
+        plan : Plan, optional
+            Plan of the pass that refuses it, if other jobs need the room.
+        """
+        now = self._now()
+        row = self.contention.note_refused(job, reason, now, plan=plan)
+        if job.started:
+            self.end_job(job, JobOutcome.EXPIRED, reason=reason)
+            return
+        self.counts["jobs_refused"] += 1
+        log.info(
+            "job_refused",
+            job=job.job_id,
+            queue=job.spec.queue.name,
+            reason=reason,
+            gave_way_to=row.get("gave_way_to"),
+            age_s=row["age_s"],
+            tasks=len(job.tasks),
+            waiting=len(self._waiting),
+        )
+        self.drop_job(job)
+        self.notify_callers(job)
 
     def withdraw(self, job, sender, *, only_waiting):
         """Give up a job for a process that shuts down, unless another process waits for it too.
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -8,7 +8,15 @@
 from burdocklug.pools._messages import JobProgress
 from burdocklug.pools._models import task_name
 
-__all__ = ["Job", "Task", "TaskState", "apply_progress", "make_job", "progress_of"]
+__all__ = [
+    "Job",
+    "Task",
+    "TaskState",
+    "apply_progress",
+    "critical_path_s",
+    "make_job",
+    "progress_of",
+]
 
 
 UNLIMITED_WAVE = 1_000_000  # larger than any step
@@ -29,10 +37,18 @@
         """Whether an endpoint has or may have a run of the task."""
         return self in (TaskState.STARTING, TaskState.RUNNING)
 
+    @property
+    def is_over(self):
+        """Whether the task is not run any more."""
+        return self in (TaskState.DONE, TaskState.ENDED)
+
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """One task; `attempt` is the number of its last start, `failures` counts its failed runs."""
+    """One task; `attempt` is the number of its last start, `failures` counts its failed runs.
+
+    `projected_run_s` is the total time of its present run that its endpoint's progress projects.
+    """
 
     job: object
     step: int
@@ -45,6 +61,7 @@
     failures: int = 0
     endpoint_id: str | None = None
     started_s: float = 0.0
+    projected_run_s: float | None = None
     avoided_endpoints: set = field(default_factory=set)
 
 
@@ -80,6 +97,14 @@
         Functions to call with the job when it ends, is refused or moves to another scheduler.
     callers : Counter
         Number of waiting submissions by the incarnation that sent them.
+    caller_domain : str
+        Failure domain of the process of its caller; empty if not known.
+    account_keys : tuple
+        Its classes in the accounts of what each class got.
+    is_counted_served : bool
+        Whether these accounts count it as served.
+    has_returned : bool
+        Whether it was refused before and has come back when it was told to.
     """
 
     spec: object
@@ -96,6 +121,10 @@
     suspended: bool = False
     waiters: list = field(default_factory=list)
     callers: Counter = field(default_factory=Counter)
+    caller_domain: str = ""
+    account_keys: tuple = ()
+    is_counted_served: bool = False
+    has_returned: bool = False
 
     @property
     def job_id(self):
@@ -161,7 +190,7 @@
     job.unblock()
 
 
-def critical_path_s(steps, wave):
+def critical_path_s(steps, wave=UNLIMITED_WAVE):
     """Return the estimated time of the critical path of a job's steps, in seconds.
 
     Examples
--- a/burdocklug/pools/scheduling/_load.py
+++ b/burdocklug/pools/scheduling/_load.py
@@ -26,15 +26,17 @@
         "slowness": round(
             sum(endpoint.slowness for endpoint in endpoints) / max(1, len(endpoints)), 2
         ),
+        "shares_served": scheduler.contention.accounts.shares(now_s, below=1.0),
     }
 
 
-def dump_scheduler(scheduler):
-    """Return the counts, jobs and endpoints of a scheduler."""
+def dump_scheduler(scheduler, now_s):
+    """Return the counts, jobs, endpoints and contention of a scheduler."""
     return {
         "counts": dict(scheduler.counts),
         "jobs": len(scheduler.jobs),
         "waiting_jobs": scheduler.waiting_jobs,
+        "contention": scheduler.contention.dump(now_s),
         "endpoints": [
             {
                 "id": endpoint.entry.endpoint_id,
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -7,6 +7,7 @@
 import structlog
 
 from burdocklug.pools._models import JobOutcome, RunEndKind
+from burdocklug.pools.contention import PassPlan, priority_key
 from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
 from burdocklug.pools.scheduling._health import (
     add_fault,
@@ -16,7 +17,11 @@
 )
 from burdocklug.pools.scheduling._job_registry import JobRegistry
 from burdocklug.pools.scheduling._jobs import TaskState
-from burdocklug.pools.scheduling._placement import PoolEndpoint, expected_run_s
+from burdocklug.pools.scheduling._placement import (
+    PoolEndpoint,
+    count_free_slots,
+    expected_run_s,
+)
 from burdocklug.pools.scheduling._starts import (
     PoolView,
     Refuse,
@@ -98,11 +103,33 @@
             reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * len(self.endpoints)),
             distance_factor=self._distance_factor,
             median_slowness=self._median_slowness,
+            plan_pass=self._plan_pass,
         )
         for decision in decide(list(self._waiting.values()), view):
             starts += self._carry_out(decision, now)
         return starts
 
+    def _plan_pass(self, jobs, view):
+        if not view.is_reconciled:
+            return PassPlan(sorted(jobs, key=lambda job: priority_key(job, view.now_s)))
+        return self.contention.plan_pass(
+            jobs,
+            view.now_s,
+            count_free=lambda task, limit: count_free_slots(
+                task, view.endpoints, view.now_s, limit=limit
+            ),
+            expected_ends=lambda service: expected_ends(
+                self._runs(service), view.now_s, self.expected_run_s
+            ),
+        )
+
+    def _runs(self, service):
+        """Yield the active runs, with their endpoints, of the usable endpoints of a service."""
+        for endpoint in self.endpoints.values():
+            if endpoint.usable and endpoint.entry.service == service:
+                for task in endpoint.runs.values():
+                    yield task, endpoint
+
     def _forecast(self, now):
         runs = (
             (task, endpoint)
@@ -121,31 +148,11 @@
             self._start(decision.task, decision.endpoint, now)
             return 1
         if isinstance(decision, Refuse):
-            self._refuse(decision.job, now)
+            self.give_up(decision.job, decision.reason, plan=decision.plan)
         else:
-            self._expire(decision.job)
+            self.give_up(decision.job, "deadline")
         return 0
 
-    def _expire(self, job):
-        if job.started:
-            self.end_job(job, JobOutcome.EXPIRED, reason="deadline")
-        else:
-            self._refuse(job, self._now())
-
-    def _refuse(self, job, now):
-        self.counts["jobs_refused"] += 1
-        log.info(
-            "job_refused",
-            job=job.job_id,
-            queue=job.spec.queue.name,
-            reason="overload",
-            age_s=round(now - job.received_s, 3),
-            tasks=len(job.tasks),
-            waiting=len(self._waiting),
-        )
-        self.drop_job(job)
-        self.notify_callers(job)
-
     def _start(self, task, endpoint, now):
         task.job.waiting.remove(task)
         self._update_waiting(task.job)
@@ -153,7 +160,9 @@
         task.attempt += 1
         task.endpoint_id = endpoint.entry.endpoint_id
         task.started_s = now
+        task.projected_run_s = None
         task.job.started = True
+        self.contention.accounts.note_served(task.job, now)
         endpoint.add(task)
         self.counts["starts"] += 1
         self._orders.start(task, endpoint)
@@ -237,6 +246,7 @@
         """
         now = self._now()
         self.counts[f"ends_{kind}"] += 1
+        self.contention.returns.note_end(now)
         is_placed = task.state.is_placed and endpoint.runs.get(task.name) is task
         if kind is RunEndKind.DONE and is_placed:
             endpoint.faults = 0
@@ -287,4 +297,5 @@
 
     def note_slow_run(self, task, endpoint, run_s):
         """Update an endpoint's slowness from the total time projected for an active run."""
+        task.projected_run_s = run_s
         update_slowness(endpoint, run_s, self.expected_run_s(task, endpoint))
--- a/burdocklug/pools/scheduling/_starts.py
+++ b/burdocklug/pools/scheduling/_starts.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass
 
-from burdocklug.pools.scheduling._order import (
+from burdocklug.pools.contention import (
+    Offer,
+    Verdict,
     is_too_late,
     latest_start_s,
     latest_useful_end_s,
-    priority_key,
+    verdict,
 )
 from burdocklug.pools.scheduling._placement import count_free_slots, exclude_slow, place_tasks
 
@@ -31,9 +33,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Decision to refuse a job of which no task has started."""
+    """Decision to refuse a job of which no task has started.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    reason : str
+        Why it is refused.
+    plan : Plan or None
+        The plan under which it competes, if not all jobs can be in time.
+    """
 
     job: object
+    reason: str
+    plan: object = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +94,8 @@
         Factor on the run time of a task outside the rack of its data.
     median_slowness : float
         Median slowness of all endpoints.
+    plan_pass : callable
+        Takes the waiting jobs and the view, and returns a `PassPlan`.
     """
 
     now_s: float
@@ -90,6 +106,7 @@
     reserved_slots: int
     distance_factor: float
     median_slowness: float
+    plan_pass: object
 
     def remove_full(self):
         """Remove the endpoints that have become full, so that other jobs do not consider them."""
@@ -110,9 +127,9 @@
 def decide(jobs, view):
     """Yield decisions; the caller must apply each one before it asks for the next.
 
-    A job gets capacity if its next wave of tasks can start in time, on free slots or on slots that
-    running tasks are expected to free. Late jobs get the remaining capacity except for a reserve
-    for jobs still in time.
+    Jobs are offered capacity in the order of the pass's plan. A job gets it if its next wave of
+    tasks can start in time, on free slots or on slots that running tasks are expected to free. Late
+    jobs get the remaining capacity except for a reserve for jobs still in time.
 
     Parameters
     ----------
@@ -126,13 +143,14 @@
     Start, Refuse or Expire
     """
     late_jobs, now_s = [], view.now_s
-    for job in sorted(jobs, key=lambda job: priority_key(job, now_s)):
+    plan = view.plan_pass(list(jobs), view)
+    for job in plan.jobs:
         if job.expires_s < now_s:
             yield Expire(job)
         elif job.hold is not None:
             is_hold_known = view.is_reconciled and not job.started
             if is_hold_known and is_too_late(job, job.hold.until_s):
-                yield Refuse(job)
+                yield Refuse(job, "held_too_long")
         elif job.waiting:
             endpoints = view.endpoints_in_time(job, job.due_s)
             if _can_start_in_time(job, endpoints, view):
@@ -141,7 +159,7 @@
                 late_jobs.append(job)
     for job in late_jobs:
         yield from _start_or_refuse_late(
-            job, view.endpoints_in_time(job, latest_useful_end_s(job)), view
+            job, view.endpoints_in_time(job, latest_useful_end_s(job)), view, plan.of(job)
         )
 
 
@@ -161,8 +179,8 @@
     view.remove_full()
 
 
-def _start_or_refuse_late(job, endpoints, view):
-    """Yield the starts of a late job in the remaining capacity, or its refusal if it is too late.
+def _start_or_refuse_late(job, endpoints, view, plan):
+    """Yield the starts of a late job in the remaining capacity, or its refusal.
 
     A job that has not started must leave the reserved slots free; while it waits for that, its next
     wave is reserved in the forecast.
@@ -170,9 +188,11 @@
     need = job.next_wave()
     limit = need + view.reserved_slots
     start_s = view.forecast.start_s(need) if view.is_reconciled else view.now_s
-    if job.started or count_free_slots(job.waiting[0], endpoints, view.now_s, limit=limit) >= limit:
+    free = count_free_slots(job.waiting[0], endpoints, view.now_s, limit=limit)
+    offer = Offer(start_s, start_s + job.remaining_s(), free)
+    if job.started or free >= limit:
         yield from _start_tasks(job, endpoints, view)
-    elif is_too_late(job, start_s):
-        yield Refuse(job)
+    elif verdict(job, offer, view.now_s, plan=plan) is Verdict.REFUSE:
+        yield Refuse(job, "too_late" if is_too_late(job, start_s) else "room_needed", plan)
     else:
         view.forecast.reserve(need)
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -10,6 +10,9 @@
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._messages import SubmitJob, WithdrawJob
 from burdocklug.pools._models import JobOutcome
+from burdocklug.pools._retry_after import MIN_RETRY_S
+from burdocklug.pools.contention import MIN_RUN_FACTOR
+from burdocklug.pools.scheduling import critical_path_s
 
 __all__ = ["Submitter"]
 
@@ -152,6 +155,7 @@
         deadline_s = submission.received_s + submission.wait_s + REPLY_MARGIN_S
         while True:
             claim = self._wait_for_scheduler(submission, deadline_s)
+            self._check_in_time(submission)
             self._admit(submission)
             sequence = self._election.reply_sequence
             reply = self._call(claim.scheduler, submission, deadline_s)
@@ -160,7 +164,7 @@
                 continue
             if reply.outcome is JobOutcome.EXPIRED:
                 raise BurdocklugError(
-                    ErrorKind.DEADLINE_EXCEEDED, "the job did not end before its deadline"
+                    ErrorKind.DEADLINE_EXCEEDED, "the job did not or could not end by its deadline"
                 )
             if reply.outcome is not None:
                 return reply.outcome
@@ -179,7 +183,19 @@
                     f"refused: {reply.refused}",
                     retry_after_s=reply.retry_after_s,
                 )
-            self._wait_for_newer_reply(claim, sequence)
+            self._wait_for_newer_reply(submission, claim, sequence)
+
+    def _check_in_time(self, submission):
+        """Refuse a job that has not started and can't end before its caller stops waiting."""
+        if submission.may_have_started:
+            return
+        least_s = MIN_RUN_FACTOR * critical_path_s(submission.spec.steps)
+        if self._timers.now() + least_s > submission.received_s + submission.wait_s:
+            raise BurdocklugError(
+                ErrorKind.WOULD_MISS_DEADLINE,
+                "refused: the job can't end before its deadline any more",
+                retry_after_s=MIN_RETRY_S,
+            )
 
     def _admit(self, submission):
         """Refuse a job that a congested scheduler would read too late.
@@ -199,7 +215,7 @@
         """Return how many of the configured priorities are less urgent than the queue's."""
         return sum(priority > queue.priority for priority in self._priorities())
 
-    def _wait_for_newer_reply(self, claim, sequence):
+    def _wait_for_newer_reply(self, submission, claim, sequence):
         """Wait until the scheduler has replied to a later heartbeat, or another one is followed.
 
         The scheduler bounds a submission's age by the last reply that it names, so a submission
@@ -207,6 +223,7 @@
         """
         while True:
             eventlet.sleep(POLL_S)
+            self._check_in_time(submission)
             election = self._election
             if election.claim is None or election.claim.scheduler != claim.scheduler:
                 return
@@ -220,6 +237,7 @@
             if claim is not None and now < deadline_s:
                 return claim
             self._check_open(submission)
+            self._check_in_time(submission)
             if submission.may_have_started:
                 if now >= deadline_s:
                     raise BurdocklugError(
--- a/tests/pools/test_leader.py
+++ b/tests/pools/test_leader.py
@@ -57,7 +57,7 @@
             self.timers,
             directory,
             self.endpoint,
-            SimpleNamespace(followers=self.followers),
+            SimpleNamespace(followers=self.followers, failure_domain_of=lambda sender: "north"),
             SimpleNamespace(take_max_lag_s=lambda: 0.0, recent_lag_s=0.0),
             lease_s=1.0,
             distance_factor=1.5,
