--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 
 import bench._cases_clock  # noqa: E402, F401, registers cases
 import bench._cases_connections  # noqa: E402, F401
+import bench._cases_contention  # noqa: E402, F401
 import bench._cases_faults  # noqa: E402, F401
 import bench._cases_overload  # noqa: E402, F401
 import bench._cases_routing  # noqa: E402, F401
--- a/burdocklug/pools/contention/_contention.py
+++ b/burdocklug/pools/contention/_contention.py
@@ -15,6 +15,7 @@
 __all__ = ["Contention", "PassPlan"]
 
 CONTENTION_LOG_S = 1.0  # minimum time between log lines on contention
+DEMAND_SAMPLES = 20  # tasks of which the median demand stands for all waiting ones
 
 log = structlog.get_logger(__name__)
 
@@ -91,14 +92,13 @@
             found = plan(group, now_s, self.accounts, supply) if supply is not None else None
             if found is not None and found.is_contended:
                 plans[service] = found
-        by_priority = sorted(jobs, key=lambda job: priority_key(job, now_s))
-        if not plans:
-            return PassPlan(by_priority)
-        self._note_contention(plans, now_s)
-        ordered = [job for found in plans.values() for job in found.jobs]
-        ordered_ids = {job.job_id for job in ordered}
-        ordered.extend(job for job in by_priority if job.job_id not in ordered_ids)
-        return PassPlan(ordered, plans)
+        if plans:
+            self._note_contention(plans, now_s)
+        planned = [job for found in plans.values() for job in found.jobs]
+        planned_ids = {job.job_id for job in planned}
+        others = [job for job in jobs if job.job_id not in planned_ids]
+        others.sort(key=lambda job: priority_key(job, now_s))
+        return PassPlan(planned + others, plans)
 
     def _note_contention(self, plans, now_s):
         self._counts["contended_passes"] += 1
@@ -127,8 +127,9 @@
 def _find_supply(jobs, now_s, count_free, expected_ends):
     """Return the openings for jobs of one service; None if all fit now, or no slot is known."""
     wanted = sum(job.next_wave() for job in jobs)
-    by_demand = sorted((job.waiting[0] for job in jobs), key=lambda task: task.demand.cpu)
-    free = count_free(by_demand[len(by_demand) // 2], wanted)
+    sample = [job.waiting[0] for job in jobs[:: 1 + len(jobs) // DEMAND_SAMPLES]]
+    sample.sort(key=lambda task: task.demand.cpu)
+    free = count_free(sample[len(sample) // 2], wanted)
     if free >= wanted:
         return None
     ends_s = list(expected_ends())
--- a/burdocklug/pools/contention/_plan.py
+++ b/burdocklug/pools/contention/_plan.py
@@ -83,43 +83,51 @@
     preferred = frozenset(
         job.job_id for job in jobs if underserved and not underserved.isdisjoint(job.account_keys)
     )
-    timely = sorted(
-        ((start_s, n) for n, job in enumerate(jobs) if (start_s := latest_start_s(job)) >= now_s)
-    )
-    displaced, taken = _displace(jobs, timely, supply, preferred)
-    if not displaced:
+    start_by_s = [latest_start_s(job) for job in jobs]
+    timely = sorted((start_s, n) for n, start_s in enumerate(start_by_s) if start_s >= now_s)
+    displaced_by, taken = _displace(jobs, timely, supply, preferred)
+    if not displaced_by:
         return Plan(sorted(jobs, key=lambda job: priority_key(job, now_s)))
-    taken_jobs = [jobs[n] for _, n in timely if jobs[n].job_id not in displaced]
-    taken_ids = {job.job_id for job in taken_jobs}
+    taken_numbers = [n for _, n in timely if n not in displaced_by]
     others = sorted(
-        (job for job in jobs if job.job_id not in taken_ids),
+        (jobs[n] for n in set(range(len(jobs))).difference(taken_numbers)),
         key=lambda job: (job.job_id not in preferred, priority_key(job, now_s)),
     )
     return Plan(
-        [*taken_jobs, *others],
-        displaced,
+        [*(jobs[n] for n in taken_numbers), *others],
+        {jobs[n].job_id: jobs[other].job_id for n, other in displaced_by.items()},
         preferred,
         supply,
         taken=taken,
-        taken_jobs=len(taken_jobs),
+        taken_jobs=len(taken_numbers),
         asked_tasks_per_s=accounts.asked_tasks_per_s(now_s),
     )
 
 
 def _displace(jobs, timely, supply, preferred):
-    """Return the displaced jobs, with the job that each gives way to, and the tasks that stay."""
-    displaced, candidates, taken = {}, [], 0
+    """Return the displaced jobs, with the job that each gives way to, and the tasks that stay.
+
+    Jobs are named by their numbers; `timely` has their latest starts and numbers, in this order.
+    """
+    displaced_by, candidates, new, taken, openings = {}, [], [], 0, 0.0
     for start_by_s, n in timely:
         job = jobs[n]
         taken += job.next_wave()
         if not job.started:
-            heapq.heappush(candidates, (*_displacement_key(job, preferred), n))
+            new.append(n)
+        if taken <= openings:  # those up to an earlier time suffice
+            continue
         openings = supply.openings(start_by_s)
+        if taken <= openings:
+            continue
+        for number in new:
+            heapq.heappush(candidates, (*_displacement_key(jobs[number], preferred), number))
+        new.clear()
         while taken > openings and candidates:
-            other = jobs[heapq.heappop(candidates)[-1]]
-            taken -= other.next_wave()
-            displaced[other.job_id] = job.job_id
-    return displaced, taken
+            other = heapq.heappop(candidates)[-1]
+            taken -= jobs[other].next_wave()
+            displaced_by[other] = n
+    return displaced_by, taken
 
 
 def _displacement_key(job, preferred):
--- a/burdocklug/pools/contention/_supply.py
+++ b/burdocklug/pools/contention/_supply.py
@@ -27,8 +27,8 @@
     Examples
     --------
     >>> supply = Supply(10.0, 2, [10.1, 10.3], mean_run_s=0.4)
-    >>> supply.openings(10.0), supply.openings(10.1), supply.openings(10.3)
-    (2.0, 3.0, 4.5)
+    >>> [round(supply.openings(until_s), 2) for until_s in (10.0, 10.1, 10.3)]
+    [2.0, 3.0, 4.5]
     """
 
     def __init__(self, now_s, free, ends_s, *, mean_run_s):
@@ -43,4 +43,4 @@
         repeat_until_s = until_s - self._mean_run_s / 2
         again = bisect_right(self._opens_s, repeat_until_s)
         spare_s = again * repeat_until_s - self._sums_s[again]
-        return first + round(spare_s / self._mean_run_s, 6)
+        return first + spare_s / self._mean_run_s
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -155,12 +155,12 @@
         deadline_s = submission.received_s + submission.wait_s + REPLY_MARGIN_S
         while True:
             claim = self._wait_for_scheduler(submission, deadline_s)
-            self._check_in_time(submission)
             self._admit(submission)
             sequence = self._election.reply_sequence
             reply = self._call(claim.scheduler, submission, deadline_s)
             if reply is None:
                 self._check_open(submission)
+                self._check_in_time(submission)
                 continue
             if reply.outcome is JobOutcome.EXPIRED:
                 raise BurdocklugError(
