Contention: plan by priority, with a margin for rough estimates, and started jobs first

Change: priority, then latest start less a margin; openings that more urgent jobs will take are not counted; started jobs get room first. Tests: tests/pools.

--- a/burdocklug/pools/contention/_accounts.py
+++ b/burdocklug/pools/contention/_accounts.py
@@ -67,7 +67,7 @@
     def __init__(self):
         self._counts = {}
         self._sizes = SizeTenths()
-        self._asked_tasks_per_s = 0.0
+        self._asked_load = {}  # task-seconds a second, by priority
         self._rate_updated_s = 0.0
 
     def note_asked(self, job, now_s):
@@ -83,7 +83,9 @@
         for counts in self._counts_of(job, now_s):
             counts.asked += 1.0
         self._decay_rate(now_s)
-        self._asked_tasks_per_s += len(job.tasks) / RATE_WINDOW_S
+        priority = job.spec.queue.priority
+        load = sum(task.estimate_s for task in job.tasks) / RATE_WINDOW_S
+        self._asked_load[priority] = self._asked_load.get(priority, 0.0) + load
 
     def note_served(self, job, now_s):
         """Count a job as served, once."""
@@ -101,10 +103,10 @@
                 counts.served = max(0.0, counts.served - 1.0)
         job.is_counted_served = False
 
-    def asked_tasks_per_s(self, now_s):
-        """Return the rate at which tasks were asked for lately, refused ones included."""
+    def asked_load(self, now_s):
+        """Return the slots that the jobs asked for lately need, by priority."""
         self._decay_rate(now_s)
-        return self._asked_tasks_per_s
+        return dict(self._asked_load)
 
     def is_idle(self, now_s):
         """Return whether no job was refused lately."""
@@ -169,7 +171,9 @@
 
     def _decay_rate(self, now_s):
         passed_s = max(0.0, now_s - self._rate_updated_s)
-        self._asked_tasks_per_s *= math.exp(-passed_s / RATE_WINDOW_S)
+        factor = math.exp(-passed_s / RATE_WINDOW_S)
+        for priority in self._asked_load:
+            self._asked_load[priority] *= factor
         self._rate_updated_s = now_s
 
 
--- a/burdocklug/pools/contention/_contention.py
+++ b/burdocklug/pools/contention/_contention.py
@@ -36,9 +36,14 @@
     by_service: dict = field(default_factory=dict)
 
     def of(self, job):
-        """Return the plan that a job competes under, or None if its service has no contention."""
+        """Return the plan under which a job competes, or None if its service has no contention."""
         return self.by_service.get(job.spec.queue.service)
 
+    def goes_first(self, job):
+        """Return whether a job that has started gets room before jobs that are still in time."""
+        plan = self.of(job)
+        return plan is not None and job.started and job.job_id in plan.first
+
 
 class Contention:
     """Accounts, booked returns and recent refusals of one scheduler.
@@ -112,7 +117,7 @@
                 waiting=len(found.jobs),
                 displaced=len(found.displaced),
                 preferred=len(found.preferred),
-                asked_tasks_per_s=round(found.asked_tasks_per_s),
+                asked_load=round(sum(found.asked_load.values())),
             )
 
     def dump(self, now_s):
--- a/burdocklug/pools/contention/_plan.py
+++ b/burdocklug/pools/contention/_plan.py
@@ -1,18 +1,25 @@
 """Selection of the waiting jobs that are served when not all can be in time.
 
-Jobs are taken in the order of their latest start; when the tasks taken so far exceed the openings
-up to a latest start, the job that needs the most slot time is put back, among those of the lowest
-priority (Moore 1968, with the openings of many slots in place of one machine). That serves the most
-callers. Jobs of underserved classes and jobs that have started are put back last or never.
+Jobs are taken by the operators' priority, and within one by their latest start. When the tasks
+taken so far exceed the openings up to a latest start, the job that needs the most slot time is put
+back, among those of the same priority (Moore 1968, with the openings of many slots in place of one
+machine). That serves the most callers. Jobs that have started are taken first, since giving them up
+wastes their runs, and with them those of underserved classes.
 """
 
 import heapq
+import math
 from dataclasses import dataclass, field
 
 from burdocklug.pools.contention._lateness import latest_start_s, latest_useful_end_s, priority_key
 
 __all__ = ["Plan", "order", "plan"]
 
+# Part of a job's estimated time by which it is planned to start before its latest start; estimates
+# are rough, and a job that starts at the last moment often ends late.
+START_MARGIN = 0.3
+FIRST = -math.inf  # rank before every priority
+
 
 @dataclass(slots=True)
 class Plan:
@@ -26,12 +33,16 @@
         By id of each job that gives way, the id of the job for which it does.
     preferred : frozenset of str
         Ids of the jobs that belong to an underserved class.
+    first : frozenset of str
+        Ids of the started jobs that are still useful to their callers.
     supply : Supply or None
         The openings for all these jobs; None if all can be in time.
-    taken_jobs, taken : int
-        Number of the jobs that can be in time together, which come first, and of their tasks.
-    asked_tasks_per_s : float
-        Rate at which further tasks are expected.
+    taken_jobs : int
+        Number of the jobs that can be in time together, which come first.
+    taken_by_rank : dict
+        Number of their tasks up to each rank, in ascending order.
+    asked_load : dict
+        Slots that further jobs are expected to need, by priority.
     served_by_queue : dict or None
         Number of these jobs by queue, once it has been asked for.
     """
@@ -39,10 +50,11 @@
     jobs: list
     displaced: dict = field(default_factory=dict)
     preferred: frozenset = frozenset()
+    first: frozenset = frozenset()
     supply: object = None
-    taken: int = 0
     taken_jobs: int = 0
-    asked_tasks_per_s: float = 0.0
+    taken_by_rank: dict = field(default_factory=dict)
+    asked_load: dict = field(default_factory=dict)
     served_by_queue: dict | None = None
 
     @property
@@ -53,13 +65,18 @@
     def is_crowded_out(self, job, now_s):
         """Return whether other jobs need the room up to the latest useful start of a job.
 
-        These are the jobs that can be in time and those that are expected until then.
+        These are the jobs that can be in time and those that are expected until then; for a job
+        that could be in time itself, only those that are not less urgent.
         """
         if not self.is_contended or job.job_id in self.preferred:
             return False
+        priority = job.spec.queue.priority
+        lowest = priority if latest_start_s(job) >= now_s else math.inf
+        taken = max((n for rank, n in self.taken_by_rank.items() if rank <= lowest), default=0)
+        load = sum(slots for rank, slots in self.asked_load.items() if rank <= lowest)
         start_by_s = latest_useful_end_s(job) - job.remaining_s()
-        expected = self.asked_tasks_per_s * max(0.0, start_by_s - now_s)
-        return self.supply.openings(start_by_s) < self.taken + expected + job.next_wave()
+        expected = self.supply.needed_for(load * max(0.0, start_by_s - now_s))
+        return self.supply.openings(start_by_s) < taken + expected + job.next_wave()
 
 
 def plan(jobs, now_s, accounts, supply):
@@ -83,12 +100,12 @@
     preferred = frozenset(
         job.job_id for job in jobs if underserved and not underserved.isdisjoint(job.account_keys)
     )
-    start_by_s = [latest_start_s(job) for job in jobs]
-    timely = sorted((start_s, n) for n, start_s in enumerate(start_by_s) if start_s >= now_s)
-    displaced_by, taken = _displace(jobs, timely, supply, preferred)
+    load = accounts.asked_load(now_s)
+    ranked = _rank_timely(jobs, now_s, preferred)
+    displaced_by, taken_by_rank = _displace(jobs, ranked, now_s, supply, load)
     if not displaced_by:
         return Plan(sorted(jobs, key=lambda job: priority_key(job, now_s)))
-    taken_numbers = [n for _, n in timely if n not in displaced_by]
+    taken_numbers = [n for *_, n in ranked if n not in displaced_by]
     others = sorted(
         (jobs[n] for n in set(range(len(jobs))).difference(taken_numbers)),
         key=lambda job: (job.job_id not in preferred, priority_key(job, now_s)),
@@ -97,44 +114,54 @@
         [*(jobs[n] for n in taken_numbers), *others],
         {jobs[n].job_id: jobs[other].job_id for n, other in displaced_by.items()},
         preferred,
+        frozenset(jobs[n].job_id for rank, _, n in ranked if rank == FIRST and jobs[n].started),
         supply,
-        taken=taken,
         taken_jobs=len(taken_numbers),
-        asked_tasks_per_s=accounts.asked_tasks_per_s(now_s),
+        taken_by_rank=taken_by_rank,
+        asked_load=load,
     )
 
 
-def _displace(jobs, timely, supply, preferred):
-    """Return the displaced jobs, with the job that each gives way to, and the tasks that stay.
+def _rank_timely(jobs, now_s, preferred):
+    """Return rank, latest start and number of the jobs that may be in time, sorted."""
+    ranked = []
+    for n, job in enumerate(jobs):
+        start_by_s = latest_start_s(job)
+        if job.started and now_s < latest_useful_end_s(job):
+            ranked.append((FIRST, start_by_s, n))
+        elif start_by_s >= now_s:
+            rank = FIRST if job.job_id in preferred else job.spec.queue.priority
+            ranked.append((rank, start_by_s, n))
+    ranked.sort()
+    return ranked
+
+
+def _displace(jobs, ranked, now_s, supply, load):
+    """Return the displaced jobs with those that they give way to, and the tasks up to each rank.
 
-    Jobs are named by their numbers; `timely` has their latest starts and numbers, in this order.
+    Jobs are named by their numbers. Openings that jobs of a higher priority are expected to take
+    until the latest start of a job are not counted for it.
     """
-    displaced_by, candidates, new, taken, openings = {}, [], [], 0, 0.0
-    for start_by_s, n in timely:
+    displaced_by, candidates, taken_by_rank = {}, [], {}
+    taken, rank, load_above = 0, None, 0.0
+    for job_rank, start_by_s, n in ranked:
         job = jobs[n]
+        if job_rank != rank:
+            rank, candidates = job_rank, []
+            load_above = sum(slots for priority, slots in load.items() if priority < rank)
         taken += job.next_wave()
         if not job.started:
-            new.append(n)
-        if taken <= openings:  # those up to an earlier time suffice
-            continue
-        openings = supply.openings(start_by_s)
-        if taken <= openings:
-            continue
-        for number in new:
-            heapq.heappush(candidates, (*_displacement_key(jobs[number], preferred), number))
-        new.clear()
+            task_s = len(job.waiting) * job.waiting[0].estimate_s
+            heapq.heappush(candidates, (job.has_returned, -task_s, n))
+        start_by_s = max(now_s, start_by_s - START_MARGIN * job.remaining_s())
+        expected = supply.needed_for(load_above * (start_by_s - now_s)) if load_above else 0.0
+        openings = supply.openings(start_by_s) - expected
         while taken > openings and candidates:
             other = heapq.heappop(candidates)[-1]
             taken -= jobs[other].next_wave()
             displaced_by[other] = n
-    return displaced_by, taken
-
-
-def _displacement_key(job, preferred):
-    """Return the sort key of a job that may give way; the lowest gives way first."""
-    task_s = len(job.waiting) * job.waiting[0].estimate_s
-    is_preferred = job.job_id in preferred
-    return is_preferred, job.has_returned, -job.spec.queue.priority, -task_s
+        taken_by_rank[rank] = taken
+    return displaced_by, taken_by_rank
 
 
 def order(jobs, now_s, accounts, supply=None):
--- a/burdocklug/pools/contention/_supply.py
+++ b/burdocklug/pools/contention/_supply.py
@@ -36,6 +36,10 @@
         self._opens_s = [now_s] * free + sorted(max(end_s, now_s) for end_s in ends_s)
         self._sums_s = [0.0, *accumulate(self._opens_s)]
 
+    def needed_for(self, task_s):
+        """Return the openings that runs of a total length need."""
+        return task_s / self._mean_run_s
+
     def openings(self, until_s):
         """Return how many tasks can start in the slots up to a time."""
         first = bisect_right(self._opens_s, until_s)
--- a/burdocklug/pools/scheduling/_starts.py
+++ b/burdocklug/pools/scheduling/_starts.py
@@ -153,7 +153,10 @@
                 yield Refuse(job, "held_too_long")
         elif job.waiting:
             endpoints = view.endpoints_in_time(job, job.due_s)
-            if _can_start_in_time(job, endpoints, view):
+            if plan.goes_first(job):
+                useful_end_s = latest_useful_end_s(job)
+                yield from _start_tasks(job, view.endpoints_in_time(job, useful_end_s), view)
+            elif _can_start_in_time(job, endpoints, view):
                 yield from _start_tasks(job, endpoints, view)
             else:
                 late_jobs.append(job)
