Contention: plan only when not all waiting jobs can be in time, and for a moment after

Cause: a margin for rough estimates made passes of a calm pool count as contended. Change: all waiting jobs are checked without a margin first; displaced jobs keep their priority.

--- a/burdocklug/pools/contention/_contention.py
+++ b/burdocklug/pools/contention/_contention.py
@@ -7,7 +7,7 @@
 
 from burdocklug.pools.contention._accounts import Accounts
 from burdocklug.pools.contention._lateness import priority_key
-from burdocklug.pools.contention._plan import plan
+from burdocklug.pools.contention._plan import can_all_be_in_time, plan
 from burdocklug.pools.contention._refusals import RecentRefusals
 from burdocklug.pools.contention._returns import Returns
 from burdocklug.pools.contention._supply import Supply
@@ -15,6 +15,9 @@
 __all__ = ["Contention", "PassPlan"]
 
 CONTENTION_LOG_S = 1.0  # minimum time between log lines on contention
+# Time for which jobs are planned after they could not all be in time. A plan keeps the queue so
+# short that they could the next moment, though the load has not changed.
+CONTENTION_HOLD_S = 0.3
 DEMAND_SAMPLES = 20  # tasks of which the median demand stands for all waiting ones
 
 log = structlog.get_logger(__name__)
@@ -59,6 +62,7 @@
         self.returns = Returns()
         self.refusals = RecentRefusals()
         self._counts = counts
+        self._contended_until_s = {}
         self._logged_s = float("-inf")
 
     def note_asked(self, job, now_s):
@@ -94,8 +98,10 @@
         plans = {}
         for service, group in groups.items():
             supply = _find_supply(group, now_s, count_free, partial(expected_ends, service))
-            found = plan(group, now_s, self.accounts, supply) if supply is not None else None
-            if found is not None and found.is_contended:
+            if supply is None or not self._is_contended(service, group, now_s, supply):
+                continue
+            found = plan(group, now_s, self.accounts, supply)
+            if found.is_contended:
                 plans[service] = found
         if plans:
             self._note_contention(plans, now_s)
@@ -105,6 +111,15 @@
         others.sort(key=lambda job: priority_key(job, now_s))
         return PassPlan(planned + others, plans)
 
+    def _is_contended(self, service, jobs, now_s, supply):
+        """Return whether not all jobs of a service can be in time, now or a moment ago."""
+        if now_s <= self._contended_until_s.get(service, now_s - 1.0):
+            return True
+        if can_all_be_in_time(jobs, now_s, supply):
+            return False
+        self._contended_until_s[service] = now_s + CONTENTION_HOLD_S
+        return True
+
     def _note_contention(self, plans, now_s):
         self._counts["contended_passes"] += 1
         if now_s < self._logged_s + CONTENTION_LOG_S:
--- a/burdocklug/pools/contention/_plan.py
+++ b/burdocklug/pools/contention/_plan.py
@@ -13,7 +13,7 @@
 
 from burdocklug.pools.contention._lateness import latest_start_s, latest_useful_end_s, priority_key
 
-__all__ = ["Plan", "order", "plan"]
+__all__ = ["Plan", "can_all_be_in_time", "order", "plan"]
 
 # Part of a job's estimated time by which it is planned to start before its latest start; estimates
 # are rough, and a job that starts at the last moment often ends late.
@@ -105,23 +105,34 @@
     displaced_by, taken_by_rank = _displace(jobs, ranked, now_s, supply, load)
     if not displaced_by:
         return Plan(sorted(jobs, key=lambda job: priority_key(job, now_s)))
-    taken_numbers = [n for *_, n in ranked if n not in displaced_by]
-    others = sorted(
-        (jobs[n] for n in set(range(len(jobs))).difference(taken_numbers)),
+    timely = sorted((rank, n in displaced_by, start_s, n) for rank, start_s, n in ranked)
+    late = sorted(
+        (jobs[n] for n in set(range(len(jobs))).difference(n for *_, n in ranked)),
         key=lambda job: (job.job_id not in preferred, priority_key(job, now_s)),
     )
     return Plan(
-        [*(jobs[n] for n in taken_numbers), *others],
+        [*(jobs[n] for *_, n in timely), *late],
         {jobs[n].job_id: jobs[other].job_id for n, other in displaced_by.items()},
         preferred,
         frozenset(jobs[n].job_id for rank, _, n in ranked if rank == FIRST and jobs[n].started),
         supply,
-        taken_jobs=len(taken_numbers),
+        taken_jobs=len(ranked) - len(displaced_by),
         taken_by_rank=taken_by_rank,
         asked_load=load,
     )
 
 
+def can_all_be_in_time(jobs, now_s, supply):
+    """Return whether the openings suffice for all waiting jobs that are not late yet."""
+    taken = 0
+    timely = ((latest_start_s(job), job.next_wave()) for job in jobs)
+    for start_by_s, tasks in sorted(row for row in timely if row[0] >= now_s):
+        taken += tasks
+        if taken > supply.openings(start_by_s):
+            return False
+    return True
+
+
 def _rank_timely(jobs, now_s, preferred):
     """Return rank, latest start and number of the jobs that may be in time, sorted."""
     ranked = []
--- a/burdocklug/pools/submitting/_congestion.py
+++ b/burdocklug/pools/submitting/_congestion.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from burdocklug.pools._retry_after import bounded_retry_s
+from burdocklug.pools._retry_after import MIN_RETRY_S, bounded_retry_s
 
 __all__ = ["CongestionControl"]
 
@@ -28,6 +28,7 @@
 BURST_S = 0.5  # size of the token bucket beyond one job, in seconds at the limit
 # Tokens that a job may overdraw for each configured priority that is less urgent than its own.
 OVERDRAFT_PER_PRIORITY = 2.0
+SPREAD_STEP = 0.618  # golden ratio, whose multiples are spread evenly over an interval
 
 log = structlog.get_logger(__name__)
 
@@ -66,6 +67,7 @@
         self._offered_jobs = 0
         self._tokens = 0.0
         self._refilled_s = self._now()
+        self._spread = 0.0  # place of the last refused job in the interval of returns, 0 to 1
 
     def note_sent(self, sequence):
         """Record that a heartbeat was sent to the scheduler."""
@@ -146,6 +148,12 @@
         return True
 
     def retry_after_s(self):
-        """Return the delay before a refused job may be retried; it grows with the excess load."""
+        """Return the delay before a refused job may be retried.
+
+        It grows with the excess load, and is spread so that callers that are refused together do
+        not return together.
+        """
         excess = self._offered_rate / self._limit_per_s if self._limit_per_s else 1.0
-        return bounded_retry_s(excess)
+        longest_s = max(bounded_retry_s(excess), 2.0 * MIN_RETRY_S)
+        self._spread = (self._spread + SPREAD_STEP) % 1.0
+        return longest_s - self._spread * (longest_s - max(MIN_RETRY_S, longest_s / 2))
--- a/tests/pools/submitting/test_submitter.py
+++ b/tests/pools/submitting/test_submitter.py
@@ -2,14 +2,14 @@
 
 import eventlet
 from testtools import TestCase
-from testtools.matchers import Equals
+from testtools.matchers import Equals, LessThan
 
 from burdocklug.kernel import BurdocklugError, ErrorKind, Ran, TimerService
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._messages import Claim, JobProgress, SubmitReply
 from burdocklug.pools._models import JobOutcome
 from burdocklug.pools.submitting._submitter import Submitter
-from tests.pools.builders import spec
+from tests.pools.builders import spec, step
 
 COMPLETED = SubmitReply(JobOutcome.COMPLETED)
 
@@ -141,6 +141,39 @@
         self.assertThat(thread.wait(), Equals(JobOutcome.COMPLETED))
         self.assertThat([scheduler for scheduler, _m in self.sent], Equals(["first", "second"]))
 
+    def test_job_that_can_not_be_in_time_any_more_is_refused_without_a_further_wait(self):
+        """The scheduler lets it be submitted again until half of its run time is left."""
+
+        def reject(scheduler, message, *, timeout_s):
+            self.sent.append((scheduler, message))
+            return SubmitReply(resubmit=True)
+
+        self.call = reject
+        exc = self.assertRaises(
+            BurdocklugError,
+            self.submitter.submit,
+            spec("j1", step(1, estimate_s=0.5)),
+            wait_s=0.35,
+        )
+        self.assertThat((exc.kind, exc.ran), Equals((ErrorKind.WOULD_MISS_DEADLINE, Ran.NO)))
+        self.assertThat(max(message.age_s for _, message in self.sent), LessThan(0.15))
+
+    def test_job_that_waits_for_a_later_reply_is_refused_when_it_can_not_be_in_time(self):
+        self.election._replies = itertools.repeat(7)
+        self.answers = [SubmitReply(resubmit=True)]
+        exc = self.assertRaises(
+            BurdocklugError,
+            self.submitter.submit,
+            spec("j1", step(1, estimate_s=0.5)),
+            wait_s=0.3,
+        )
+        self.assertThat((exc.kind, exc.ran), Equals((ErrorKind.WOULD_MISS_DEADLINE, Ran.NO)))
+
+    def test_job_that_may_have_started_is_not_judged_by_its_remaining_time(self):
+        self.answers = [PeerOutcomeUnknown("first", "timeout"), COMPLETED]
+        job = spec("j1", step(1, estimate_s=30.0))
+        self.assertThat(self.submitter.submit(job, wait_s=1.0), Equals(JobOutcome.COMPLETED))
+
     def test_job_is_refused_before_it_is_sent_to_a_congested_scheduler(self):
         self.election.congestion.min_urgency = 2
         exc = self.refusal()
