--- a/burdocklug/pools/contention/_accounts.py
+++ b/burdocklug/pools/contention/_accounts.py
@@ -132,15 +132,21 @@
             and counts.share < PREFERENCE_RATIO * self._reference_share(key)
         )
 
-    def shares(self, now_s, *, below=math.inf):
+    def shares(self, now_s, *, has_sizes=True):
         """Return the shares served of the classes with enough settled jobs, by class name.
 
-        Classes of which a share of at least `below` was served are left out.
+        Parameters
+        ----------
+        now_s : float
+            The current time.
+        has_sizes : bool, optional
+            Whether to include the sizes of the queues.
         """
         shares = {}
         for key, counts in sorted(self._counts.items()):
             counts.decay(now_s)
-            if counts.settled >= MIN_SETTLED and counts.share < below:
+            is_listed = has_sizes or key[0] != "size"
+            if is_listed and counts.settled >= MIN_SETTLED:
                 shares["/".join(key)] = round(counts.share, 2)
         return shares
 
--- a/burdocklug/pools/contention/_contention.py
+++ b/burdocklug/pools/contention/_contention.py
@@ -18,6 +18,9 @@
 # Time for which jobs are planned after they could not all be in time. A plan keeps the queue so
 # short that they could the next moment, though the load has not changed.
 CONTENTION_HOLD_S = 0.3
+# Time for which the openings are not counted again while jobs are planned; that is most of a plan's
+# cost, and starts are subtracted meanwhile.
+SUPPLY_LIFETIME_S = 0.02
 DEMAND_SAMPLES = 20  # tasks of which the median demand stands for all waiting ones
 
 log = structlog.get_logger(__name__)
@@ -63,6 +66,7 @@
         self.refusals = RecentRefusals()
         self._counts = counts
         self._contended_until_s = {}
+        self._supplies = {}
         self._logged_s = float("-inf")
 
     def note_asked(self, job, now_s):
@@ -71,6 +75,13 @@
         self._counts["jobs_returned"] += job.has_returned
         self.accounts.note_asked(job, now_s)
 
+    def note_start(self, task, now_s):
+        """Count the start of a task."""
+        self.accounts.note_served(task.job, now_s)
+        supply = self._supplies.get(task.job.spec.queue.service)
+        if supply is not None:
+            supply.note_start()
+
     def note_refused(self, job, reason, now_s, *, plan=None):
         """Count and record a refused or hopeless job, and return its record."""
         self.accounts.note_refused(job, now_s)
@@ -97,7 +108,10 @@
                 groups.setdefault(job.spec.queue.service, []).append(job)
         plans = {}
         for service, group in groups.items():
-            supply = _find_supply(group, now_s, count_free, partial(expected_ends, service))
+            supply = self._supplies.get(service)
+            if not self._is_supply_usable(service, supply, now_s):
+                supply = _find_supply(group, now_s, count_free, partial(expected_ends, service))
+                self._supplies[service] = supply
             if supply is None or not self._is_contended(service, group, now_s, supply):
                 continue
             found = plan(group, now_s, self.accounts, supply)
@@ -111,6 +125,10 @@
         others.sort(key=lambda job: priority_key(job, now_s))
         return PassPlan(planned + others, plans)
 
+    def _is_supply_usable(self, service, supply, now_s):
+        is_planning = now_s <= self._contended_until_s.get(service, now_s - 1.0)
+        return supply is not None and is_planning and now_s - supply.built_s < SUPPLY_LIFETIME_S
+
     def _is_contended(self, service, jobs, now_s, supply):
         """Return whether not all jobs of a service can be in time, now or a moment ago."""
         if now_s <= self._contended_until_s.get(service, now_s - 1.0):
--- a/burdocklug/pools/contention/_plan.py
+++ b/burdocklug/pools/contention/_plan.py
@@ -37,6 +37,8 @@
         Ids of the started jobs that are still useful to their callers.
     supply : Supply or None
         The openings for all these jobs; None if all can be in time.
+    started : int
+        Number of starts that its openings do not include any more.
     taken_jobs : int
         Number of the jobs that can be in time together, which come first.
     taken_by_rank : dict
@@ -52,6 +54,7 @@
     preferred: frozenset = frozenset()
     first: frozenset = frozenset()
     supply: object = None
+    started: int = 0
     taken_jobs: int = 0
     taken_by_rank: dict = field(default_factory=dict)
     asked_load: dict = field(default_factory=dict)
@@ -76,7 +79,8 @@
         load = sum(slots for rank, slots in self.asked_load.items() if rank <= lowest)
         start_by_s = latest_useful_end_s(job) - job.remaining_s()
         expected = self.supply.needed_for(load * max(0.0, start_by_s - now_s))
-        return self.supply.openings(start_by_s) < taken + expected + job.next_wave()
+        openings = self.supply.openings(start_by_s) + self.supply.started - self.started
+        return openings < taken + expected + job.next_wave()
 
 
 def plan(jobs, now_s, accounts, supply):
@@ -116,6 +120,7 @@
         preferred,
         frozenset(jobs[n].job_id for rank, _, n in ranked if rank == FIRST and jobs[n].started),
         supply,
+        started=supply.started,
         taken_jobs=len(ranked) - len(displaced_by),
         taken_by_rank=taken_by_rank,
         asked_load=load,
--- a/burdocklug/pools/contention/_supply.py
+++ b/burdocklug/pools/contention/_supply.py
@@ -29,13 +29,29 @@
     >>> supply = Supply(10.0, 2, [10.1, 10.3], mean_run_s=0.4)
     >>> [round(supply.openings(until_s), 2) for until_s in (10.0, 10.1, 10.3)]
     [2.0, 3.0, 4.5]
+    >>> supply.note_start()
+    >>> round(supply.openings(10.1), 2)
+    2.0
+
+    Attributes
+    ----------
+    built_s : float
+        The time for which it was built.
+    started : int
+        Number of tasks that have started since.
     """
 
     def __init__(self, now_s, free, ends_s, *, mean_run_s):
+        self.built_s = now_s
+        self.started = 0
         self._mean_run_s = max(mean_run_s, MIN_RUN_S)
         self._opens_s = [now_s] * free + sorted(max(end_s, now_s) for end_s in ends_s)
         self._sums_s = [0.0, *accumulate(self._opens_s)]
 
+    def note_start(self):
+        """Count a task that has started since, and took an opening."""
+        self.started += 1
+
     def needed_for(self, task_s):
         """Return the openings that runs of a total length need."""
         return task_s / self._mean_run_s
@@ -47,4 +63,4 @@
         repeat_until_s = until_s - self._mean_run_s / 2
         again = bisect_right(self._opens_s, repeat_until_s)
         spare_s = again * repeat_until_s - self._sums_s[again]
-        return first + spare_s / self._mean_run_s
+        return first + spare_s / self._mean_run_s - self.started
--- a/burdocklug/pools/scheduling/_load.py
+++ b/burdocklug/pools/scheduling/_load.py
@@ -26,7 +26,7 @@
         "slowness": round(
             sum(endpoint.slowness for endpoint in endpoints) / max(1, len(endpoints)), 2
         ),
-        "shares_served": scheduler.contention.accounts.shares(now_s, below=1.0),
+        "shares_served": scheduler.contention.accounts.shares(now_s, has_sizes=False),
     }
 
 
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -131,11 +131,8 @@
                     yield task, endpoint
 
     def _forecast(self, now):
-        runs = (
-            (task, endpoint)
-            for endpoint in self.endpoints.values()
-            for task in endpoint.runs.values()
-        )
+        endpoints = self.endpoints.values()
+        runs = ((task, endpoint) for endpoint in endpoints for task in endpoint.runs.values())
         return CapacityForecast(now, expected_ends(runs, now, self.expected_run_s))
 
     def expected_run_s(self, task, endpoint):
@@ -162,7 +159,7 @@
         task.started_s = now
         task.projected_run_s = None
         task.job.started = True
-        self.contention.accounts.note_served(task.job, now)
+        self.contention.note_start(task, now)
         endpoint.add(task)
         self.counts["starts"] += 1
         self._orders.start(task, endpoint)
