--- a/burdocklug/pools/contention/_contention.py
+++ b/burdocklug/pools/contention/_contention.py
@@ -173,5 +173,4 @@
     ends_s = list(expected_ends())
     if not free and not ends_s:
         return None  # no endpoint is known to take tasks now, which says nothing of those to come
-    task_s = sum(job.next_wave() * job.waiting[0].estimate_s for job in jobs)
-    return Supply(now_s, free, ends_s, mean_run_s=task_s / wanted)
+    return Supply(now_s, free, ends_s)
--- a/burdocklug/pools/contention/_plan.py
+++ b/burdocklug/pools/contention/_plan.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from burdocklug.pools.contention._lateness import latest_start_s, latest_useful_end_s, priority_key
+from burdocklug.pools.contention._supply import MIN_RUN_S
 
 __all__ = ["Plan", "can_all_be_in_time", "order", "plan"]
 
@@ -21,6 +22,14 @@
 FIRST = -math.inf  # rank before every priority
 
 
+@dataclass(frozen=True, slots=True)
+class RankNeed:
+    """The tasks up to a rank that can be in time, and the mean run time of all tasks up to it."""
+
+    taken: int
+    mean_run_s: float
+
+
 @dataclass(slots=True)
 class Plan:
     """The jobs that can be in time together, and those that must give way.
@@ -41,8 +50,8 @@
         Number of starts that its openings do not include any more.
     taken_jobs : int
         Number of the jobs that can be in time together, which come first.
-    taken_by_rank : dict
-        Number of their tasks up to each rank, in ascending order.
+    by_rank : dict
+        What jobs up to each rank need, as `RankNeed`, in ascending order.
     asked_load : dict
         Slots that further jobs are expected to need, by priority.
     served_by_queue : dict or None
@@ -56,7 +65,7 @@
     supply: object = None
     started: int = 0
     taken_jobs: int = 0
-    taken_by_rank: dict = field(default_factory=dict)
+    by_rank: dict = field(default_factory=dict)
     asked_load: dict = field(default_factory=dict)
     served_by_queue: dict | None = None
 
@@ -75,12 +84,14 @@
             return False
         priority = job.spec.queue.priority
         lowest = priority if latest_start_s(job) >= now_s else math.inf
-        taken = max((n for rank, n in self.taken_by_rank.items() if rank <= lowest), default=0)
+        needs = [need for rank, need in self.by_rank.items() if rank <= lowest]
+        need = needs[-1] if needs else RankNeed(0, job.waiting[0].estimate_s)
         load = sum(slots for rank, slots in self.asked_load.items() if rank <= lowest)
         start_by_s = latest_useful_end_s(job) - job.remaining_s()
-        expected = self.supply.needed_for(load * max(0.0, start_by_s - now_s))
-        openings = self.supply.openings(start_by_s) + self.supply.started - self.started
-        return openings < taken + expected + job.next_wave()
+        expected = load * max(0.0, start_by_s - now_s) / need.mean_run_s
+        openings = self.supply.openings(start_by_s, mean_run_s=need.mean_run_s)
+        openings += self.supply.started - self.started
+        return openings < need.taken + expected + job.next_wave()
 
 
 def plan(jobs, now_s, accounts, supply):
@@ -106,7 +117,7 @@
     )
     load = accounts.asked_load(now_s)
     ranked = _rank_timely(jobs, now_s, preferred)
-    displaced_by, taken_by_rank = _displace(jobs, ranked, now_s, supply, load)
+    displaced_by, by_rank = _displace(jobs, ranked, now_s, supply, load)
     if not displaced_by:
         return Plan(sorted(jobs, key=lambda job: priority_key(job, now_s)))
     timely = sorted((rank, n in displaced_by, start_s, n) for rank, start_s, n in ranked)
@@ -122,7 +133,7 @@
         supply,
         started=supply.started,
         taken_jobs=len(ranked) - len(displaced_by),
-        taken_by_rank=taken_by_rank,
+        by_rank=by_rank,
         asked_load=load,
     )
 
@@ -130,10 +141,12 @@
 def can_all_be_in_time(jobs, now_s, supply):
     """Return whether the openings suffice for all waiting jobs that are not late yet."""
     taken = 0
+    task_s = sum(job.next_wave() * job.waiting[0].estimate_s for job in jobs)
+    mean_run_s = task_s / max(1, sum(job.next_wave() for job in jobs))
     timely = ((latest_start_s(job), job.next_wave()) for job in jobs)
     for start_by_s, tasks in sorted(row for row in timely if row[0] >= now_s):
         taken += tasks
-        if taken > supply.openings(start_by_s):
+        if taken > supply.openings(start_by_s, mean_run_s=mean_run_s):
             return False
     return True
 
@@ -153,31 +166,43 @@
 
 
 def _displace(jobs, ranked, now_s, supply, load):
-    """Return the displaced jobs with those that they give way to, and the tasks up to each rank.
+    """Return the displaced jobs with those that they give way to, and the `RankNeed` of each rank.
 
     Jobs are named by their numbers. Openings that jobs of a higher priority are expected to take
     until the latest start of a job are not counted for it.
     """
-    displaced_by, candidates, taken_by_rank = {}, [], {}
-    taken, rank, load_above = 0, None, 0.0
+    displaced_by, candidates, by_rank = {}, [], {}
+    mean_by_rank = _mean_run_by_rank(jobs, ranked)
+    taken, rank, load_above, mean_run_s = 0, None, 0.0, 0.0
     for job_rank, start_by_s, n in ranked:
         job = jobs[n]
         if job_rank != rank:
-            rank, candidates = job_rank, []
+            rank, candidates, mean_run_s = job_rank, [], mean_by_rank[job_rank]
             load_above = sum(slots for priority, slots in load.items() if priority < rank)
         taken += job.next_wave()
         if not job.started:
             task_s = len(job.waiting) * job.waiting[0].estimate_s
             heapq.heappush(candidates, (job.has_returned, -task_s, n))
         start_by_s = max(now_s, start_by_s - START_MARGIN * job.remaining_s())
-        expected = supply.needed_for(load_above * (start_by_s - now_s)) if load_above else 0.0
-        openings = supply.openings(start_by_s) - expected
+        expected = load_above * (start_by_s - now_s) / mean_run_s
+        openings = supply.openings(start_by_s, mean_run_s=mean_run_s) - expected
         while taken > openings and candidates:
             other = heapq.heappop(candidates)[-1]
             taken -= jobs[other].next_wave()
             displaced_by[other] = n
-        taken_by_rank[rank] = taken
-    return displaced_by, taken_by_rank
+        by_rank[rank] = RankNeed(taken, mean_run_s)
+    return displaced_by, by_rank
+
+
+def _mean_run_by_rank(jobs, ranked):
+    """Return the mean run time of the tasks of all jobs up to each rank, in seconds."""
+    means, task_s, tasks = {}, 0.0, 0
+    for rank, _, n in ranked:
+        wave = jobs[n].next_wave()
+        tasks += wave
+        task_s += wave * jobs[n].waiting[0].estimate_s
+        means[rank] = max(task_s / tasks, MIN_RUN_S)
+    return means
 
 
 def order(jobs, now_s, accounts, supply=None):
--- a/burdocklug/pools/contention/_supply.py
+++ b/burdocklug/pools/contention/_supply.py
@@ -3,7 +3,7 @@
 from bisect import bisect_right
 from itertools import accumulate
 
-__all__ = ["Supply"]
+__all__ = ["MIN_RUN_S", "Supply"]
 
 MIN_RUN_S = 0.01  # lower bound of a mean run time, which is a divisor
 
@@ -21,17 +21,6 @@
         Slots that are free now.
     ends_s : iterable of float
         Expected ends of the active runs.
-    mean_run_s : float
-        Mean run time of the waiting tasks.
-
-    Examples
-    --------
-    >>> supply = Supply(10.0, 2, [10.1, 10.3], mean_run_s=0.4)
-    >>> [round(supply.openings(until_s), 2) for until_s in (10.0, 10.1, 10.3)]
-    [2.0, 3.0, 4.5]
-    >>> supply.note_start()
-    >>> round(supply.openings(10.1), 2)
-    2.0
 
     Attributes
     ----------
@@ -39,12 +28,20 @@
         The time for which it was built.
     started : int
         Number of tasks that have started since.
+
+    Examples
+    --------
+    >>> supply = Supply(10.0, 2, [10.1, 10.3])
+    >>> [round(supply.openings(until_s, mean_run_s=0.4), 2) for until_s in (10.0, 10.1, 10.3)]
+    [2.0, 3.0, 4.5]
+    >>> supply.note_start()
+    >>> round(supply.openings(10.1, mean_run_s=0.4), 2)
+    2.0
     """
 
-    def __init__(self, now_s, free, ends_s, *, mean_run_s):
+    def __init__(self, now_s, free, ends_s):
         self.built_s = now_s
         self.started = 0
-        self._mean_run_s = max(mean_run_s, MIN_RUN_S)
         self._opens_s = [now_s] * free + sorted(max(end_s, now_s) for end_s in ends_s)
         self._sums_s = [0.0, *accumulate(self._opens_s)]
 
@@ -52,15 +49,12 @@
         """Count a task that has started since, and took an opening."""
         self.started += 1
 
-    def needed_for(self, task_s):
-        """Return the openings that runs of a total length need."""
-        return task_s / self._mean_run_s
-
-    def openings(self, until_s):
-        """Return how many tasks can start in the slots up to a time."""
+    def openings(self, until_s, *, mean_run_s):
+        """Return how many tasks of a mean length can start in the slots up to a time."""
+        mean_run_s = max(mean_run_s, MIN_RUN_S)
         first = bisect_right(self._opens_s, until_s)
         # A run that began in a slot is on average half done within half of its length.
-        repeat_until_s = until_s - self._mean_run_s / 2
+        repeat_until_s = until_s - mean_run_s / 2
         again = bisect_right(self._opens_s, repeat_until_s)
         spare_s = again * repeat_until_s - self._sums_s[again]
-        return first + spare_s / self._mean_run_s - self.started
+        return first + spare_s / mean_run_s - self.started
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -8,6 +8,7 @@
 
 from burdocklug.pools._models import JobOutcome, RunEndKind
 from burdocklug.pools.contention import PassPlan, priority_key
+from burdocklug.pools.scheduling._expiry import JobExpiry
 from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
 from burdocklug.pools.scheduling._health import (
     add_fault,
@@ -15,7 +16,6 @@
     median_slowness,
     update_slowness,
 )
-from burdocklug.pools.scheduling._job_registry import JobRegistry
 from burdocklug.pools.scheduling._jobs import TaskState
 from burdocklug.pools.scheduling._placement import (
     PoolEndpoint,
@@ -40,7 +40,7 @@
 log = structlog.get_logger(__name__)
 
 
-class Scheduler(JobRegistry):
+class Scheduler(JobExpiry):
     """Schedules the jobs of one pool on its endpoints.
 
     Parameters
--- a/tests/pools/contention/test_plan.py
+++ b/tests/pools/contention/test_plan.py
@@ -5,7 +5,7 @@
 from burdocklug.pools.contention._refusals import RecentRefusals
 from tests.pools.contention.jobs import NOW_S, rule, waiting_job
 
-FULL = Supply(NOW_S, 4, [NOW_S + 9.0] * 4, mean_run_s=9.0)  # four tasks fit now, others never
+FULL = Supply(NOW_S, 4, [NOW_S + 9.0] * 4)  # four tasks fit now, others never
 
 
 def ids(jobs):
@@ -33,7 +33,7 @@
         found = self.plan(jobs)
         self.assertThat(ids(found.jobs)[-1], Equals("wide"))
         self.assertThat(list(found.displaced), Equals(["wide"]))
-        self.assertThat((found.taken_jobs, found.taken_by_rank), Equals((4, {0: 4})))
+        self.assertThat((found.taken_jobs, found.by_rank[0].taken), Equals((4, 4)))
 
     def test_the_lowest_priority_gives_way_first(self):
         jobs = [waiting_job("urgent", tasks=4, queue=rule(priority=0))]
@@ -85,7 +85,7 @@
 
     def contended(self, asked_load):
         others = [waiting_job(f"small{n}") for n in range(4)]
-        supply = Supply(NOW_S, 0, [NOW_S + 0.05] * 4, mean_run_s=0.2)
+        supply = Supply(NOW_S, 0, [NOW_S + 0.05] * 4)
         found = plan([self.job, *others], NOW_S, Accounts(), supply)
         found.asked_load = {0: asked_load}
         self.assertIn("wide", found.displaced)
