Contention: of the jobs that give way, those that need the least go first

Cause: among displaced jobs the order was that of the latest start, so that a wide one took the room of several; when all were displaced at once the pass fell back to the order without a plan. Tests: tests/pools/contention.

--- a/burdocklug/pools/contention/_plan.py
+++ b/burdocklug/pools/contention/_plan.py
@@ -71,8 +71,8 @@
 
     @property
     def is_contended(self):
-        """Whether some jobs give way to others."""
-        return bool(self.displaced) and self.taken_jobs > 0
+        """Whether not all jobs can be in time."""
+        return bool(self.displaced)
 
     def is_crowded_out(self, job, now_s):
         """Return whether other jobs need the room up to the latest useful start of a job.
@@ -80,7 +80,7 @@
         These are the jobs that can be in time and those that are expected until then; for a job
         that could be in time itself, only those that are not less urgent.
         """
-        if not self.is_contended or job.job_id in self.preferred:
+        if not self.displaced or not self.taken_jobs or job.job_id in self.preferred:
             return False
         priority = job.spec.queue.priority
         lowest = priority if latest_start_s(job) >= now_s else math.inf
@@ -120,7 +120,10 @@
     displaced_by, by_rank = _displace(jobs, ranked, now_s, supply, load)
     if not displaced_by:
         return Plan(sorted(jobs, key=lambda job: priority_key(job, now_s)))
-    timely = sorted((rank, n in displaced_by, start_s, n) for rank, start_s, n in ranked)
+    timely = sorted(
+        (rank, n in displaced_by, _task_s(jobs[n]) if n in displaced_by else start_s, n)
+        for rank, start_s, n in ranked
+    )
     late = sorted(
         (jobs[n] for n in set(range(len(jobs))).difference(n for *_, n in ranked)),
         key=lambda job: (job.job_id not in preferred, priority_key(job, now_s)),
@@ -181,8 +184,7 @@
             load_above = sum(slots for priority, slots in load.items() if priority < rank)
         taken += job.next_wave()
         if not job.started:
-            task_s = len(job.waiting) * job.waiting[0].estimate_s
-            heapq.heappush(candidates, (job.has_returned, -task_s, n))
+            heapq.heappush(candidates, (job.has_returned, -_task_s(job), n))
         start_by_s = max(now_s, start_by_s - START_MARGIN * job.remaining_s())
         expected = load_above * (start_by_s - now_s) / mean_run_s
         openings = supply.openings(start_by_s, mean_run_s=mean_run_s) - expected
@@ -194,6 +196,11 @@
     return displaced_by, by_rank
 
 
+def _task_s(job):
+    """Return the slot time that the waiting tasks of a job need, in seconds."""
+    return len(job.waiting) * job.waiting[0].estimate_s
+
+
 def _mean_run_by_rank(jobs, ranked):
     """Return the mean run time of the tasks of all jobs up to each rank, in seconds."""
     means, task_s, tasks = {}, 0.0, 0
