--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -15,7 +15,7 @@
     WithdrawJob,
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
-from burdocklug.pools.scheduling import find_placement_obstacle, progress_of
+from burdocklug.pools.scheduling import progress_of
 
 __all__ = ["JobServer"]
 
@@ -26,6 +26,10 @@
 log = structlog.get_logger(__name__)
 
 
+def _refuse_unplaceable(obstacle):
+    return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
+
+
 class JobServer:
     """Serves the messages about jobs that processes send to the scheduler.
 
@@ -69,14 +73,10 @@
             return SubmitReply(resubmit=True)
         now = self._timers.now()
         spec = message.spec
-        obstacle = (
-            find_placement_obstacle(spec, scheduler.endpoints.values())
-            if scheduler.is_reconciled
-            else None
-        )
+        obstacle = self._leader.find_obstacle(spec) if scheduler.is_reconciled else None
         if obstacle is not None:
             log.info("job_impossible", job=spec.job_id, reason=obstacle)
-            return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
+            return _refuse_unplaceable(obstacle)
         job = scheduler.submit(
             spec,
             received_s=now - message.age_s,
@@ -105,6 +105,8 @@
             return SubmitReply(
                 resubmit=True, may_have_started=job.started, progress=progress_of(job)
             )
+        if job.obstacle:
+            return _refuse_unplaceable(job.obstacle)
         return SubmitReply(refused="overload", retry_after_s=self._book_return(job))
 
     def _is_stale(self, sender, message):
--- a/burdocklug/pools/contention/__init__.py
+++ b/burdocklug/pools/contention/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from burdocklug.pools.contention._accounts import Accounts
-from burdocklug.pools.contention._contention import Contention, PassPlan
+from burdocklug.pools.contention._contention import UNPLACEABLE, Contention, PassPlan
 from burdocklug.pools.contention._hopeless import MIN_RUN_FACTOR, find_hopeless_reason
 from burdocklug.pools.contention._lateness import (
     is_too_late,
@@ -21,6 +21,7 @@
 
 __all__ = [
     "MIN_RUN_FACTOR",
+    "UNPLACEABLE",
     "Accounts",
     "Contention",
     "Offer",
--- a/burdocklug/pools/contention/_contention.py
+++ b/burdocklug/pools/contention/_contention.py
@@ -12,7 +12,9 @@
 from burdocklug.pools.contention._returns import Returns
 from burdocklug.pools.contention._supply import Supply
 
-__all__ = ["Contention", "PassPlan"]
+__all__ = ["UNPLACEABLE", "Contention", "PassPlan"]
+
+UNPLACEABLE = "unplaceable"  # reason of a refusal: no endpoint can ever hold the job
 
 CONTENTION_LOG_S = 1.0  # minimum time between log lines on contention
 # Time for which jobs are planned after they could not all be in time. A plan keeps the queue so
@@ -84,7 +86,8 @@
 
     def note_refused(self, job, reason, now_s, *, plan=None):
         """Count and record a refused or hopeless job, and return its record."""
-        self.accounts.note_refused(job, now_s)
+        if reason != UNPLACEABLE:  # no other job got its room
+            self.accounts.note_refused(job, now_s)
         self._counts[f"unanswered_{reason}"] += 1
         return self.refusals.add(job, reason, now_s, plan=plan)
 
--- a/burdocklug/pools/contention/_hopeless.py
+++ b/burdocklug/pools/contention/_hopeless.py
@@ -23,14 +23,22 @@
     Notes
     -----
     A job that has started is given up only if it can't end before its caller leaves, since a late
-    answer is delivered too. A job that waits for another scheduler's runs may be done already.
+    answer is delivered too. A job that waits for another scheduler's runs may be done already, and
+    a job whose caller waits for less than its estimate is not judged by that estimate.
     """
     if job.hold is not None:
         return ""
     if not job.started:
-        return "too_late" if job.waiting and is_too_late(job, now_s) else ""
+        is_hopeless = job.waiting and is_too_late(job, now_s)
+        return "too_late" if is_hopeless and _is_estimate_plausible(job) else ""
     rest_s = max((_least_rest_s(task, now_s) for task in job.tasks), default=0.0)
-    return "ends_after_caller_leaves" if now_s + rest_s > job.expires_s else ""
+    is_hopeless = now_s + rest_s > job.expires_s and _is_estimate_plausible(job)
+    return "ends_after_caller_leaves" if is_hopeless else ""
+
+
+def _is_estimate_plausible(job):
+    """Return whether the caller waits for longer than the longest task is estimated to run."""
+    return max(task.estimate_s for task in job.tasks) <= job.expires_s - job.received_s
 
 
 def _least_rest_s(task, now_s):
--- a/burdocklug/pools/scheduling/_expiry.py
+++ b/burdocklug/pools/scheduling/_expiry.py
@@ -3,7 +3,7 @@
 import structlog
 
 from burdocklug.pools._models import JobOutcome
-from burdocklug.pools.contention import find_hopeless_reason
+from burdocklug.pools.contention import UNPLACEABLE, find_hopeless_reason
 from burdocklug.pools.scheduling._job_registry import JobRegistry
 
 __all__ = ["JobExpiry"]
@@ -25,6 +25,15 @@
             elif reason := find_hopeless_reason(job, now):
                 self.give_up(job, reason)
 
+    def refuse_unplaceable(self, find_obstacle):
+        """Refuse the jobs without a started task for which `find_obstacle` returns a reason."""
+        self._slot_counts.invalidate()
+        for job in list(self._waiting.values()):
+            if not job.started and job.hold is None:
+                job.obstacle = find_obstacle(job.spec)
+                if job.obstacle:
+                    self.give_up(job, UNPLACEABLE)
+
     def give_up(self, job, reason, *, plan=None):
         """Refuse a job of which no task has started, or end it as expired.
 
@@ -47,7 +56,7 @@
             "job_refused",
             job=job.job_id,
             queue=job.spec.queue.name,
-            reason=reason,
+            reason=job.obstacle or reason,
             gave_way_to=row.get("gave_way_to"),
             age_s=row["age_s"],
             tasks=len(job.tasks),
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -100,7 +100,7 @@
             least_cpu=least_cpu,
             forecast=self._forecast(now),
             is_reconciled=self.is_reconciled,
-            reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * len(self.endpoints)),
+            reserved_slots=self._count_reserved_slots(),
             distance_factor=self._distance_factor,
             median_slowness=self._median_slowness,
             plan_pass=self._plan_pass,
@@ -109,31 +109,33 @@
             starts += self._carry_out(decision, now)
         return starts
 
+    def _count_reserved_slots(self):
+        in_use = sum(not endpoint.evacuated for endpoint in self.endpoints.values())
+        return int(RESERVED_SLOTS_PER_ENDPOINT * in_use)
+
     def _plan_pass(self, jobs, view):
         if not view.is_reconciled:
             return PassPlan(sorted(jobs, key=lambda job: priority_key(job, view.now_s)))
-        return self.contention.plan_pass(
-            jobs,
-            view.now_s,
-            count_free=lambda task, limit: count_free_slots(
-                task, view.endpoints, view.now_s, limit=limit
-            ),
-            expected_ends=lambda service: expected_ends(
-                self._runs(service), view.now_s, self.expected_run_s
-            ),
-        )
+        now, expected_s = view.now_s, self.expected_run_s
+
+        def ends(service):
+            runs = (run for run in self._runs() if run[1].entry.service == service)
+            return expected_ends((run for run in runs if run[1].usable), now, expected_s)
+
+        def count_free(task, limit):
+            return count_free_slots(task, view.endpoints, now, limit=limit)
+
+        return self.contention.plan_pass(jobs, now, count_free=count_free, expected_ends=ends)
 
-    def _runs(self, service):
-        """Yield the active runs, with their endpoints, of the usable endpoints of a service."""
+    def _runs(self):
+        """Yield the active runs whose ends free slots for others, with their endpoints."""
         for endpoint in self.endpoints.values():
-            if endpoint.usable and endpoint.entry.service == service:
+            if not endpoint.evacuated:
                 for task in endpoint.runs.values():
                     yield task, endpoint
 
     def _forecast(self, now):
-        endpoints = self.endpoints.values()
-        runs = ((task, endpoint) for endpoint in endpoints for task in endpoint.runs.values())
-        return CapacityForecast(now, expected_ends(runs, now, self.expected_run_s))
+        return CapacityForecast(now, expected_ends(self._runs(), now, self.expected_run_s))
 
     def expected_run_s(self, task, endpoint):
         """Return the expected run time of a task on an endpoint, in seconds."""
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -190,7 +190,8 @@
         if submission.may_have_started:
             return
         least_s = MIN_RUN_FACTOR * critical_path_s(submission.spec.steps)
-        if self._timers.now() + least_s > submission.received_s + submission.wait_s:
+        age_s = self._timers.now() - submission.received_s
+        if least_s <= submission.wait_s < age_s + least_s:
             raise BurdocklugError(
                 ErrorKind.WOULD_MISS_DEADLINE,
                 "refused: the job can't end before its deadline any more",
