Contention: a job is hopeless by its longest task, not by the waves that it is planned in

Cause: tests/platform/test_evacuation.py, UnplaceableJobTest, waits when it comes: two tasks of 30 s with 60 s to wait were refused after 0.1 s, as two waves of one task were taken for known. Change: the least time is one wave; two tests more. Tests: tests/platform/test_evacuation.py, tests/pools/contention, tests/pools/test_leader.py: 197 passed.

--- a/burdocklug/pools/contention/_hopeless.py
+++ b/burdocklug/pools/contention/_hopeless.py
@@ -1,6 +1,6 @@
 """Jobs that can't be answered in time any more, found before their callers stop waiting."""
 
-from burdocklug.pools.contention._lateness import is_too_late
+from burdocklug.pools.contention._lateness import latest_useful_end_s
 
 __all__ = ["MIN_RUN_FACTOR", "find_hopeless_reason"]
 
@@ -29,7 +29,9 @@
     if job.hold is not None:
         return ""
     if not job.started:
-        is_hopeless = job.waiting and is_too_late(job, now_s)
+        # All waiting tasks may run at once, in fewer waves than planned.
+        least_s = max((task.estimate_s for task in job.waiting), default=0.0)
+        is_hopeless = now_s + least_s > latest_useful_end_s(job)
         return "too_late" if is_hopeless and _is_estimate_plausible(job) else ""
     rest_s = max((_least_rest_s(task, now_s) for task in job.tasks), default=0.0)
     is_hopeless = now_s + rest_s > job.expires_s and _is_estimate_plausible(job)
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -190,8 +190,7 @@
         if submission.may_have_started:
             return
         least_s = MIN_RUN_FACTOR * critical_path_s(submission.spec.steps)
-        age_s = self._timers.now() - submission.received_s
-        if least_s <= submission.wait_s < age_s + least_s:
+        if least_s <= submission.wait_s < self._timers.now() - submission.received_s + least_s:
             raise BurdocklugError(
                 ErrorKind.WOULD_MISS_DEADLINE,
                 "refused: the job can't end before its deadline any more",
--- a/tests/pools/contention/test_hopeless.py
+++ b/tests/pools/contention/test_hopeless.py
@@ -14,6 +14,14 @@
     def test_a_job_whose_answer_would_be_useless_is_hopeless(self):
         self.assertThat(find_hopeless_reason(waiting_job("j1"), NOW_S + 1.1), Equals("too_late"))
 
+    def test_the_waves_that_a_job_is_planned_in_do_not_make_it_hopeless(self):
+        job = waiting_job("j1", tasks=8, wave=2)
+        self.assertThat(find_hopeless_reason(job, NOW_S + 0.9), Equals(""))
+
+    def test_a_job_whose_caller_waits_for_less_than_its_estimate_is_not_judged(self):
+        job = waiting_job("j1", estimate_s=30.0, wait_s=9.0)
+        self.assertThat(find_hopeless_reason(job, NOW_S + 3.0), Equals(""))
+
     def test_a_job_that_waits_for_runs_of_another_scheduler_is_not_judged(self):
         pool = VirtualPool(entry(1))
         job = pool.submit("j1", since_heard_s=0.1)
