--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -93,6 +93,7 @@
         if not endpoints and now < self._last_pass_s + FULL_POOL_PASS_INTERVAL_S:
             return 0
         self._last_pass_s = now
+        endpoints_in_use = sum(not endpoint.evacuated for endpoint in self.endpoints.values())
         starts = 0
         view = PoolView(
             now_s=now,
@@ -100,7 +101,7 @@
             least_cpu=least_cpu,
             forecast=self._forecast(now),
             is_reconciled=self.is_reconciled,
-            reserved_slots=self._count_reserved_slots(),
+            reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * endpoints_in_use),
             distance_factor=self._distance_factor,
             median_slowness=self._median_slowness,
             plan_pass=self._plan_pass,
@@ -109,10 +110,6 @@
             starts += self._carry_out(decision, now)
         return starts
 
-    def _count_reserved_slots(self):
-        in_use = sum(not endpoint.evacuated for endpoint in self.endpoints.values())
-        return int(RESERVED_SLOTS_PER_ENDPOINT * in_use)
-
     def _plan_pass(self, jobs, view):
         if not view.is_reconciled:
             return PassPlan(sorted(jobs, key=lambda job: priority_key(job, view.now_s)))
--- a/tests/pools/contention/test_lost_scheduler.py
+++ b/tests/pools/contention/test_lost_scheduler.py
@@ -41,7 +41,7 @@
 def _ask(deployment, name, job, row):
     began_s = now_s()
     try:
-        row[1].append(deployment.processes[name].pool.submitter.submit(job, wait_s=WAIT_S))
+        row[1].append(deployment.processes[name].pool.cells.submit(job, wait_s=WAIT_S))
     except BurdocklugError as exc:
         row[1].append(exc)
     row[2] = now_s() - began_s
