--- a/burdocklug/platform/_operator.py
+++ b/burdocklug/platform/_operator.py
@@ -31,9 +31,12 @@
         Returns the `PollIntervals` of the next call.
     now : callable
         Returns monotonic seconds.
+    on_failure : callable, optional
+        Called with the time at which it was sent after each failed call; the default counts it as
+        the store's.
     """
 
-    def __init__(self, store, directory, *, pace, now):
+    def __init__(self, store, directory, *, pace, now, on_failure=None):
         self._directory = directory
         self._now = now
         self._malformed = {}  # revision of each evacuation that is malformed, by key
@@ -44,7 +47,7 @@
             apply=self._apply,
             pace=pace,
             on_answer=self._note_answer,
-            on_failure=directory.configuration_age.note_failure,
+            on_failure=on_failure or self._note_failure,
             now=now,
         )
         self.start = self._follower.start
@@ -74,6 +77,9 @@
         elif self._is_evacuation(change):
             self._take(view.with_request(evacuated_domain(change.key), change.revision))
 
+    def _note_failure(self, _sent_s):
+        self._directory.configuration_age.note_failure()
+
     def _note_answer(self, sent_s):
         view = self._directory.evacuation_view
         self._take(view.read_up_to(self._follower.revision))
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -35,6 +35,7 @@
 
     def __init__(self, process):
         self._pool = process["pool"]
+        self._now = process.timers.now
         self._malformed = {}  # revision of each entry that is not valid, by key
         store, directory = process["records"], self._pool.directory
         self._worker_entries = PrefixFollower(
@@ -48,7 +49,11 @@
             now=process.timers.now,
         )
         self._operator = OperatorFollower(
-            store, directory, pace=self._pool.configuration_pace, now=process.timers.now
+            store,
+            directory,
+            pace=self._pool.configuration_pace,
+            now=process.timers.now,
+            on_failure=lambda sent_s: self._note_failure(directory.configuration_age, sent_s),
         )
         self._pool.on_configuration_doubtful = self._operator.poll_now
         self._pool.on_elected = self._read_all_now
@@ -57,12 +62,20 @@
         self._worker_entries.poll_now()
         self._operator.poll_now()
 
-    def _note_listing_failed(self):
+    def _note_listing_failed(self, sent_s):
         directory = self._pool.directory
-        directory.entries_age.note_failure()
-        directory.configuration_age.note_failure()  # its call in flight is cancelled without answer
+        self._note_failure(directory.entries_age, sent_s)
+        # Its call in flight is cancelled without an answer.
+        self._note_failure(directory.configuration_age, sent_s)
         self._operator.poll_now()
 
+    def _note_failure(self, age, sent_s):
+        """Record a failed call that was sent at `sent_s`, unless this process was late itself."""
+        is_loop_late = self._pool.host.was_late_since(sent_s, self._now())
+        if is_loop_late:
+            log.info("listing_failed_late", age_s=round(self._now() - sent_s, 3))
+        age.note_failure(is_loop_late=is_loop_late)
+
     def start(self):
         """Start to follow the operator's keys and the worker entries."""
         self._operator.start()
--- a/burdocklug/pools/contention/_hopeless.py
+++ b/burdocklug/pools/contention/_hopeless.py
@@ -46,7 +46,8 @@
 def _least_rest_s(task, now_s):
     """Return the least time until a task can be done, in seconds; 0 if it may be any moment."""
     if task.state.is_placed:
-        if task.projected_run_s is None:
+        projected_s = task.progress.projected_end_s() if task.progress is not None else None
+        if projected_s is None:
             return 0.0
-        return task.started_s + MIN_PROJECTED_FACTOR * task.projected_run_s - now_s
+        return task.started_s + MIN_PROJECTED_FACTOR * (projected_s - task.started_s) - now_s
     return 0.0 if task.state.is_over else MIN_RUN_FACTOR * task.estimate_s
--- a/burdocklug/pools/scheduling/_starts.py
+++ b/burdocklug/pools/scheduling/_starts.py
@@ -10,7 +10,8 @@
     latest_useful_end_s,
     verdict,
 )
-from burdocklug.pools.scheduling._placement import count_free_slots, exclude_slow, place_tasks
+from burdocklug.pools.scheduling._placement import count_free_slots, place_tasks
+from burdocklug.pools.scheduling._run_times import exclude_slow
 
 __all__ = [
     "Expire",
--- a/tests/pools/cells/test_cells.py
+++ b/tests/pools/cells/test_cells.py
@@ -251,7 +251,7 @@
                 {f"e{n}": DOMAINS[n % 3] for n in range(12)},
             )
             for process in deployment.processes.values():
-                process.pool._host._cores = 0.02  # carries six endpoints
+                process.pool.host._cores = 0.02  # carries six endpoints
             deployment.start(for_s=8.0)
             return [len(process.pool.cells) for process in deployment.processes.values()]
 
