--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -1,12 +1,17 @@
 """The leader of a pool: runs the scheduler and its agents while this process has the role."""
 
-import zlib
-
 import structlog
 
 from burdocklug.pools._evacuations import mark_evacuated
 from burdocklug.pools._job_server import JobServer
-from burdocklug.pools.agents import TOKEN_HOLDERS, AgentOrders, AnswerTimes, EndpointAgent
+from burdocklug.pools.agents import (
+    AgentOrders,
+    AnswerTimes,
+    EndpointAgent,
+    fenced_domains,
+    holder_number,
+)
+from burdocklug.pools.cells import MOVE_DELAY_S, CellView, EndpointShare
 from burdocklug.pools.election import FENCED
 from burdocklug.pools.scheduling import (
     Scheduler,
@@ -27,7 +32,6 @@
 ABSENT_AFTER_S = 0.3  # longer than a follower's heartbeat period and a round trip
 UPKEEP_S = 0.1
 LOAD_LOG_S = 1.0
-FENCED_RATIO = 0.5  # share of fenced endpoints from which another scheduler is assumed
 
 log = structlog.get_logger(__name__)
 
@@ -54,6 +58,8 @@
         multiple of the time on that rack.
     is_paused : callable
         Returns whether this process was paused and may have lost the scheduler's role meanwhile.
+    cell : CellView, optional
+        The endpoints and jobs of the cell; all of them by default.
     """
 
     def __init__(
@@ -68,6 +74,7 @@
         lease_s,
         distance_factor,
         is_paused,
+        cell=None,
     ):
         self.scheduler = None
         self._network = network
@@ -79,13 +86,16 @@
         self._lease_s = lease_s
         self._distance_factor = distance_factor
         self._is_paused = is_paused
+        self._cell = cell or CellView(0)
         self._agents = {}
         self._times = AnswerTimes()
         self._claim = None
         self._began_s = 0.0
         self._start_waiting_due = False
         self._is_view_usable = True
-        self._server = JobServer(self, network, timers, directory, election, is_paused=is_paused)
+        self._server = JobServer(
+            self, network, timers, directory, election, is_paused=is_paused, cell=self._cell
+        )
         directory.subscribe(self._sync_agents)
         timers.every(UPKEEP_S, self._upkeep)
         timers.every(LOAD_LOG_S, self._log_load)
@@ -145,8 +155,27 @@
             ):
                 scheduler.suspend(job)
 
+    def note_plan(self):
+        """Apply a change of the pool's division into cells.
+
+        Jobs that have gone to another cell are given up, and their callers' processes submit them
+        there; endpoints that have gone end their runs first.
+        """
+        self._timers.after(MOVE_DELAY_S, self._sync_agents)
+        if self.scheduler is None:
+            return
+        for job in list(self.scheduler.jobs.values()):
+            if job.outcome is None and not self._cell.has_job(job.job_id):
+                self.scheduler.suspend(job)
+        self._sync_agents()
+
     def _serves(self, entry):
-        return self._claim.serves(entry.failure_domain)
+        """Return whether this scheduler holds an endpoint, if only until its runs have ended."""
+        if not self._claim.serves(entry.failure_domain):
+            return False
+        share = self._cell.endpoint_share(entry.endpoint_id, self._timers.now())
+        is_held = entry.endpoint_id in self._agents
+        return share is EndpointShare.OWN or (share is EndpointShare.LEAVING and is_held)
 
     def _sync_agents(self):
         """Add and drop agents so that each listed endpoint of this scheduler has one."""
@@ -164,9 +193,23 @@
                 self._add_agent(entry)
             else:
                 agent.note_entry(entry)
+            self._agents[endpoint_id].set_leaving(self._is_leaving(endpoint_id))
+            self._apply_cold_time(self._agents[endpoint_id].endpoint)
         self._apply_evacuations()
         self.schedule_start_waiting()
 
+    def _apply_cold_time(self, endpoint):
+        rule = self._directory.configuration.find_service(endpoint.entry.service)
+        endpoint.cold_pace.rate_per_s = rule.cold_starts_per_s
+        now = self._timers.now()
+        until_s = self._directory.cold_until_s.get(endpoint.entry.endpoint_id, 0.0)
+        if until_s > now:
+            endpoint.warm_up(now, for_s=until_s - now)
+
+    def _is_leaving(self, endpoint_id):
+        share = self._cell.endpoint_share(endpoint_id, self._timers.now())
+        return share is EndpointShare.LEAVING
+
     def _apply_evacuations(self):
         endpoints = self.scheduler.endpoints.values()
         has_changed = mark_evacuated(endpoints, self._directory.evacuations, self._timers.now())
@@ -191,11 +234,14 @@
             self._protocol,
             now=self._timers.now,
             lease_s=self._lease_s,
-            holder_number=zlib.crc32(self._network.incarnation.encode()) % TOKEN_HOLDERS,
+            holder_number=holder_number(self._network.incarnation),
             wake=self.schedule_start_waiting,
             is_paused=self._is_paused,
             times=self._times,
             loop_lag_s=lambda: self._host.recent_lag_s,
+            is_contested=lambda: entry.failure_domain in self._election.contested,
+            is_list_usable=self._is_list_usable,
+            is_widely_fenced=lambda: self._is_widely_fenced(entry.failure_domain),
         )
         self._agents[entry.endpoint_id] = agent
         agent.begin()
@@ -222,10 +268,16 @@
         if self.scheduler is not None and not self._is_paused():
             self._start_tasks()
 
+    def _is_list_usable(self):
+        """Return whether the views of the endpoints and of the evacuations allow starts now."""
+        ages = self._directory.entries_age, self._directory.configuration_age
+        now = self._timers.now()
+        return all(age.is_usable(now, since_s=self._began_s) for age in ages)
+
     def _start_tasks(self):
         now = self._timers.now()
         ages = self._directory.entries_age, self._directory.configuration_age
-        is_usable = all(age.is_usable(now, since_s=self._began_s) for age in ages)
+        is_usable = self._is_list_usable()
         if is_usable != self._is_view_usable:
             self._is_view_usable = is_usable
             entries_s, operators_s = (round(min(age.age_s(now), now), 3) for age in ages)
@@ -252,9 +304,12 @@
         self._suspend_abandoned(now)
         self.scheduler.forget_ended()
         self._start_tasks()
-        fenced = sum(a.fenced for a in self._agents.values())
-        if fenced and fenced >= FENCED_RATIO * len(self._agents):
-            self._election.recheck_claim(FENCED)
+        if fenced := fenced_domains(self._agents.values(), lambda agent: agent.fenced):
+            self._election.recheck_claim(FENCED, domains=fenced)
+
+    def _is_widely_fenced(self, domain):
+        """Return whether many endpoints of a failure domain obeyed another process just before."""
+        return domain in fenced_domains(self._agents.values(), lambda a: a.was_fenced)
 
     def _log_load(self):
         if self.scheduler is not None:
--- a/burdocklug/pools/scheduling/_expiry.py
+++ b/burdocklug/pools/scheduling/_expiry.py
@@ -12,7 +12,7 @@
 
 
 class JobExpiry(JobRegistry):
-    """Jobs by id, which are refused or ended in time; base class of the scheduler."""
+    """Jobs by id, which are refused or ended in time; base class of `RunEstimates`."""
 
     def expire_overdue(self):
         """End the jobs whose callers have stopped waiting or can't be answered before they do."""
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -11,6 +11,7 @@
 from burdocklug.pools.scheduling._jobs import TaskState, apply_progress, make_job
 from burdocklug.pools.scheduling._latency import LatencyCounts
 from burdocklug.pools.scheduling._start_holds import hold_start, merge_holds, release_reason
+from burdocklug.pools.speed import RunSamples
 
 __all__ = ["JobRegistry"]
 
@@ -41,6 +42,8 @@
         Histogram of the time from arrival to end of jobs, by queue and outcome.
     contention : Contention
         What the classes of jobs got lately, and the returns of refused jobs.
+    samples : RunSamples
+        What runs tell of endpoints and queues.
     cancellations : Cancellations
         Cancelled jobs that a process may still submit.
     is_reconciled : bool
@@ -56,6 +59,7 @@
         self.latencies = LatencyCounts()
         self.contention = Contention(self.counts)
         self.cancellations = Cancellations()
+        self.samples = RunSamples(self.counts)
         self.is_reconciled = True
         self.submitted_s = now()
         self._orders = orders
@@ -128,7 +132,8 @@
 
     def _add(self, spec, received_s, wait_s, caller_domain):
         wave = max(1, int(MAX_WAVE_SHARE * self._slot_counts.max_concurrent_tasks(spec)))
-        job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave)
+        times = self.samples.queue(spec.queue.name)
+        job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave, times=times)
         job.caller_domain = caller_domain
         self.jobs[spec.job_id] = job
         self.contention.note_asked(job, self._now())
--- a/burdocklug/pools/scheduling/_load.py
+++ b/burdocklug/pools/scheduling/_load.py
@@ -21,6 +21,7 @@
         "endpoints": len(endpoints),
         "evacuated_endpoints": sum(endpoint.evacuated for endpoint in endpoints),
         "open_endpoints": sum(endpoint.is_available(now_s) for endpoint in endpoints),
+        "cold_endpoints": sum(now_s < endpoint.cold_until_s for endpoint in endpoints),
         "free_cpu": sum(
             endpoint.free.cpu for endpoint in endpoints if endpoint.is_available(now_s)
         ),
@@ -32,12 +33,14 @@
 
 
 def dump_scheduler(scheduler, now_s):
-    """Return the counts, jobs, endpoints and contention of a scheduler."""
+    """Return the counts, jobs, endpoints and contention of a scheduler at a time."""
     return {
         "counts": dict(scheduler.counts),
         "jobs": len(scheduler.jobs),
         "waiting_jobs": scheduler.waiting_jobs,
         "contention": scheduler.contention.dump(now_s),
+        "queues": scheduler.samples.dump(),
+        "median_slowness": scheduler.samples.median_slowness,
         "endpoints": [
             {
                 "id": endpoint.entry.endpoint_id,
@@ -46,6 +49,7 @@
                 "evacuated": endpoint.evacuated,
                 "runs": len(endpoint.runs),
                 "slowness": round(endpoint.slowness, 2),
+                "cold_s": round(max(0.0, endpoint.cold_until_s - now_s), 3),
             }
             for endpoint in scheduler.endpoints.values()
         ],
--- a/tests/pools/contention/test_hopeless.py
+++ b/tests/pools/contention/test_hopeless.py
@@ -40,6 +40,10 @@
         self.pool.scheduler.endpoints["e1"].usable = False
         self.pool.end(self.job.tasks[0], RunEndKind.FAILED)
 
+    def report_progress(self, percent):
+        endpoint = self.pool.scheduler.endpoints["e1"]
+        self.pool.scheduler.note_progress(self.job.tasks[0], endpoint, percent)
+
     def expire(self, after_s):
         self.pool.now_s += after_s
         self.pool.scheduler.expire_overdue()
@@ -59,16 +63,15 @@
 
     def test_a_job_ends_when_the_progress_of_a_run_shows_that_it_ends_too_late(self):
         self.pool.now_s += 0.5
-        task = self.job.tasks[0]
-        self.pool.scheduler.note_slow_run(task, self.pool.scheduler.endpoints["e1"], 3.0)
+        self.report_progress(17)
         self.expire(0.0)
         self.assertThat(self.job.outcome, Equals(JobOutcome.EXPIRED))
 
     def test_the_progress_of_an_earlier_run_says_nothing_of_the_next(self):
-        endpoint = self.pool.scheduler.endpoints["e1"]
-        self.pool.scheduler.note_slow_run(self.job.tasks[0], endpoint, 3.0)
+        self.pool.now_s += 0.5
+        self.report_progress(17)
         self.pool.end(self.job.tasks[0], RunEndKind.LAPSED)
-        self.expire(0.5)
+        self.expire(0.1)
         self.assertThat(self.job.outcome, Equals(None))
 
     def test_given_up_jobs_count_as_refused(self):
