--- a/burdocklug/pools/election/_following.py
+++ b/burdocklug/pools/election/_following.py
@@ -93,6 +93,12 @@
             return
         self._find_scheduler(members, replies)
 
+    def failure_domain_of(self, incarnation):
+        """Return the failure domain of a process; empty if it is not known."""
+        if incarnation == self._network.incarnation:
+            return self._network.failure_domain
+        return self._members().get(incarnation, "")
+
     def _on_notice(self, sender, message):
         self._consider_claim(message.claim, sender)
 
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -6,6 +6,7 @@
 
 from burdocklug.pools._cancellations import Cancellations, forget_after_s
 from burdocklug.pools._models import JobOutcome
+from burdocklug.pools.contention import Contention
 from burdocklug.pools.scheduling._capacity import SlotCounts
 from burdocklug.pools.scheduling._jobs import TaskState, apply_progress, make_job
 from burdocklug.pools.scheduling._latency import LatencyCounts
@@ -22,7 +23,7 @@
 
 
 class JobRegistry:
-    """Jobs by id, with the state of their tasks; base class of the scheduler.
+    """Jobs by id, with the state of their tasks; base class of `JobExpiry`.
 
     Parameters
     ----------
@@ -39,6 +40,8 @@
         Counts of events by name.
     latencies : LatencyCounts
         Histogram of the time from arrival to end of jobs, by queue and outcome.
+    contention : Contention
+        What the classes of jobs got lately, and the returns of refused jobs.
     samples : RunSamples
         What runs tell of endpoints and queues.
     cancellations : Cancellations
@@ -54,6 +57,7 @@
         self.endpoints = {}
         self.counts = Counter()
         self.latencies = LatencyCounts()
+        self.contention = Contention(self.counts)
         self.cancellations = Cancellations()
         self.samples = RunSamples(self.counts)
         self.is_reconciled = True
@@ -63,7 +67,9 @@
         self._slot_counts = SlotCounts(self.endpoints, now=now)
         self._waiting = {}  # jobs that may start tasks, by id; kept by `_update_waiting`
 
-    def submit(self, spec, *, received_s, wait_s, since_heard_s=None, progress=None):
+    def submit(
+        self, spec, *, received_s, wait_s, since_heard_s=None, progress=None, caller_domain=""
+    ):
         """Add a job, or attach to the job that has its id, and return it.
 
         Parameters
@@ -79,10 +85,12 @@
             None if there is none.
         progress : JobProgress, optional
             Progress of the job at that scheduler.
+        caller_domain : str, optional
+            Failure domain of the caller's process.
         """
         job = self.jobs.get(spec.job_id)
         if job is None:
-            job = self._add(spec, received_s, wait_s)
+            job = self._add(spec, received_s, wait_s, caller_domain)
             if self.cancellations.has(spec.job_id, self._now()):
                 self.end_job(job, JobOutcome.CANCELLED, reason="cancelled_before")
                 return job
@@ -122,11 +130,13 @@
         if all(task.state is TaskState.DONE for task in job.tasks):
             self.end_job(job, JobOutcome.COMPLETED, reason="done_elsewhere")
 
-    def _add(self, spec, received_s, wait_s):
+    def _add(self, spec, received_s, wait_s, caller_domain):
         wave = max(1, int(MAX_WAVE_SHARE * self._slot_counts.max_concurrent_tasks(spec)))
         times = self.samples.queue(spec.queue.name)
         job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave, times=times)
+        job.caller_domain = caller_domain
         self.jobs[spec.job_id] = job
+        self.contention.note_asked(job, self._now())
         self.submitted_s = self._now()
         self.counts["jobs"] += 1
         return job
@@ -227,13 +237,6 @@
             self.cancellations.add(job_id, forget_after_s(now, expires_s=expires_s))
         return job
 
-    def expire_overdue(self):
-        """End the jobs whose callers have stopped waiting, running ones included."""
-        now = self._now()
-        for job in list(self.jobs.values()):
-            if job.outcome is None and not job.suspended and job.expires_s < now:
-                self._expire(job)
-
     def withdraw(self, job, sender, *, only_waiting):
         """Give up a job for a process that shuts down, unless another process waits for it too.
 
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -9,7 +9,15 @@
 from burdocklug.pools._models import task_name
 from burdocklug.pools.speed import QueueTimes
 
-__all__ = ["Job", "Task", "TaskState", "apply_progress", "make_job", "progress_of"]
+__all__ = [
+    "Job",
+    "Task",
+    "TaskState",
+    "apply_progress",
+    "critical_path_s",
+    "make_job",
+    "progress_of",
+]
 
 
 UNLIMITED_WAVE = 1_000_000  # larger than any step
@@ -31,6 +39,11 @@
         """Whether an endpoint has or may have a run of the task."""
         return self in (TaskState.STARTING, TaskState.RUNNING)
 
+    @property
+    def is_over(self):
+        """Whether the task is not run any more."""
+        return self in (TaskState.DONE, TaskState.ENDED)
+
 
 @dataclass(slots=True, eq=False)
 class Task:
@@ -90,6 +103,14 @@
         Functions to call with the job when it ends, is refused or moves to another scheduler.
     callers : Counter
         Number of waiting submissions by the incarnation that sent them.
+    caller_domain : str
+        Failure domain of the process of its caller; empty if not known.
+    account_keys : tuple
+        Its classes in the accounts of what each class got.
+    is_counted_served : bool
+        Whether these accounts count it as served.
+    has_returned : bool
+        Whether it was refused before and has come back when it was told to.
     """
 
     spec: object
@@ -108,6 +129,10 @@
     obstacle: object = None
     waiters: list = field(default_factory=list)
     callers: Counter = field(default_factory=Counter)
+    caller_domain: str = ""
+    account_keys: tuple = ()
+    is_counted_served: bool = False
+    has_returned: bool = False
 
     @property
     def job_id(self):
@@ -173,7 +198,7 @@
     job.unblock()
 
 
-def critical_path_s(steps, wave):
+def critical_path_s(steps, wave=UNLIMITED_WAVE):
     """Return the estimated time of the critical path of a job's steps, in seconds.
 
     Examples
--- a/burdocklug/pools/scheduling/_load.py
+++ b/burdocklug/pools/scheduling/_load.py
@@ -28,15 +28,17 @@
         "slowness": round(
             sum(endpoint.slowness for endpoint in endpoints) / max(1, len(endpoints)), 2
         ),
+        "shares_served": scheduler.contention.accounts.shares(now_s, has_sizes=False),
     }
 
 
 def dump_scheduler(scheduler, now_s):
-    """Return the counts, jobs and endpoints of a scheduler at a time."""
+    """Return the counts, jobs, endpoints and contention of a scheduler at a time."""
     return {
         "counts": dict(scheduler.counts),
         "jobs": len(scheduler.jobs),
         "waiting_jobs": scheduler.waiting_jobs,
+        "contention": scheduler.contention.dump(now_s),
         "queues": scheduler.samples.dump(),
         "median_slowness": scheduler.samples.median_slowness,
         "endpoints": [
--- a/burdocklug/pools/scheduling/_run_estimates.py
+++ b/burdocklug/pools/scheduling/_run_estimates.py
@@ -1,6 +1,6 @@
 """Expected run times and ends of a scheduler's runs, and what its runs tell of them."""
 
-from burdocklug.pools.scheduling._job_registry import JobRegistry
+from burdocklug.pools.scheduling._expiry import JobExpiry
 from burdocklug.pools.scheduling._run_times import expected_end_s, expected_run_s, usual_run_s
 
 __all__ = ["RunEstimates"]
@@ -9,7 +9,7 @@
 OVERDUE_FACTOR = 1.6  # multiple of the expected run time after which progress gives a sample
 
 
-class RunEstimates(JobRegistry):
+class RunEstimates(JobExpiry):
     """Estimates of the runs of registered jobs; base class of the scheduler.
 
     Parameters
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -7,10 +7,11 @@
 import structlog
 
 from burdocklug.pools._models import JobOutcome, RunEndKind
+from burdocklug.pools.contention import PassPlan, priority_key
 from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
 from burdocklug.pools.scheduling._health import add_fault
 from burdocklug.pools.scheduling._jobs import TaskState
-from burdocklug.pools.scheduling._placement import PoolEndpoint
+from burdocklug.pools.scheduling._placement import PoolEndpoint, count_free_slots
 from burdocklug.pools.scheduling._run_estimates import RunEstimates
 from burdocklug.pools.scheduling._starts import (
     PoolView,
@@ -94,19 +95,35 @@
             reserved_slots=int(RESERVED_SLOTS_PER_ENDPOINT * endpoints_in_use),
             distance_factor=self._distance_factor,
             median_slowness=self.samples.median_slowness,
+            plan_pass=self._plan_pass,
         )
         for decision in decide(list(self._waiting.values()), view):
             starts += self._carry_out(decision, now)
         return starts
 
+    def _plan_pass(self, jobs, view):
+        if not view.is_reconciled:
+            return PassPlan(sorted(jobs, key=lambda job: priority_key(job, view.now_s)))
+        now, expected_s = view.now_s, self.expected_end_s
+
+        def ends(service):
+            runs = (run for run in self._runs() if run[1].entry.service == service)
+            return expected_ends((run for run in runs if run[1].usable), now, expected_s)
+
+        def count_free(task, limit):
+            return count_free_slots(task, view.endpoints, now, limit=limit)
+
+        return self.contention.plan_pass(jobs, now, count_free=count_free, expected_ends=ends)
+
+    def _runs(self):
+        """Yield the active runs whose ends free slots for others, with their endpoints."""
+        for endpoint in self.endpoints.values():
+            if not endpoint.evacuated:
+                for task in endpoint.runs.values():
+                    yield task, endpoint
+
     def _forecast(self, now):
-        runs = (
-            (task, endpoint)
-            for endpoint in self.endpoints.values()
-            if not endpoint.evacuated
-            for task in endpoint.runs.values()
-        )
-        return CapacityForecast(now, expected_ends(runs, now, self.expected_end_s))
+        return CapacityForecast(now, expected_ends(self._runs(), now, self.expected_end_s))
 
     def _carry_out(self, decision, now):
         """Apply a decision and return the number of tasks started, 0 or 1."""
@@ -114,39 +131,11 @@
             self._start(decision.task, decision.endpoint, now)
             return 1
         if isinstance(decision, Refuse):
-            self._refuse(decision.job, now)
+            self.give_up(decision.job, decision.reason, plan=decision.plan)
         else:
-            self._expire(decision.job)
+            self.give_up(decision.job, "deadline")
         return 0
 
-    def _expire(self, job):
-        if job.started:
-            self.end_job(job, JobOutcome.EXPIRED, reason="deadline")
-        else:
-            self._refuse(job, self._now())
-
-    def refuse_unplaceable(self, find_obstacle):
-        """Refuse the jobs without a started task for which `find_obstacle` returns a reason."""
-        self._slot_counts.invalidate()
-        for job in [j for j in self._waiting.values() if not j.started and j.hold is None]:
-            job.obstacle = find_obstacle(job.spec)
-            if job.obstacle:
-                self._refuse(job, self._now())
-
-    def _refuse(self, job, now):
-        self.counts["jobs_refused"] += 1
-        log.info(
-            "job_refused",
-            job=job.job_id,
-            queue=job.spec.queue.name,
-            reason=job.obstacle or "overload",
-            age_s=round(now - job.received_s, 3),
-            tasks=len(job.tasks),
-            waiting=len(self._waiting),
-        )
-        self.drop_job(job)
-        self.notify_callers(job)
-
     def _start(self, task, endpoint, now):
         task.job.waiting.remove(task)
         self._update_waiting(task.job)
@@ -156,6 +145,7 @@
         task.started_s = now
         task.progress = RunProgress(now)
         task.job.started = True
+        self.contention.note_start(task, now)
         endpoint.add(task)
         endpoint.note_start(now)
         self.counts["starts"] += 1
@@ -242,6 +232,7 @@
         """
         now = self._now()
         self.counts[f"ends_{kind}"] += 1
+        self.contention.returns.note_end(now)
         is_placed = task.state.is_placed and endpoint.runs.get(task.name) is task
         if kind is RunEndKind.DONE and is_placed:
             endpoint.faults = 0
