Cells: jobs, cancellations and late processes around a change of the plan

Change: a submission knows the plan by which its cell was chosen, and is routed anew under another one; elections of removed cells don't search; heartbeats carry the plan's number, and the plan is fetched with the configuration; the cells of a process share its cancellations and send them to each scheduler after a change; no job is refused for want of an endpoint while endpoints move, and those that no endpoint can hold are given up after that; a cell remembers the jobs that it passed on.

--- a/burdocklug/pools/_cancellations.py
+++ b/burdocklug/pools/_cancellations.py
@@ -1,4 +1,4 @@
-"""Cancelled jobs that a process may still submit, and for how long an ended job is remembered."""
+"""Jobs that a process may still submit but that must not run, and how long they are remembered."""
 
 import itertools
 
@@ -30,7 +30,7 @@
 
 
 class Cancellations:
-    """Ids of cancelled jobs, each until a time.
+    """Ids of jobs that were cancelled, or that went to another cell, each until a time.
 
     At `MAX_CANCELLATIONS` the oldest one is dropped.
 
@@ -49,13 +49,13 @@
         return len(self._until_s)
 
     def add(self, job_id, until_s):
-        """Remember a cancelled job until a time."""
+        """Remember a job until a time."""
         self._until_s[job_id] = max(until_s, self._until_s.pop(job_id, until_s))
         if len(self._until_s) > MAX_CANCELLATIONS:
             del self._until_s[next(iter(self._until_s))]
 
     def has(self, job_id, now_s):
-        """Return whether a job was cancelled and is remembered."""
+        """Return whether a job is remembered."""
         return self._until_s.get(job_id, float("-inf")) >= now_s
 
     def forget(self, now_s):
@@ -64,6 +64,10 @@
         for job_id in over:
             del self._until_s[job_id]
 
+    def clear(self):
+        """Drop all jobs."""
+        self._until_s.clear()
+
     def batches(self):
         """Yield all ids in tuples of at most `BATCH`."""
         ids = iter(self._until_s)
--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -1,142 +1,21 @@
-"""The cells of a process: for each, the election of its scheduler, its leader and its submitter."""
+"""The cells of a process by the plan in force, and which of them has a job."""
 
 from collections import Counter
-from dataclasses import dataclass
 
 import structlog
 
-from burdocklug.kernel import BurdocklugError, ErrorKind
-from burdocklug.pools._leader import Leader
+from burdocklug.kernel import BurdocklugError
+from burdocklug.pools._cell import Cell
+from burdocklug.pools._models import JobOutcome
 from burdocklug.pools.cells import CellNetworks, CellView, PlanChooser, cell_of, wanted_cells
-from burdocklug.pools.election import SchedulerElection
 from burdocklug.pools.scheduling import merge_counts
-from burdocklug.pools.submitting import JobControl, JobMoved, Submission, Submitter
+from burdocklug.pools.submitting import JobMoved, Submission
 
-__all__ = ["Cell", "CellServices", "Cells"]
+__all__ = ["Cells"]
 
 log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class CellServices:
-    """What the cells of a process share.
-
-    Parameters
-    ----------
-    network : PeerNetwork
-        Network of the process.
-    timers : TimerService
-        Clock and timers.
-    directory : Directory
-        Endpoints and configuration.
-    registry : MemberRegistry
-        The processes of the pool, and its plan of cells.
-    host : HostCapacity
-        Cores and event loop lag of this process.
-    settings : PoolSettings
-        Settings of the pool.
-    protocol : EndpointOrders
-        Protocol that carries orders to endpoints.
-    unreachable_domains : callable
-        Takes failure domains and returns those without a reachable endpoint; it may block.
-    is_version_current : callable
-        Returns whether the configuration was read from the store just now.
-    is_paused : callable
-        Returns whether this process was paused.
-    on_elected : callable
-        Called without arguments when this process becomes the scheduler of a cell.
-    on_newer_version : callable
-        Called with the incarnation of a peer that has a newer configuration or newer evacuations.
-    """
-
-    network: object
-    timers: object
-    directory: object
-    registry: object
-    host: object
-    settings: object
-    protocol: object
-    unreachable_domains: object
-    is_version_current: object
-    is_paused: object
-    on_elected: object
-    on_newer_version: object
-
-
-class Cell:
-    """One cell, as one process takes part in it.
-
-    Parameters
-    ----------
-    view : CellView
-        Endpoints and jobs of the cell.
-    services : CellServices
-        What the cells share.
-    network : object
-        Network of the cell.
-    usable_cores : callable
-        Returns the cores that this process has for the cell's scheduler.
-
-    Attributes
-    ----------
-    election : SchedulerElection
-        Finds the cell's scheduler.
-    submitter : Submitter
-        Submits the cell's jobs.
-    control : JobControl
-        Cancels and queries the cell's jobs.
-    leader : Leader
-        Runs the cell's scheduler if this process has the role.
-    """
-
-    def __init__(self, view, services, network, *, usable_cores):
-        directory, timers, host = services.directory, services.timers, services.host
-        self._on_elected = services.on_elected
-        self.view = view
-        self.election = SchedulerElection(
-            network,
-            timers,
-            members=lambda: services.registry.others,
-            unreachable_domains=services.unreachable_domains,
-            on_change=self._apply_claim,
-            version=lambda: directory.configuration.version,
-            is_version_current=services.is_version_current,
-            usable_cores=usable_cores,
-            loop_lag_s=lambda: host.recent_lag_s,
-            rank=view.number,
-        )
-        self.election.on_newer_version = services.on_newer_version
-        self.election.evacuations = lambda: directory.evacuation_view
-        self.submitter = Submitter(
-            network, self.election, timers, priorities=directory.priorities, cell=self.view
-        )
-        self.control = JobControl(
-            network, self.election, timers, longest_wait_s=directory.longest_wait_s
-        )
-        self.leader = Leader(
-            network,
-            timers,
-            directory,
-            services.protocol,
-            self.election,
-            host,
-            lease_s=services.settings.max_lease_ms / 1000,
-            distance_factor=services.settings.distance_factor,
-            is_paused=services.is_paused,
-            cell=self.view,
-        )
-
-    def _apply_claim(self, claim):
-        if self.election.is_scheduler:
-            self._on_elected()
-        self.leader.apply_claim(claim)
-        self.submitter.apply_claim(claim)
-
-    def dump(self):
-        """Return the cell's scheduler, and its state if this process has it, as plain data."""
-        return {"following": self.election.dump(), "scheduler": self.leader.dump()}
-
-
 class Cells:
     """The cells of one process, by the plan in force.
 
@@ -203,6 +82,7 @@
         self._add_missing(before)
         for cell in self._all:
             cell.view.apply(plan, changed_s)
+        for cell in self._all:
             is_in_plan = cell.view.number < plan.cells
             cell.election.draining = self._is_draining or not is_in_plan
             if not is_in_plan:
@@ -223,9 +103,9 @@
             services.registry.write_plan(plan)
 
     def set_ready(self, is_ready):
-        """Set whether the elections may search for a scheduler."""
+        """Set whether the elections of the plan's cells may search for a scheduler."""
         for cell in self._all:
-            cell.election.ready = is_ready
+            cell.election.ready = is_ready and cell.view.number < len(self)
 
     @property
     def is_scheduler(self):
@@ -262,28 +142,32 @@
     def submit(self, spec, *, wait_s):
         """Submit a job to the scheduler of its cell; see `Submitter.submit`.
 
-        A job that no endpoint of its cell can hold is passed on to the other cells.
+        A job that no endpoint of its cell can hold is passed on to the other cells, and a job whose
+        cell changes with the plan goes on in its new one.
         """
         submission = Submission(spec, self._services.timers.now(), wait_s)
         while True:
-            home = cell_of(spec.job_id, len(self))
+            submission.plan_number = self._plan.number
             try:
-                return self._submit_from(home, submission)
+                return self._submit_to_cells(submission)
             except JobMoved:
-                submission.is_passed_on = False
+                log.info("job_routed_anew", job=spec.job_id, plan=self._plan.number)
 
-    def _submit_from(self, home, submission):
-        cells = list(self)
-        for cell in cells[home:] + cells[:home]:
+    def _submit_to_cells(self, submission):
+        for cell in self._from_home(submission.spec.job_id):
             try:
                 return cell.submitter.resume(submission)
             except BurdocklugError as exc:
-                if exc.kind is not ErrorKind.NO_ENDPOINT or submission.may_have_started:
+                if not submission.is_unplaceable:
                     raise
                 refusal = exc
-            submission.is_passed_on = True
         raise refusal
 
+    def _from_home(self, job_id):
+        """Return all cells in the order in which they are asked for a job, its own one first."""
+        home, cells = cell_of(job_id, len(self)), list(self)
+        return cells[home:] + cells[:home]
+
     def withdraw_waiting(self, *, only_waiting):
         """Ask the schedulers to give up the jobs that callers of this process wait for."""
         for cell in self._all:
@@ -296,17 +180,22 @@
 
     def _ask(self, job_id, ask):
         """Ask the scheduler of a job's cell, then the others while the job is unknown."""
-        home = cell_of(job_id, len(self))
-        cells = list(self)
-        for cell in cells[home:] + cells[:home]:
+        for cell in self._from_home(job_id):
             state = ask(cell.control)
             if state:
                 return state
         return ""
 
     def cancel(self, job_id):
-        """Cancel a job and return its state; empty if the job is unknown."""
-        return self._ask(job_id, lambda control: control.cancel(job_id))
+        """Cancel a job and return its state; empty if the job is unknown.
+
+        After a change of the plan several cells may know the job, so all schedulers are told.
+        """
+        state = self._ask(job_id, lambda control: control.cancel(job_id))
+        if len(self) > 1 and state == JobOutcome.CANCELLED:
+            for cell in self:
+                cell.control.repeat_cancellation(job_id)
+        return state
 
     def state(self, job_id):
         """Return the state of a job; empty if the job is unknown."""
--- a/burdocklug/pools/_exchange.py
+++ b/burdocklug/pools/_exchange.py
@@ -1,4 +1,4 @@
-"""Passes the operators' view, which is the configuration and the evacuations, between processes."""
+"""Passes the operators' view (configuration and evacuations) and the plan between processes."""
 
 import eventlet
 import structlog
@@ -14,7 +14,7 @@
 
 
 class ConfigurationExchange:
-    """Replies with this process's configuration and evacuations, and fetches newer ones of peers.
+    """Replies with this process's configuration, evacuations and plan, and fetches newer ones.
 
     Parameters
     ----------
@@ -23,20 +23,25 @@
     timers : TimerService
         Clock.
     directory : Directory
-        What this process knows.
+        What this process knows of the operators' requests.
+    registry : MemberRegistry
+        Has the plan of cells.
     """
 
-    def __init__(self, network, timers, directory):
+    def __init__(self, network, timers, directory, registry):
         self._network = network
         self._timers = timers
         self._directory = directory
+        self._registry = registry
         self._is_fetching = False
         network.register(ConfigurationReply)
         network.register(ConfigurationRequest, self._on_request, inline=True)
 
     def _on_request(self, _sender, _message):
         directory = self._directory
-        return ConfigurationReply(directory.configuration, directory.evacuation_view)
+        return ConfigurationReply(
+            directory.configuration, directory.evacuation_view, self._registry.plan
+        )
 
     def fetch(self, peer):
         """Fetch what a peer knows in the background.
@@ -51,6 +56,7 @@
         try:
             reply = self._network.call(peer, ConfigurationRequest(), timeout_s=FETCH_TIMEOUT_S)
             directory = self._directory
+            self._registry.take_plan(reply.plan)
             directory.take_configuration(reply.configuration, source=peer)
             directory.take_evacuations(
                 directory.evacuation_view.merge(reply.evacuations),
--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -3,6 +3,7 @@
 import structlog
 from eventlet.event import Event
 
+from burdocklug.pools._cancellations import forget_after_s
 from burdocklug.pools._messages import (
     CancelJob,
     CancelledJobs,
@@ -27,10 +28,6 @@
 log = structlog.get_logger(__name__)
 
 
-def _refuse_unplaceable(obstacle):
-    return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
-
-
 class JobServer:
     """Serves the messages about jobs that processes send to the scheduler.
 
@@ -79,9 +76,14 @@
         now = self._timers.now()
         spec = message.spec
         obstacle = self._leader.find_obstacle(spec) if scheduler.is_reconciled else None
+        if obstacle is not None and self._leader.is_moving:
+            return SubmitReply(resubmit=True)  # an endpoint that can hold it may still come
+        if obstacle is None and scheduler.passed_on.has(spec.job_id, now):
+            obstacle = "another cell may have it"
         if obstacle is not None:
             log.info("job_impossible", job=spec.job_id, reason=obstacle)
-            return _refuse_unplaceable(obstacle)
+            expires_s = now - message.age_s + message.wait_s
+            return self._refuse_unplaceable(scheduler, spec.job_id, obstacle, expires_s)
         job = scheduler.submit(
             spec,
             received_s=now - message.age_s,
@@ -120,9 +122,20 @@
                 resubmit=True, may_have_started=job.started, progress=progress_of(job)
             )
         if job.obstacle:
-            return _refuse_unplaceable(job.obstacle)
+            return self._refuse_unplaceable(scheduler, job.job_id, job.obstacle, job.expires_s)
         return SubmitReply(refused="overload", retry_after_s=self._retry_after_s())
 
+    def _refuse_unplaceable(self, scheduler, job_id, obstacle, expires_s):
+        """Refuse a job that no endpoint of this cell can hold.
+
+        If there are other cells, its process passes it on to them. This one goes on refusing it,
+        even if an endpoint comes that can hold it, so that it doesn't run in two cells at once.
+        """
+        if self._cell.is_split:
+            until_s = forget_after_s(self._timers.now(), expires_s=expires_s)
+            scheduler.passed_on.add(job_id, until_s)
+        return SubmitReply(refused=obstacle, unplaceable=True, retry_after_s=MAX_RETRY_S)
+
     def _is_stale(self, sender, message):
         if sender == self._network.incarnation:
             return False
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -90,6 +90,7 @@
         self._began_s = 0.0
         self._start_waiting_due = False
         self._is_view_usable = True
+        self._moves = 0  # changes of the plan whose endpoints still end their runs
         self._server = JobServer(
             self, network, timers, directory, election, is_paused=is_paused, cell=self._cell
         )
@@ -158,14 +159,37 @@
         Jobs that have gone to another cell are given up, and their callers' processes submit them
         there; endpoints that have gone end their runs first.
         """
-        self._timers.after(MOVE_DELAY_S, self._sync_agents)
+        self._moves += 1
+        self._timers.after(MOVE_DELAY_S, self._finish_move)
         if self.scheduler is None:
             return
+        self.scheduler.passed_on.clear()
         for job in list(self.scheduler.jobs.values()):
             if job.outcome is None and not self._cell.has_job(job.job_id):
                 self.scheduler.suspend(job)
         self._sync_agents()
 
+    @property
+    def is_moving(self):
+        """Whether endpoints may still change their cell after a change of the plan."""
+        return self._moves > 0
+
+    def _finish_move(self):
+        self._moves -= 1
+        self._sync_agents()
+        self._refuse_unplaceable()
+
+    def _refuse_unplaceable(self):
+        """Refuse the waiting jobs that no endpoint can hold, if all endpoints are known here.
+
+        If there are other cells, jobs that have started elsewhere are given up, to be passed on.
+        """
+        if self.scheduler is None or not self.scheduler.is_reconciled or self.is_moving:
+            return
+        self.scheduler.refuse_unplaceable(self.find_obstacle)
+        if self._cell.is_split:
+            self.scheduler.suspend_unplaceable(self.find_obstacle)
+
     def _serves(self, entry):
         """Return whether this scheduler holds an endpoint, if only until its runs have ended."""
         if not self._claim.serves(entry.failure_domain):
@@ -200,13 +224,15 @@
 
     def _apply_evacuations(self):
         endpoints = self.scheduler.endpoints.values()
-        has_changed = mark_evacuated(endpoints, self._directory.evacuations, self._timers.now())
-        if has_changed and self.scheduler.is_reconciled:
-            self.scheduler.refuse_unplaceable(self.find_obstacle)
+        if mark_evacuated(endpoints, self._directory.evacuations, self._timers.now()):
+            self._refuse_unplaceable()
 
     def find_obstacle(self, spec):
-        """Return why no endpoint can ever run a job, or None if one can."""
-        endpoints = self.scheduler.endpoints.values()
+        """Return why no endpoint can ever run a job, or None if one can.
+
+        An endpoint that goes to another cell doesn't count.
+        """
+        endpoints = [agent.endpoint for agent in self._agents.values() if not agent.is_leaving]
         return find_placement_obstacle(spec, endpoints, has_others=not self._claim.is_full)
 
     @staticmethod
@@ -277,8 +303,8 @@
             ) or now > self._began_s + SETTLE_S:
                 log.info("scheduling_settled", after_s=round(now - self._began_s, 3))
                 self.scheduler.mark_reconciled()
-                if self._directory.evacuations:
-                    self.scheduler.refuse_unplaceable(self.find_obstacle)
+                if self._directory.evacuations or self._cell.is_split:
+                    self._refuse_unplaceable()
         self.scheduler.expire_overdue()
         self._suspend_abandoned(now)
         self.scheduler.forget_ended()
@@ -291,6 +317,7 @@
         if self.scheduler is not None:
             self.scheduler.update_median_slowness()
             self.scheduler.cancellations.forget(self._timers.now())
+            self.scheduler.passed_on.forget(self._timers.now())
             lag_ms = round(1000 * self._host.take_max_lag_s())
             load = scheduler_load(self.scheduler, self._timers.now())
             log.info("pool_load", **load, loop_late_ms=lag_ms)
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -4,6 +4,7 @@
 
 from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import JobOutcome, JobSpec, PoolConfiguration
+from burdocklug.pools.cells import CellPlan
 
 __all__ = [
     "GetJobState",
@@ -75,6 +76,8 @@
         Number of the last heartbeat whose reply the sender has received; 0 for none.
     evacuations_revision, evacuations_digest : int
         Revision up to which the sender knows the evacuations, and a digest of those that stand.
+    plan_number : int
+        Number of the plan of cells that the sender has in force.
     """
 
     sequence: int
@@ -84,6 +87,7 @@
     reply_sequence: int = 0
     evacuations_revision: int = 0
     evacuations_digest: int = 0
+    plan_number: int = 0
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_followed"):
@@ -102,7 +106,7 @@
     is_version_current : bool
         Whether the replying process has just read that version from the store, so that the
         receiver need not do so.
-    evacuations_revision, evacuations_digest : int
+    evacuations_revision, evacuations_digest, plan_number : int
         As in `FollowerHeartbeat`.
     """
 
@@ -113,6 +117,7 @@
     is_version_current: bool = False
     evacuations_revision: int = 0
     evacuations_digest: int = 0
+    plan_number: int = 0
 
 
 class ReachRequest(msgspec.Struct, frozen=True, array_like=True, tag="pool_reach"):
@@ -289,3 +294,4 @@
 
     configuration: PoolConfiguration
     evacuations: EvacuationView = EvacuationView()
+    plan: CellPlan = CellPlan()
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -4,7 +4,8 @@
 import structlog
 
 from burdocklug.kernel import part
-from burdocklug.pools._cells import Cells, CellServices
+from burdocklug.pools._cell import CellServices
+from burdocklug.pools._cells import Cells
 from burdocklug.pools._directory import Directory
 from burdocklug.pools._exchange import ConfigurationExchange
 from burdocklug.pools._pause import CHECK_PERIOD_S, MAX_PAUSE_S, PauseDetector
@@ -72,7 +73,9 @@
             record,
             on_plan=lambda plan, **options: self.cells.apply_plan(plan, **options),
         )
-        self._exchange = ConfigurationExchange(self._network, self._timers, self.directory)
+        self._exchange = ConfigurationExchange(
+            self._network, self._timers, self.directory, self.registry
+        )
         self.cells = Cells(self._cell_services())
         self._missing_since_s = {}
         self._grace_ends_s = float("-inf")
--- a/burdocklug/pools/cells/_view.py
+++ b/burdocklug/pools/cells/_view.py
@@ -52,6 +52,11 @@
         """Number of the plan in force."""
         return self._plan.number
 
+    @property
+    def is_split(self):
+        """Whether the pool has other cells."""
+        return self._plan.cells > 1
+
     def has_job(self, job_id):
         """Return whether the cell schedules the job with a given id."""
         return cell_of(job_id, self._plan.cells) == self.number
--- a/burdocklug/pools/election/_fleet.py
+++ b/burdocklug/pools/election/_fleet.py
@@ -144,6 +144,14 @@
         except ValueError as exc:
             log.warning("cell_plan_malformed", error=str(exc)[:120])
             return
+        self._take_plan(plan)
+
+    def take_plan(self, plan):
+        """Apply a plan that a peer has, if this process has read the registry and it is newer."""
+        if self._follower.is_loaded:
+            self._take_plan(plan)
+
+    def _take_plan(self, plan):
         if plan > self.plan:
             log.info("cell_plan_in_force", number=plan.number, cells=plan.cells)
             self.plan = plan
--- a/burdocklug/pools/election/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -56,10 +56,12 @@
     learns_versions : bool
         Whether the scheduler that is followed reads new configurations and passes them on.
     on_newer_version : callable or None
-        Called with the incarnation of a peer that has a newer configuration or knows of a change
-        of the evacuations.
+        Called with the incarnation of a peer that has a newer configuration or plan of cells, or
+        knows of a change of the evacuations.
     evacuations : callable
         Returns the `EvacuationView` of this process.
+    plan_number : callable
+        Returns the number of the plan of cells in force.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.learns_versions = False
         self.on_newer_version = None
         self.evacuations = EvacuationView
+        self.plan_number = int
         self._network = network
         self._timers = timers
         self._on_change = on_change
@@ -158,6 +161,7 @@
             self.reply_sequence,
             evacuations.revision,
             evacuations.digest,
+            self.plan_number(),
         )
         self.congestion.note_sent(self._sequence)
         self._network.send(self.claim.scheduler, heartbeat)
@@ -173,6 +177,7 @@
             self.is_scheduler and self._is_version_current(),
             evacuations.revision,
             evacuations.digest,
+            self.plan_number(),
         )
         self._network.send(sender, reply)
         self._note_version(sender, message)
@@ -196,7 +201,8 @@
             message.evacuations_revision > evacuations.revision
             and message.evacuations_digest != evacuations.digest
         )
-        is_newer = message.configuration_version > self._version() or knows_change
+        has_newer_plan = message.plan_number > self.plan_number()
+        is_newer = message.configuration_version > self._version() or knows_change or has_newer_plan
         if is_newer and self.on_newer_version is not None:
             self.on_newer_version(sender)
 
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -40,6 +40,8 @@
         Histogram of the time from arrival to end of jobs, by queue and outcome.
     cancellations : Cancellations
         Cancelled jobs that a process may still submit.
+    passed_on : Cancellations
+        Refused jobs that a scheduler of another cell may have got.
     is_reconciled : bool
         Whether all runs of an earlier scheduler are known here or have ended.
     submitted_s : float
@@ -52,6 +54,7 @@
         self.counts = Counter()
         self.latencies = LatencyCounts()
         self.cancellations = Cancellations()
+        self.passed_on = Cancellations()
         self.is_reconciled = True
         self.submitted_s = now()
         self._orders = orders
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -142,6 +142,12 @@
             if job.obstacle:
                 self._refuse(job, self._now())
 
+    def suspend_unplaceable(self, find_obstacle):
+        """Suspend the waiting jobs without a run for which `find_obstacle` returns a reason."""
+        for job in list(self._waiting.values()):
+            if not any(task.state.is_placed for task in job.tasks) and find_obstacle(job.spec):
+                self.suspend(job)
+
     def _refuse(self, job, now):
         self.counts["jobs_refused"] += 1
         log.info(
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -23,7 +23,7 @@
 
 
 class JobMoved(Exception):
-    """The job has gone to another cell, whose submitter has to go on with the submission."""
+    """The plan of cells has changed, so that the cell of the submission has to be chosen anew."""
 
 
 class _SchedulerLost(Exception):
@@ -44,8 +44,10 @@
         Time of the last reply of a scheduler that may have started the job.
     progress : JobProgress or None
         Progress of the job there.
-    is_passed_on : bool
-        Whether no endpoint of the job's own cell can hold it, so that other cells are asked.
+    plan_number : int
+        Number of the plan of cells by which the cell was chosen that has the submission now.
+    is_unplaceable : bool
+        Whether that cell refused the job because none of its endpoints can hold it.
     """
 
     spec: object
@@ -53,7 +55,8 @@
     wait_s: float
     earlier_reply_s: float | None = None
     progress: object = None
-    is_passed_on: bool = False
+    plan_number: int = 0
+    is_unplaceable: bool = False
 
     @property
     def may_have_started(self):
@@ -74,7 +77,7 @@
     priorities : callable
         Returns the priorities of the queues in force, as a set; the lowest is the most urgent.
     cell : CellView, optional
-        The jobs of the cell whose scheduler is `election`'s; all of them by default.
+        The cell whose scheduler is `election`'s; the only one by default.
     """
 
     def __init__(self, network, election, timers, *, priorities, cell=None):
@@ -159,11 +162,12 @@
         Raises
         ------
         JobMoved
-            If the job has gone to another cell; nothing is under way for it here.
+            If the plan of cells has changed; nothing is under way for the job here.
         BurdocklugError
             See `submit`.
         """
         spec = submission.spec
+        submission.is_unplaceable = False
         self.waiting += 1
         try:
             return self._submit(submission)
@@ -187,8 +191,6 @@
         deadline_s = submission.received_s + submission.wait_s + REPLY_MARGIN_S
         while True:
             claim = self._wait_for_scheduler(submission, deadline_s)
-            if not submission.is_passed_on and not self._cell.has_job(submission.spec.job_id):
-                raise JobMoved()
             self._admit(submission)
             sequence = self._election.reply_sequence
             reply = self._call(claim.scheduler, submission, deadline_s)
@@ -204,6 +206,7 @@
             if reply.may_have_started:
                 submission.earlier_reply_s = self._timers.now()
                 submission.progress = reply.progress
+            submission.is_unplaceable = reply.unplaceable
             self._check_open(submission)
             if reply.refused and submission.may_have_started:
                 raise BurdocklugError(
@@ -253,6 +256,8 @@
     def _wait_for_scheduler(self, submission, deadline_s):
         began_s = self._timers.now()
         while True:
+            if submission.plan_number != self._cell.plan_number:
+                raise JobMoved()
             now, claim = self._timers.now(), self._election.confirmed_claim
             if claim is not None and now < deadline_s:
                 return claim
