Cells: cancellations that only a scheduler knows go to the new cells too

Change: at a change of the plan a scheduler's process takes over its cancellations and sends them on.

--- a/burdocklug/pools/_cancellations.py
+++ b/burdocklug/pools/_cancellations.py
@@ -54,6 +54,11 @@
         if len(self._until_s) > MAX_CANCELLATIONS:
             del self._until_s[next(iter(self._until_s))]
 
+    def add_all(self, other):
+        """Remember the jobs of another `Cancellations`."""
+        for job_id, until_s in other._until_s.items():
+            self.add(job_id, until_s)
+
     def has(self, job_id, now_s):
         """Return whether a job is remembered."""
         return self._until_s.get(job_id, float("-inf")) >= now_s
--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -83,6 +83,8 @@
         for cell in self._all:
             cell.view.apply(plan, changed_s)
         for cell in self._all:
+            if cell.leader.scheduler is not None:
+                self._services.cancellations.add_all(cell.leader.scheduler.cancellations)
             is_in_plan = cell.view.number < plan.cells
             cell.election.draining = self._is_draining or not is_in_plan
             if not is_in_plan:
--- a/tests/pools/cells/test_plan_changes.py
+++ b/tests/pools/cells/test_plan_changes.py
@@ -77,8 +77,8 @@
 
 
 class CancelledJobTest(TestCase):
-    def cancel_before(self, cells, plan):
-        """Cancel jobs, change the plan, send them again, and return the answers."""
+    def cancel_before(self, cells, plan, *, is_lost=False):
+        """Cancel jobs, change the plan and send them again; the process asked may be lost then."""
 
         def scenario():
             deployment = make_deployment(cells, run_s=2.0).start(for_s=4.0)
@@ -87,6 +87,8 @@
             eventlet.sleep(0.3)
             control = deployment.processes["p7"].pool.cells
             states = [control.cancel(IDS[n]) for n in range(12)]
+            if is_lost:
+                deployment.kill("p7")
             set_plan(deployment, plan)
             eventlet.sleep(3.0)
             again = [deployment.submit("p5", job(n), wait_s=4.0) for n in range(12)]
@@ -100,6 +102,9 @@
     def test_a_cancelled_job_that_changes_to_a_new_cell_stays_cancelled(self):
         self.cancel_before(1, CellPlan(2, 3))
 
+    def test_a_cancelled_job_stays_cancelled_if_the_process_that_was_asked_is_lost(self):
+        self.cancel_before(1, CellPlan(2, 3), is_lost=True)
+
     def test_a_cancelled_job_of_a_removed_cell_stays_cancelled(self):
         self.cancel_before(3, CellPlan(2, 1))
 
