Cells: the revision of a plan's record is its number

Cause: two schedulers that wrote plans of one number, or a write that took effect late, left processes with different plans for good, which none of them could tell (test_plans_of_one_number_from_two_schedulers_leave_one_in_force failed before). Change: a process numbers a plan that it reads by the revision at which it was written.

--- a/burdocklug/pools/cells/_plan.py
+++ b/burdocklug/pools/cells/_plan.py
@@ -36,7 +36,10 @@
 
 
 class CellPlan(msgspec.Struct, frozen=True, order=True):
-    """Number of cells of a pool; of two plans, the one with the higher number supersedes."""
+    """Number of cells of a pool; of two plans, the one with the higher number supersedes.
+
+    The number of a plan that was read is the revision of its record in the store.
+    """
 
     number: int = 0
     cells: int = 1
--- a/burdocklug/pools/election/_fleet.py
+++ b/burdocklug/pools/election/_fleet.py
@@ -140,7 +140,8 @@
         if not isinstance(change, Record):
             return  # the plan in force stays
         try:
-            plan = decode_plan(change.value)
+            # Two schedulers may have written plans of one number, so its revision counts.
+            plan = msgspec.structs.replace(decode_plan(change.value), number=change.revision)
         except ValueError as exc:
             log.warning("cell_plan_malformed", error=str(exc)[:120])
             return
--- a/tests/pools/cells/test_plan_changes.py
+++ b/tests/pools/cells/test_plan_changes.py
@@ -75,6 +75,25 @@
     def test_a_follower_without_the_store_learns_of_the_plan_from_others(self):
         self.serve_beside_cut(lambda _deployment: "p8", CellPlan(2, 3))
 
+    def test_plans_of_one_number_from_two_schedulers_leave_one_in_force(self):
+        def scenario():
+            deployment = make_deployment(1)
+            late = deployment.processes.pop("p8")
+            deployment.start(for_s=4.0)
+            set_plan(deployment, CellPlan(2, 3))
+            set_plan(deployment, CellPlan(2, 2))
+            eventlet.sleep(1.0)
+            deployment.processes["p8"] = late
+            late.start()
+            eventlet.sleep(3.0)
+            plans = [process.pool.registry.plan for process in deployment.processes.values()]
+            return plans, outcomes(play(deployment, for_s=2.0))
+
+        plans, answers = run_in_virtual_time(scenario)
+        self.assertThat({plan.cells for plan in plans}, Equals({2}))
+        self.assertThat(len(set(plans)), Equals(1))
+        self.assertThat(set(answers), Equals({JobOutcome.COMPLETED}))
+
 
 class CancelledJobTest(TestCase):
     def cancel_before(self, cells, plan, *, is_lost=False):
