--- a/burdocklug/pools/scheduling/_expiry.py
+++ b/burdocklug/pools/scheduling/_expiry.py
@@ -34,6 +34,12 @@
                 if job.obstacle:
                     self.give_up(job, UNPLACEABLE)
 
+    def suspend_unplaceable(self, find_obstacle):
+        """Suspend the waiting jobs without a run for which `find_obstacle` returns a reason."""
+        for job in list(self._waiting.values()):
+            if not any(task.state.is_placed for task in job.tasks) and find_obstacle(job.spec):
+                self.suspend(job)
+
     def give_up(self, job, reason, *, plan=None):
         """Refuse a job of which no task has started, or end it as expired.
 
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -46,6 +46,8 @@
         What runs tell of endpoints and queues.
     cancellations : Cancellations
         Cancelled jobs that a process may still submit.
+    passed_on : Cancellations
+        Refused jobs that a scheduler of another cell may have got.
     is_reconciled : bool
         Whether all runs of an earlier scheduler are known here or have ended.
     submitted_s : float
@@ -60,6 +62,7 @@
         self.contention = Contention(self.counts)
         self.cancellations = Cancellations()
         self.samples = RunSamples(self.counts)
+        self.passed_on = Cancellations()
         self.is_reconciled = True
         self.submitted_s = now()
         self._orders = orders
