--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -232,7 +232,7 @@
 
 
 class CancelledJobs(msgspec.Struct, frozen=True, array_like=True, tag="pool_cancelled"):
-    """Tells a new scheduler of cancellations that the sender acknowledged before."""
+    """Tells a scheduler of cancellations that others acknowledged."""
 
     job_ids: tuple[str, ...]
 
@@ -286,7 +286,7 @@
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag="pool_config_ask"):
-    """Asks a peer for its configuration and the evacuations that it knows."""
+    """Asks a peer for its configuration, its evacuations and its plan of cells."""
 
 
 class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_config"):
