--- a/tests/bench/test_regression.py
+++ b/tests/bench/test_regression.py
@@ -24,6 +24,11 @@
         "connections/7_processes_24_endpoints",
         "connections/50_processes_600_endpoints",
     ],
+    "contention/bursts": [
+        f"contention/{seed}/{line}"
+        for seed in (1, 2)
+        for line in ("in_time", "worst_class", "refused_p50_s", "unanswered")
+    ],
     "fairness/muehlviertel": [
         "fairness/quiet/single_p99",
         "fairness/quiet/refused",
