--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,6 +23,7 @@
     "demo": ("tests/demo", "tests/docs", "tests/soak"),
     "bench": ("tests/bench",),
     "control": ("tests/tickets", "tests/store", "tests/peers", "tests/hosts"),
+    "pools": ("tests/pools",),
     "others": ("tests", "burdocklug", "tools"),
 }
 COUNTS = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
