Contention: without a function that only a test used

Cause: order() returned the jobs of plan(), and the product calls plan() itself. Change: the test asks plan() for the same order.

--- a/burdocklug/pools/contention/__init__.py
+++ b/burdocklug/pools/contention/__init__.py
@@ -14,7 +14,7 @@
     latest_useful_end_s,
     priority_key,
 )
-from burdocklug.pools.contention._plan import Plan, order, plan
+from burdocklug.pools.contention._plan import Plan, plan
 from burdocklug.pools.contention._returns import Returns
 from burdocklug.pools.contention._supply import Supply
 from burdocklug.pools.contention._verdict import Offer, Verdict, verdict
@@ -34,7 +34,6 @@
     "is_too_late",
     "latest_start_s",
     "latest_useful_end_s",
-    "order",
     "plan",
     "priority_key",
     "verdict",
--- a/burdocklug/pools/contention/_plan.py
+++ b/burdocklug/pools/contention/_plan.py
@@ -14,7 +14,7 @@
 from burdocklug.pools.contention._lateness import latest_start_s, latest_useful_end_s, priority_key
 from burdocklug.pools.contention._supply import MIN_RUN_S
 
-__all__ = ["Plan", "can_all_be_in_time", "order", "plan"]
+__all__ = ["Plan", "can_all_be_in_time", "plan"]
 
 # Part of a job's estimated time by which it is planned to start before its latest start; estimates
 # are rough, and a job that starts at the last moment often ends late.
@@ -210,8 +210,3 @@
         task_s += wave * jobs[n].waiting[0].estimate_s
         means[rank] = max(task_s / tasks, MIN_RUN_S)
     return means
-
-
-def order(jobs, now_s, accounts, supply=None):
-    """Return waiting jobs in the order in which they are offered room; see `plan`."""
-    return plan(jobs, now_s, accounts, supply).jobs
--- a/tests/pools/contention/test_plan.py
+++ b/tests/pools/contention/test_plan.py
@@ -1,7 +1,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools.contention import Accounts, Offer, Supply, Verdict, order, plan, verdict
+from burdocklug.pools.contention import Accounts, Offer, Supply, Verdict, plan, verdict
 from burdocklug.pools.contention._refusals import RecentRefusals
 from tests.pools.contention.jobs import NOW_S, rule, waiting_job
 
@@ -22,7 +22,9 @@
             waiting_job("long", estimate_s=0.9),
             waiting_job("short", estimate_s=0.06),
         ]
-        self.assertThat(ids(order(jobs, NOW_S, Accounts())), Equals(["short", "long", "low"]))
+        self.assertThat(
+            ids(plan(jobs, NOW_S, Accounts(), None).jobs), Equals(["short", "long", "low"])
+        )
         found = self.plan(jobs)
         self.assertThat(ids(found.jobs), Equals(["short", "long", "low"]))
         self.assertFalse(found.is_contended)
