Configuration: logs and metrics show who is behind, since when, and how much of an answer arrived

Cause of the change: in the incident's logs neither a process's version nor the newest it has heard of can be seen, nor how far a transfer had come when it was given up, so the hypotheses can't be told apart.

Change: `configuration_behind` when a process hears of a newer version than its own, `behind_s` in `configuration_in_force` and `configuration_not_fetched`, `followers_behind` of the scheduler each second while some are, bytes received in the error of a store call, and metrics `configuration_version`, `configuration_newest_known`, `configuration_behind_s`. No decision uses them yet.

--- a/burdocklug/endpoints/_watched.py
+++ b/burdocklug/endpoints/_watched.py
@@ -27,9 +27,14 @@
 
     The loop fires timers before it polls, so when it is late an `AnswerTimeout` can interrupt a
     wait whose answer has arrived: the answer is read then, and no more bytes are waited for.
+
+    Attributes
+    ----------
+    received : int
+        Bytes received since the last `send`.
     """
 
-    __slots__ = ("_conn", "_listener", "_overdue", "_sock", "_waiter")
+    __slots__ = ("_conn", "_listener", "_overdue", "_sock", "_waiter", "received")
 
     def __init__(self, conn):
         self._conn = conn
@@ -37,6 +42,7 @@
         self._waiter = None
         self._listener = None
         self._overdue = None  # the timeout of the request under way, once it has passed
+        self.received = 0
         self._watch()
 
     def _watch(self):
@@ -66,6 +72,7 @@
     def send(self, data):
         """Send all of `data`."""
         self._overdue = None
+        self.received = 0
         try:
             sent = self._sock.send(data)
         except BlockingIOError:
@@ -81,10 +88,13 @@
             if self._overdue is None:
                 self._wait_readable()
             try:
-                return self._sock.recv(size)
+                data = self._sock.recv(size)
             except BlockingIOError:
                 if self._overdue is not None:
                     raise self._overdue from None
+            else:
+                self.received += len(data)
+                return data
 
     def _wait_readable(self):
         self._waiter = eventlet.getcurrent()
--- a/burdocklug/platform/_calls.py
+++ b/burdocklug/platform/_calls.py
@@ -58,7 +58,7 @@
         """
         raw = b"" if body is None else encode_json(body)
         connections = self._connections(address)
-        sent = False
+        sent, conn = False, None
         timeout = eventlet.Timeout(
             timeout_s, AnswerTimeout(f"{address}: no response in {timeout_s:.2f} s")
         )
@@ -72,7 +72,9 @@
             finally:
                 connections.release(conn, generation, self._now(), reusable=reusable)
         except (NotStarted, MaybeStarted, AnswerTimeout) as exc:
-            raise NoResponse(f"{type(exc).__name__}: {exc}"[:120], sent=sent) from exc
+            received = conn.received if conn is not None else 0
+            message = f"{type(exc).__name__}: {exc}, {received} bytes received"
+            raise NoResponse(message[:120], sent=sent) from exc
         finally:
             timeout.cancel()
         return status, answer
--- a/burdocklug/platform/_operator.py
+++ b/burdocklug/platform/_operator.py
@@ -116,4 +116,4 @@
         except ValueError as exc:
             log.error("configuration_malformed", revision=record.revision, error=str(exc)[:200])
             return
-        self._directory.take_configuration(configuration, source="store")
+        self._directory.take_configuration(configuration, source="store", now_s=self._now())
--- a/burdocklug/pools/_cell.py
+++ b/burdocklug/pools/_cell.py
@@ -44,6 +44,8 @@
     on_newer_version : callable
         Called with the incarnation of a peer that has a newer configuration, newer evacuations or
         a newer plan of cells.
+    on_version_heard : callable
+        Called with the incarnation of a peer and the version of its configuration, if it is newer.
     cancellations : Cancellations
         Jobs that were cancelled at this process, whichever cell had them.
     """
@@ -60,6 +62,7 @@
     is_paused: object
     on_elected: object
     on_newer_version: object
+    on_version_heard: object
     cancellations: Cancellations = field(default_factory=Cancellations)
 
 
@@ -110,6 +113,7 @@
             rank=view.number,
         )
         self.election.on_newer_version = services.on_newer_version
+        self.election.on_version_heard = services.on_version_heard
         self.election.evacuations = lambda: directory.evacuation_view
         self.election.plan_number = lambda: view.plan_number
         self.submitter = Submitter(
--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -5,6 +5,7 @@
 
 from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import PoolConfiguration
+from burdocklug.pools._version_lag import VersionLag
 from burdocklug.pools._view_age import ViewAge
 
 __all__ = ["Directory"]
@@ -29,6 +30,8 @@
         Failure domains in which nothing may be started.
     configuration_age, entries_age : ViewAge
         When each was last read from the store; the evacuations are read with the configuration.
+    version_lag : VersionLag
+        Versions of the configuration that other processes have and this one lacks.
     """
 
     def __init__(self):
@@ -39,6 +42,7 @@
         self._cold_reports = {}  # incarnation and remaining cold time in the last entry, by id
         self.configuration_age = ViewAge()
         self.entries_age = ViewAge()
+        self.version_lag = VersionLag()
         self._subscribers = []
 
     def subscribe(self, callback):
@@ -57,7 +61,17 @@
         """Return the longest time for which a caller of any queue waits, in seconds."""
         return max((queue.timeout_s for queue in self.configuration.queues), default=0.0)
 
-    def take_configuration(self, configuration, *, source):
+    def note_version(self, version, *, source, now_s):
+        """Record that another process has a version of the configuration."""
+        if self.version_lag.note_heard(version, now_s):
+            log.info(
+                "configuration_behind",
+                version=version,
+                in_force=self.configuration.version,
+                source=source,
+            )
+
+    def take_configuration(self, configuration, *, source, now_s=0.0):
         """Apply a configuration if its version is higher; return whether it was applied."""
         if configuration.version <= self.configuration.version:
             return False
@@ -67,8 +81,10 @@
             before=self.configuration.version,
             source=source,
             queues=len(configuration.queues),
+            behind_s=round(self.version_lag.behind_s(now_s), 3),
         )
         self.configuration = configuration
+        self.version_lag.note_taken(configuration.version)
         self._notify()
         return True
 
@@ -168,6 +184,7 @@
         """Return the configuration's version and queues, and the endpoints, as plain data."""
         return {
             "configuration_version": self.configuration.version,
+            "newest_known_version": self.version_lag.newest,
             "queues": [queue.name for queue in self.configuration.queues],
             "endpoints": sorted(self.entries),
             "evacuations": dict(sorted(self.evacuations.items())),
--- a/burdocklug/pools/_exchange.py
+++ b/burdocklug/pools/_exchange.py
@@ -53,17 +53,25 @@
             eventlet.spawn(self._run_fetch, peer)
 
     def _run_fetch(self, peer):
+        began_s = self._timers.now()
         try:
             reply = self._network.call(peer, ConfigurationRequest(), timeout_s=FETCH_TIMEOUT_S)
             directory = self._directory
             self._registry.take_plan(reply.plan)
-            directory.take_configuration(reply.configuration, source=peer)
+            directory.take_configuration(reply.configuration, source=peer, now_s=self._timers.now())
             directory.take_evacuations(
                 directory.evacuation_view.merge(reply.evacuations),
                 source=peer,
                 age_s=directory.configuration_age.known_age_s(self._timers.now()),
             )
         except (PeerUnreachable, PeerOutcomeUnknown) as exc:
-            log.info("configuration_not_fetched", peer=peer, error=str(exc)[:120])
+            now = self._timers.now()
+            log.info(
+                "configuration_not_fetched",
+                peer=peer,
+                error=str(exc)[:120],
+                after_s=round(now - began_s, 3),
+                behind_s=round(self._directory.version_lag.behind_s(now), 3),
+            )
         finally:
             self._is_fetching = False
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -191,6 +191,15 @@
             lag_ms = round(1000 * self._host.take_max_lag_s())
             load = scheduler_load(self.scheduler, self._timers.now())
             log.info("pool_load", **load, loop_late_ms=lag_ms)
+            self._log_followers_behind()
+
+    def _log_followers_behind(self):
+        version = self._directory.configuration.version
+        versions = self._election.followers.versions_behind(version, self._timers.now())
+        if versions:
+            log.info(
+                "followers_behind", version=version, followers=len(versions), oldest=versions[0]
+            )
 
     def _suspend_abandoned(self, now):
         for job in list(self.scheduler.jobs.values()):
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -95,6 +95,7 @@
             is_paused=self._pauses.is_paused,
             on_elected=self._note_elected,
             on_newer_version=self._exchange.fetch,
+            on_version_heard=self._note_version,
         )
 
     @property
@@ -131,6 +132,9 @@
         """Return whether no other process tells this one of a new configuration in time."""
         return self.cells.is_scheduler or not self.cells.learns_versions
 
+    def _note_version(self, peer, version):
+        self.directory.note_version(version, source=peer, now_s=self._timers.now())
+
     def _is_version_current(self):
         age_s = self.directory.configuration_age.age_s(self._timers.now())
         return age_s <= MAX_VERSION_AGE_S
@@ -244,6 +248,9 @@
         return {
             **self.cells.counts(),
             "evacuated_domains": len(self.directory.evacuations),
+            "configuration_version": self.directory.configuration.version,
+            "configuration_newest_known": self.directory.version_lag.newest,
+            "configuration_behind_s": self.directory.version_lag.behind_s(self._timers.now()),
             "waiting": self.cells.waiting,
         }
 
--- a/burdocklug/pools/election/_followers.py
+++ b/burdocklug/pools/election/_followers.py
@@ -26,12 +26,14 @@
         self.acknowledged_s = {}
         self._reply_sequences = {}
         self._cores = {}
+        self._versions = {}
         self._replied_s = {}
 
     def note_heartbeat(self, sender, message, now_s):
         """Record a `FollowerHeartbeat` that is replied to at `now_s`."""
         self.last_heartbeat_s[sender] = now_s
         self._cores[sender] = message.usable_cores
+        self._versions[sender] = message.configuration_version
         before = self._reply_sequences.get(sender)
         self._reply_sequences[sender] = message.reply_sequence
         replied_s = self._replied_s.get((sender, message.reply_sequence))
@@ -62,6 +64,14 @@
             now_s - self.last_heartbeat_s.get(member, 0.0) < self._timeout_s for member in members
         )
 
+    def versions_behind(self, version, now_s):
+        """Return the configuration versions of live followers that are below `version`, sorted."""
+        return sorted(
+            known
+            for follower, known in self._versions.items()
+            if known < version and now_s - self.last_heartbeat_s[follower] < self._timeout_s
+        )
+
     def live_cores(self, now_s):
         """Return the usable cores of the live followers' hosts, by incarnation."""
         return {
--- a/burdocklug/pools/election/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -58,6 +58,9 @@
     on_newer_version : callable or None
         Called with the incarnation of a peer that has a newer configuration or plan of cells, or
         knows of a change of the evacuations.
+    on_version_heard : callable or None
+        Called with the incarnation of a peer and the version of its configuration, if that is newer
+        than the one in force here.
     evacuations : callable
         Returns the `EvacuationView` of this process.
     plan_number : callable
@@ -84,6 +87,7 @@
         self.former_reply_s = {}
         self.learns_versions = False
         self.on_newer_version = None
+        self.on_version_heard = None
         self.evacuations = EvacuationView
         self.plan_number = int
         self._network = network
@@ -219,7 +223,10 @@
             and message.evacuations_digest != evacuations.digest
         )
         has_newer_plan = message.plan_number > self.plan_number()
-        is_newer = message.configuration_version > self._version() or knows_change or has_newer_plan
+        has_newer_version = message.configuration_version > self._version()
+        if has_newer_version and self.on_version_heard is not None:
+            self.on_version_heard(sender, message.configuration_version)
+        is_newer = has_newer_version or knows_change or has_newer_plan
         if is_newer and self.on_newer_version is not None:
             self.on_newer_version(sender)
 
