Tests: a configuration that outgrows slow links is late or never in force; known red

Virtual deployments get links of limited rate, shared by all that goes over them: the store's answers, and messages between processes, which keep their order on one connection as they do on a socket. The bound is the installation's `config_apply_ms`.

--- /dev/null
+++ b/tests/platform/test_large_configurations.py
@@ -0,0 +1,86 @@
+"""A configuration that grows by thousands of routes is in force in time behind slow links."""
+
+import eventlet
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from tests.pools.test_partitions import ENDPOINTS, PROCESSES
+from tests.pools.virtual_deployment import VirtualDeployment, run_in_virtual_time
+
+CONFIGURATION_BOUND_S = 3.0  # `config_apply_ms` of the deployments with slow links
+SLOW_BYTES_PER_S = 1.19e6  # 9.5 Mbit/s
+FAST_BYTES_PER_S = 12.5e6  # 100 Mbit/s
+ROUTES_MORE = 1400
+STORM_GAP_S = 0.33
+STORM_CHANGES = 12
+
+
+class GrowingConfigurationTest(TestCase):
+    """Guards against processes that stay at an old version once a transfer outlasts its limit."""
+
+    def start(self):
+        deployment = VirtualDeployment(PROCESSES, ENDPOINTS).start(for_s=8.0)
+        self.leader = deployment.scheduler().name
+        for name in PROCESSES:
+            rate = FAST_BYTES_PER_S if name == self.leader else SLOW_BYTES_PER_S
+            deployment.links.bytes_per_s[name] = rate
+        return deployment
+
+    def change(self, deployment, version, routes):
+        """Write a version with a number of routes, the last of which is named after it."""
+        prefixes = [f"/route-{number:05d}/" for number in range(routes)]
+        deployment.store.put_configuration(
+            version, prefixes=["/press/", *prefixes, f"/version-{version:03d}/"]
+        )
+
+    def late(self, deployment, version):
+        """Return the processes without a version, with the one they have."""
+        versions = {
+            name: process.pool.directory.configuration.version
+            for name, process in deployment.processes.items()
+        }
+        return {name: known for name, known in versions.items() if known < version}
+
+    def grow(self, deployment):
+        """Grow three times, 3.5 s apart; return the last version and who lacked one in time."""
+        late = []
+        for version, times in ((2, 1), (3, 2), (4, 3)):
+            self.change(deployment, version, times * ROUTES_MORE)
+            eventlet.sleep(CONFIGURATION_BOUND_S)
+            late.append(self.late(deployment, version))
+            eventlet.sleep(0.5)
+        return 4, late
+
+    def test_each_version_is_in_force_within_the_bound(self):
+        def scenario():
+            deployment = self.start()
+            version, late = self.grow(deployment)
+            for version in (version + 1, version + 2):
+                self.change(deployment, version, 3 * ROUTES_MORE)
+                eventlet.sleep(CONFIGURATION_BOUND_S)
+                late.append(self.late(deployment, version))
+                eventlet.sleep(2.0)
+            return late, deployment.scheduler().name
+
+        late, scheduler = run_in_virtual_time(scenario)
+        self.assertThat(late, Equals([{}] * 5))
+        self.assertThat(scheduler, Equals(self.leader))
+
+    def test_changes_in_quick_succession_are_in_force_within_the_bound(self):
+        def scenario():
+            deployment = self.start()
+            first, _late = self.grow(deployment)
+            newest, late = first, []
+            for version in range(first + 1, first + 1 + STORM_CHANGES):
+                newest = version
+                self.change(deployment, version, 3 * ROUTES_MORE)
+                eventlet.spawn_after(
+                    CONFIGURATION_BOUND_S, lambda v=version: late.append(self.late(deployment, v))
+                )
+                eventlet.sleep(STORM_GAP_S)
+            eventlet.sleep(CONFIGURATION_BOUND_S + 0.1)
+            return late, self.late(deployment, newest)
+
+        late, at_the_end = run_in_virtual_time(scenario)
+        self.assertThat(late, Equals([{}] * STORM_CHANGES))
+        self.assertThat(at_the_end, Equals({}))
--- a/tests/platform/virtual_store.py
+++ b/tests/platform/virtual_store.py
@@ -143,6 +143,12 @@
         self.put("op/config", json.dumps(value).encode())
 
 
+def _answer_bytes(result):
+    """Return the size of an answer, in which values are in base64."""
+    records = result[0] if isinstance(result, tuple) and isinstance(result[0], list) else []
+    return sum(len(getattr(record, "value", b"")) * 4 // 3 for record in records)
+
+
 class VirtualRecords(RecordStore):
     """Client of one process, which reuses its connections as `JsonClient` does."""
 
@@ -163,6 +169,7 @@
                     if is_open and not conn.is_silent:
                         result = answer(self._store.now() - began_s >= wait_s)
                         if result is not None:
+                            self._links.carry("store", self._name, _answer_bytes(result))
                             conn.used_s = self._store.now()
                             self._idle.append(conn)
                             return result
--- a/tests/pools/virtual_deployment.py
+++ b/tests/pools/virtual_deployment.py
@@ -21,8 +21,9 @@
 from burdocklug.pools.agents._tokens import TOKEN_HOLDERS
 from tests.platform.virtual_store import VirtualRecords, VirtualStore
 from tests.pools.fake_endpoint import FakeEndpoint
+from tests.pools.virtual_links import Links, message_bytes, now_s
 
-__all__ = ["VirtualDeployment", "run_in_virtual_time"]
+__all__ = ["VirtualDeployment", "now_s", "run_in_virtual_time"]
 
 START_S = 1000.0
 TRIP_S = 0.0015  # one way between two processes
@@ -76,11 +77,6 @@
     return result
 
 
-def now_s():
-    """Return the virtual time."""
-    return hubs.get_hub().clock()
-
-
 class Clock:
     """The virtual time in the form that `FakeEndpoint` expects."""
 
@@ -171,18 +167,21 @@
     def on_connection_refused(self, callback):
         self._on_refused = callback
 
-    def _pass(self, sender, receiver):
+    def _pass(self, sender, receiver, message):
         """Wait until a message has arrived; a connection delivers it after a cut."""
         eventlet.sleep(TRIP_S)
-        while not self._deployment.links.is_open(sender.name, receiver.name):
+        links = self._deployment.links
+        if links.bytes_per_s:
+            links.carry_in_order(sender.name, receiver.name, message_bytes(message))
+        while not links.is_open(sender.name, receiver.name):
             if not (sender.is_alive and receiver.is_alive):
                 raise eventlet.greenlet.GreenletExit
             eventlet.sleep(TICK_S)
 
     def _deliver(self, other, message):
-        self._pass(self._process, other)
+        self._pass(self._process, other, message)
         reply = other.network._handlers[type(message)](self.incarnation, message)
-        self._pass(other, self._process)
+        self._pass(other, self._process, reply)
         return reply
 
     def call(self, incarnation, message, *, timeout_s):
@@ -205,23 +204,6 @@
             self._on_refused(incarnation)
 
 
-class Links:
-    """Which of processes, endpoints and the store reach each other; cuts may be one-way."""
-
-    def __init__(self):
-        self._cuts = {}
-
-    def cut(self, key, senders, receivers):
-        """Lose all that `senders` send to `receivers` until `heal` is called with the key."""
-        self._cuts[key] = (frozenset(senders), frozenset(receivers))
-
-    def heal(self, key):
-        self._cuts.pop(key, None)
-
-    def is_open(self, sender, receiver):
-        return not any(sender in one and receiver in other for one, other in self._cuts.values())
-
-
 class VirtualProcess(dict):
     """The parts of one process."""
 
