Store: a response is given up when it stops arriving, not when it takes long

What callers saw: an older version handles requests (CONFIG); the store's answer is one of the two transfers that carry a configuration.

Cause: a call to the store had 1.0 s for its whole response, whatever its size. A configuration of 4,246 routes takes 0.9 s alone on a link of 9.5 Mbit/s, so that anything beside it on the link ended the call, and the next one began anew.

Change: `timeout_s` is the time to the first byte and from one to the next; a response that keeps arriving has 10 s. A connection that went silent is found as fast as before. Calls to endpoints keep their limit.

Test: SlowAnswerTest, against a socket; without the change 1 passed, 1 failed (an answer in pieces was given up).

--- a/burdocklug/endpoints/_watched.py
+++ b/burdocklug/endpoints/_watched.py
@@ -32,9 +32,11 @@
     ----------
     received : int
         Bytes received since the last `send`.
+    on_received : callable or None
+        Called after each receipt of bytes; may extend the time limit of the request under way.
     """
 
-    __slots__ = ("_conn", "_listener", "_overdue", "_sock", "_waiter", "received")
+    __slots__ = ("_conn", "_listener", "_overdue", "_sock", "_waiter", "on_received", "received")
 
     def __init__(self, conn):
         self._conn = conn
@@ -43,6 +45,7 @@
         self._listener = None
         self._overdue = None  # the timeout of the request under way, once it has passed
         self.received = 0
+        self.on_received = None
         self._watch()
 
     def _watch(self):
@@ -94,6 +97,9 @@
                     raise self._overdue from None
             else:
                 self.received += len(data)
+                if self.on_received is not None and data:
+                    self._overdue = None
+                    self.on_received()
                 return data
 
     def _wait_readable(self):
--- a/burdocklug/platform/_calls.py
+++ b/burdocklug/platform/_calls.py
@@ -23,6 +23,38 @@
         self.sent = sent
 
 
+class _AnswerLimit:
+    """Raises `AnswerTimeout` in this greenlet when a response is not in time.
+
+    Parameters
+    ----------
+    address : str
+        Address that was called, for the message.
+    timeout_s : float
+        Seconds until the first byte, and from one byte to the next.
+    longest_s : float or None
+        Seconds until the response is complete; None if `timeout_s` limits that.
+    now : callable
+        Returns monotonic seconds.
+    """
+
+    def __init__(self, address, timeout_s, longest_s, now):
+        self._timeout_s = timeout_s
+        self._now = now
+        self._end_s = now() + (timeout_s if longest_s is None else longest_s)
+        exc = AnswerTimeout(f"{address}: no response in {timeout_s:.2f} s")
+        self._timeout = eventlet.Timeout(timeout_s, exc)
+
+    def extend(self):
+        """Allow another `timeout_s` from now, up to the limit for the whole response."""
+        self._timeout.cancel()
+        self._timeout.seconds = max(0.0, min(self._timeout_s, self._end_s - self._now()))
+        self._timeout.start()
+
+    def cancel(self):
+        self._timeout.cancel()
+
+
 class JsonClient:
     """HTTP client that reuses its connections to each address.
 
@@ -43,28 +75,32 @@
         self._now = now
         self._addresses = {}
 
-    def call(self, address, method, path, body=None, *, timeout_s, headers=b""):
+    def call(self, address, method, path, body=None, *, timeout_s, longest_s=None, headers=b""):
         """Send a request and return the status and the body of the response.
 
         Parameters
         ----------
+        timeout_s : float
+            Time for the whole response in seconds or, if `longest_s` is given, time without any
+            further byte of it.
+        longest_s : float, optional
+            Time for the whole response in seconds, while bytes of it keep arriving.
         headers : bytes, optional
             Additional header lines, each ending in CRLF.
 
         Raises
         ------
         NoResponse
-            If no complete response arrived within `timeout_s` seconds.
+            If no complete response arrived in time.
         """
         raw = b"" if body is None else encode_json(body)
         connections = self._connections(address)
         sent, conn = False, None
-        timeout = eventlet.Timeout(
-            timeout_s, AnswerTimeout(f"{address}: no response in {timeout_s:.2f} s")
-        )
+        limit = _AnswerLimit(address, timeout_s, longest_s, self._now)
         try:
             conn, generation = connections.acquire(self._now())
             sent, reusable = True, False
+            conn.on_received = limit.extend if longest_s is not None else None
             try:
                 status, answer, reusable = exchange(
                     address, conn, method, path, raw, headers=headers
@@ -76,7 +112,7 @@
             message = f"{type(exc).__name__}: {exc}, {received} bytes received"
             raise NoResponse(message[:120], sent=sent) from exc
         finally:
-            timeout.cancel()
+            limit.cancel()
         return status, answer
 
     def _connections(self, address):
--- a/burdocklug/platform/_store.py
+++ b/burdocklug/platform/_store.py
@@ -22,6 +22,8 @@
 
 STORE_IDLE_S = 15.0  # a device on the path may drop the state of a connection idle for longer
 STORE_CONNECTIONS = 8  # three watches, and the calls of the registration
+# Longest time for a response that keeps arriving: 1 MB in base64 at 1.1 Mbit/s.
+LONGEST_RESPONSE_S = 10.0
 NO_EFFECT_STATUSES = frozenset({403, 429, 503})  # 404, 410 and 412 raise `_Refused` instead
 
 
@@ -82,7 +84,8 @@
     address : str
         ``IP:port`` of the store.
     timeout_s : float
-        Longest wait for a response, in seconds; for a watch, in addition to its `wait_s`.
+        Longest wait for the first byte of a response and for each further one, in seconds; for a
+        watch, in addition to its `wait_s`.
     now : callable
         Returns monotonic seconds.
     """
@@ -157,7 +160,12 @@
     def _call(self, method, path, body, *, wait_s=0.0):
         try:
             status, raw = self._client.call(
-                self._address, method, path, body, timeout_s=self._timeout_s + wait_s
+                self._address,
+                method,
+                path,
+                body,
+                timeout_s=self._timeout_s + wait_s,
+                longest_s=LONGEST_RESPONSE_S + wait_s,
             )
         except NoResponse as exc:
             if exc.sent:
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -54,8 +54,8 @@
     def test_each_version_is_in_force_within_the_bound(self):
         def scenario():
             deployment = self.start()
-            version, late = self.grow(deployment)
-            for version in (version + 1, version + 2):
+            grown, late = self.grow(deployment)
+            for version in (grown + 1, grown + 2):
                 self.change(deployment, version, 3 * ROUTES_MORE)
                 eventlet.sleep(CONFIGURATION_BOUND_S)
                 late.append(self.late(deployment, version))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import time
 
+import eventlet
 from testtools import TestCase
 from testtools.matchers import Equals
 
@@ -83,3 +84,44 @@
     def test_a_store_that_is_not_there_has_done_nothing(self):
         store = PlatformStore(free_address(), timeout_s=0.5, now=time.monotonic)
         self.assertRaises(StoreUnavailable, store.put, "a", b"1")
+
+
+class SlowAnswerTest(TestCase):
+    """A store whose answers arrive in pieces, as large ones do over a slow link.
+
+    Guards against an answer that is given up while it arrives, and never read whole then.
+    """
+
+    TIMEOUT_S = 0.5
+    PAUSE_S = 0.15
+    PIECES = 8
+
+    def read(self, *, pieces):
+        """Read from a store that sends some of the pieces of its answer; return the value."""
+        body = b'{"items":[{"key":"a/1","revision":3,"value":"%s"}],"current_rev":3}' % (
+            b"QUFB" * 80
+        )
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        eventlet.spawn(self.serve, listener, body, pieces)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        store = PlatformStore(address, timeout_s=self.TIMEOUT_S, now=time.monotonic)
+        return store.read("a/")[0][0].value
+
+    def serve(self, listener, body, pieces):
+        conn, _ = listener.accept()
+        conn.recv(4096)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        answer = head + body
+        step = len(answer) // self.PIECES + 1
+        for start in range(0, step * pieces, step):
+            conn.sendall(answer[start : start + step])
+            eventlet.sleep(self.PAUSE_S)
+        eventlet.sleep(4 * self.TIMEOUT_S)
+
+    def test_an_answer_that_takes_longer_than_the_timeout_is_read_while_it_arrives(self):
+        self.assertThat(self.read(pieces=self.PIECES), Equals(b"AAA" * 80))
+
+    def test_an_answer_that_stops_arriving_is_given_up_and_says_how_much_arrived(self):
+        exc = self.assertRaises(StoreUnavailable, self.read, pieces=3)
+        self.assertIn("bytes received", str(exc))
--- a/tests/platform/virtual_store.py
+++ b/tests/platform/virtual_store.py
@@ -161,7 +161,12 @@
     def _call(self, answer, *, wait_s=0.0):
         began_s = self._store.now()
         conn = self._connect()
-        with eventlet.Timeout(TIMEOUT_S + wait_s, StoreUnavailable("no response")):
+        with eventlet.Timeout(TIMEOUT_S + wait_s, StoreUnavailable("no response")) as limit:
+
+            def extend():
+                limit.cancel()
+                limit.start()
+
             try:
                 eventlet.sleep(self._store.answer_s)
                 while True:
@@ -169,7 +174,8 @@
                     if is_open and not conn.is_silent:
                         result = answer(self._store.now() - began_s >= wait_s)
                         if result is not None:
-                            self._links.carry("store", self._name, _answer_bytes(result))
+                            size = _answer_bytes(result)
+                            self._links.carry("store", self._name, size, on_piece=extend)
                             conn.used_s = self._store.now()
                             self._idle.append(conn)
                             return result
