--- a/burdocklug/pools/_cell.py
+++ b/burdocklug/pools/_cell.py
@@ -115,6 +115,8 @@
         self.election.on_newer_version = services.on_newer_version
         self.election.on_version_heard = services.on_version_heard
         self.election.evacuations = lambda: directory.evacuation_view
+        self.election.operators_revision = lambda: directory.operators_revision
+        self.election.on_peer_view = directory.note_peer_view
         self.election.plan_number = lambda: view.plan_number
         self.submitter = Submitter(
             network, self.election, timers, priorities=directory.priorities, cell=self.view
--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -119,6 +119,16 @@
         """Whether the schedulers that are followed read configurations and pass them on."""
         return any(cell.election.learns_versions for cell in self)
 
+    def live_followers(self):
+        """Return the processes that follow this one as the scheduler of a cell, as a set."""
+        now = self._services.timers.now()
+        return {
+            follower
+            for cell in self
+            if cell.election.is_scheduler
+            for follower in cell.election.followers.live_cores(now)
+        }
+
     @property
     def is_served(self):
         """Whether at least half of the cells have a scheduler."""
--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -3,6 +3,7 @@
 import msgspec
 import structlog
 
+from burdocklug.pools._differences import share_rules
 from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import PoolConfiguration
 from burdocklug.pools._version_lag import VersionLag
@@ -32,6 +33,9 @@
         When each was last read from the store; the evacuations are read with the configuration.
     version_lag : VersionLag
         Versions of the configuration that other processes have and this one lacks.
+    operators_revision : int
+        Revision of the store up to which all that operators wrote is known, from the store itself
+        or from a peer that knows it; 0 if it was never read.
     """
 
     def __init__(self):
@@ -43,6 +47,7 @@
         self.configuration_age = ViewAge()
         self.entries_age = ViewAge()
         self.version_lag = VersionLag()
+        self.operators_revision = 0
         self._subscribers = []
 
     def subscribe(self, callback):
@@ -83,11 +88,30 @@
             queues=len(configuration.queues),
             behind_s=round(self.version_lag.behind_s(now_s), 3),
         )
-        self.configuration = configuration
+        self.configuration = share_rules(self.configuration, configuration)
         self.version_lag.note_taken(configuration.version)
         self._notify()
         return True
 
+    def note_peer_view(self, version, evacuations_digest, operators_revision):
+        """Record up to which revision a peer knows all that operators wrote, if this process does.
+
+        Parameters
+        ----------
+        version : int
+            Version of the peer's configuration.
+        evacuations_digest : int
+            Digest of the peer's evacuations.
+        operators_revision : int
+            The revision.
+        """
+        if (
+            operators_revision > self.operators_revision
+            and version == self.configuration.version
+            and evacuations_digest == self.evacuation_view.digest
+        ):
+            self.operators_revision = operators_revision
+
     @property
     def evacuations(self):
         """Revisions of the operators' requests, by evacuated failure domain."""
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from burdocklug.pools._evacuations import EvacuationView
-from burdocklug.pools._models import JobOutcome, JobSpec, PoolConfiguration
+from burdocklug.pools._models import JobOutcome, JobSpec
 from burdocklug.pools.cells import CellPlan
 
 __all__ = [
@@ -24,6 +24,7 @@
     "ReachReply",
     "ReachRequest",
     "SubmitJob",
+    "VersionNotice",
     "WithdrawJob",
 ]
 
@@ -108,6 +109,8 @@
         receiver need not do so.
     evacuations_revision, evacuations_digest, plan_number : int
         As in `FollowerHeartbeat`.
+    operators_revision : int
+        Revision of the store up to which the replying process knows all that operators wrote.
     """
 
     sequence: int
@@ -118,6 +121,7 @@
     evacuations_revision: int = 0
     evacuations_digest: int = 0
     plan_number: int = 0
+    operators_revision: int = 0
 
 
 class ReachRequest(msgspec.Struct, frozen=True, array_like=True, tag="pool_reach"):
@@ -285,13 +289,60 @@
     count: int
 
 
-class ConfigurationRequest(msgspec.Struct, frozen=True, array_like=True, tag="pool_config_ask"):
-    """Asks a peer for its configuration, its evacuations and its plan of cells."""
+class VersionNotice(msgspec.Struct, frozen=True, array_like=True, tag="pool_version"):
+    """Tells a peer of the version of the configuration that is in force in the sender."""
 
+    version: int
 
-class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_config"):
-    """Reply to `ConfigurationRequest`."""
 
-    configuration: PoolConfiguration
+class ConfigurationRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag="pool_config_part_ask"
+):
+    """Asks a peer for a part of the change to its configuration.
+
+    Parameters
+    ----------
+    known_version : int
+        Version in force in the sender; 0 for none.
+    version : int
+        Version to which the change leads that is being fetched; 0 for the newest one.
+    offset : int
+        Number of its bytes that the sender has.
+    """
+
+    known_version: int
+    version: int = 0
+    offset: int = 0
+
+
+class ConfigurationReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_config_part"):
+    """Part of the change to a configuration; the evacuations and the plan of cells, whole.
+
+    Parameters
+    ----------
+    version : int
+        Version to which the change leads.
+    offset : int
+        Position of the part in the encoded change.
+    size : int
+        Size of the encoded change in bytes; 0 if the sender has no newer version.
+    data : bytes
+        The part.
+    newest_version : int
+        Version in force in the sender, which may be newer than that of the change.
+    operators_revision : int
+        As in `HeartbeatReply`.
+    evacuations : EvacuationView
+        Evacuations as the sender knows them.
+    plan : CellPlan
+        Plan of cells in force in the sender.
+    """
+
+    version: int
+    offset: int
+    size: int
+    data: bytes
+    newest_version: int
+    operators_revision: int = 0
     evacuations: EvacuationView = EvacuationView()
     plan: CellPlan = CellPlan()
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -30,11 +30,14 @@
 # listing, 0.2 s before the retry, and a margin of 0.2 s.
 LEADER_LISTING = PollIntervals(pause_s=0.6, wait_s=0.0, retry_s=0.2)
 FOLLOWER_LISTING = PollIntervals(pause_s=4.0)  # a new scheduler lists the endpoints at once
-# A configuration must be in force 2 s after it was written: the scheduler reads it often and passes
-# it on with its heartbeats. A process without such a scheduler reads it itself.
-CONFIGURATION_POLL = PollIntervals(pause_s=0.4, wait_s=0.0, retry_s=0.2)
-CONFIGURATION_WATCH = PollIntervals(pause_s=0.1)
+# A configuration must be in force 2 s after it was written: the scheduler watches it, in calls so
+# short that a silent connection is found in time, and passes it on to its followers. A process
+# without such a scheduler, or one to which it does not get through, watches it itself.
+CONFIGURATION_WATCH = PollIntervals(pause_s=0.05, wait_s=0.35, retry_s=0.2)
+CONFIGURATION_FOLLOWED = PollIntervals(pause_s=10.0, wait_s=0.0)
 MAX_VERSION_AGE_S = 1.5  # one read without an answer
+# Time without a part of a newer version that is known to exist, after which the store is asked.
+MAX_BEHIND_S = 0.8
 PLAN_CHECK_S = 1.0  # period of the check whether another number of cells is wanted
 
 log = structlog.get_logger(__name__)
@@ -77,6 +80,8 @@
             self._network, self._timers, self.directory, self.registry
         )
         self.cells = Cells(self._cell_services())
+        self._announced_version = 0
+        self.directory.subscribe(self._announce_version)
         self._missing_since_s = {}
         self._grace_ends_s = float("-inf")
 
@@ -126,15 +131,30 @@
 
     def configuration_pace(self):
         """Return the pace at which to read the configuration."""
-        return CONFIGURATION_POLL if self._must_read_configuration() else CONFIGURATION_WATCH
+        return CONFIGURATION_WATCH if self._must_read_configuration() else CONFIGURATION_FOLLOWED
 
     def _must_read_configuration(self):
-        """Return whether no other process tells this one of a new configuration in time."""
-        return self.cells.is_scheduler or not self.cells.learns_versions
+        """Return whether no other process passes a new configuration on to this one in time."""
+        return (
+            self.cells.is_scheduler or not self.cells.learns_versions or self._is_change_overdue()
+        )
+
+    def _is_change_overdue(self):
+        """Return whether a newer version is known to exist and no part of it arrives."""
+        now = self._timers.now()
+        waited_s = now - self._exchange.part_received_s
+        return min(self.directory.version_lag.behind_s(now), waited_s) > MAX_BEHIND_S
 
     def _note_version(self, peer, version):
         self.directory.note_version(version, source=peer, now_s=self._timers.now())
 
+    def _announce_version(self):
+        """Tell the processes that follow this one of a new configuration."""
+        version = self.directory.configuration.version
+        if version > self._announced_version:
+            self._announced_version = version
+            self._exchange.announce(self.cells.live_followers())
+
     def _is_version_current(self):
         age_s = self.directory.configuration_age.age_s(self._timers.now())
         return age_s <= MAX_VERSION_AGE_S
--- a/burdocklug/pools/election/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -65,6 +65,11 @@
         Returns the `EvacuationView` of this process.
     plan_number : callable
         Returns the number of the plan of cells in force.
+    operators_revision : callable
+        Returns the revision of the store up to which this process knows all that operators wrote.
+    on_peer_view : callable or None
+        Called with the version, the digest of the evacuations and the operators' revision of each
+        reply to a heartbeat.
     """
 
     def __init__(
@@ -90,6 +95,8 @@
         self.on_version_heard = None
         self.evacuations = EvacuationView
         self.plan_number = int
+        self.operators_revision = int
+        self.on_peer_view = None
         self._network = network
         self._timers = timers
         self._on_change = on_change
@@ -198,12 +205,19 @@
             evacuations.revision,
             evacuations.digest,
             self.plan_number(),
+            self.operators_revision(),
         )
         self._network.send(sender, reply)
         self._note_version(sender, message)
 
     def _on_heartbeat_reply(self, sender, message):
         self._note_version(sender, message)
+        if self.on_peer_view is not None:
+            self.on_peer_view(
+                message.configuration_version,
+                message.evacuations_digest,
+                message.operators_revision,
+            )
         if self.claim is None or sender != self.claim.scheduler:
             return
         if message.claim is None or message.claim.scheduler != sender:
--- a/burdocklug/store/_follower.py
+++ b/burdocklug/store/_follower.py
@@ -16,6 +16,9 @@
 MAX_WAIT_S = 20.0  # longest wait of a call for a change; middleboxes cut longer calls
 INITIAL_BACKOFF_S = 0.2  # backoff after the first failure; doubles with each further one
 MAX_BACKOFF_S = 2.0  # longest backoff, so that a fleet does not overload a recovering store
+# A call that waits longer for a change is cancelled when a poll is asked for. One that does not is
+# left to its own time limit, since its answer may be half received.
+CANCELLED_WAIT_S = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -85,6 +88,9 @@
     on_failure : callable, optional
         Called with the time at which it was sent after each failed call, and after one whose answer
         was older than an earlier one.
+    known_revision : callable, optional
+        Returns a revision up to which the reader knows all changes from elsewhere; those are not
+        read again.
     now : callable, optional
         Returns monotonic seconds.
 
@@ -106,6 +112,7 @@
         pace,
         on_answer=None,
         on_failure=None,
+        known_revision=int,
         now=time.monotonic,
     ):
         self.reached = False
@@ -117,10 +124,12 @@
         self._pace = pace
         self._on_answer = on_answer
         self._on_failure = on_failure
+        self._known_revision = known_revision
         self._now = now
         self._is_suspect = False  # a connection may be silent, so calls must not wait on one
         self._wakeup = Event()
         self._in_flight = None
+        self._wait_s = 0.0  # time for which the call in flight waits for a change
         self._revision = None
         self._newest_revision = 0
         self._backoff_s = INITIAL_BACKOFF_S
@@ -170,11 +179,12 @@
     def poll_now(self):
         """Ask for changes at once, without the pause or the backoff.
 
-        A call in flight is cancelled and sent again, as its connection may be silent.
+        A call that waits for a change is cancelled and sent again, as its connection may be silent.
         """
         self._is_suspect = True
         if self._in_flight is not None:
-            eventlet.spawn_n(self._in_flight.kill, _CallCancelled())
+            if self._wait_s > CANCELLED_WAIT_S:
+                eventlet.spawn_n(self._in_flight.kill, _CallCancelled())
         elif not self._wakeup.ready():
             self._wakeup.send(None)
 
@@ -203,6 +213,7 @@
             self._replace(records)
             self.is_loaded = True
             return True
+        self._revision = max(self._revision, self._known_revision())
         may_wait = self.reached and not self._is_suspect
         changes, revision = self._fetch_changes(self._pace().wait_s if may_wait else 0.0)
         if revision < self._revision:
@@ -223,6 +234,7 @@
     def _fetch_changes(self, wait_s):
         """Return changes and their revision; the call runs in a greenlet that can be cancelled."""
         done = Event()
+        self._wait_s = wait_s
         self._in_flight = eventlet.spawn(self._send_call, wait_s, done)
         try:
             return done.wait()
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.pools._messages import ConfigurationRequest
 from tests.pools.test_partitions import ENDPOINTS, PROCESSES
 from tests.pools.virtual_deployment import VirtualDeployment, run_in_virtual_time
 
@@ -84,3 +85,20 @@
         late, at_the_end = run_in_virtual_time(scenario)
         self.assertThat(late, Equals([{}] * STORM_CHANGES))
         self.assertThat(at_the_end, Equals({}))
+
+
+class StuckFetchTest(TestCase):
+    """Guards against a process that knows of a newer version and waits for one peer to send it."""
+
+    def test_a_process_to_which_the_scheduler_does_not_get_through_asks_the_store(self):
+        def scenario():
+            deployment = VirtualDeployment(PROCESSES, ENDPOINTS).start(for_s=8.0)
+            leader = deployment.scheduler()
+            handlers = leader.network._handlers
+            handlers[ConfigurationRequest] = lambda _sender, _message: eventlet.sleep(60.0)
+            deployment.store.put_configuration(2)
+            eventlet.sleep(CONFIGURATION_BOUND_S)
+            processes = deployment.processes.values()
+            return {p.name: p.pool.directory.configuration.version for p in processes}
+
+        self.assertThat(run_in_virtual_time(scenario), Equals(dict.fromkeys(PROCESSES, 2)))
--- a/tests/platform/test_stale_views.py
+++ b/tests/platform/test_stale_views.py
@@ -7,7 +7,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, GreaterThan, LessThan
 
-from burdocklug.pools._part import CONFIGURATION_POLL, LEADER_LISTING, MISSING_GRACE_S
+from burdocklug.pools._part import CONFIGURATION_WATCH, LEADER_LISTING, MISSING_GRACE_S
 from burdocklug.pools.election._following import HEARTBEAT_S
 from burdocklug.store import StoreUnavailable
 from tests.pools.builders import spec, step
@@ -69,7 +69,7 @@
         return float(re.search(r"^  timeout_s: ([0-9.]+)$", settings, re.MULTILINE)[1])
 
     def test_configurations(self):
-        delay_s = CONFIGURATION_POLL.longest_delay_s(self.timeout_s()) + HEARTBEAT_S
+        delay_s = CONFIGURATION_WATCH.longest_delay_s(self.timeout_s()) + HEARTBEAT_S
         self.assertThat(delay_s, LessThan(CONFIGURATION_BOUND_S))
 
     def test_endpoints(self):
