Jobs: the newest configuration that caller's process or scheduler has decides on a queue

Cause: the queue was resolved by the caller's process alone and travelled with the job. The scheduler, which mostly has a newer configuration, didn't compare versions; and a 404 was final although the process had heard that a newer version exists.

Change: a job carries the version that its queue is from. A scheduler with a newer one goes by its own rule, or refuses the job as not found, nothing run; a job that it or an earlier scheduler may have begun goes on by the rule by which it was accepted. A process that knows of a newer version than its own answers a missing route with 503 and a Retry-After in place of 404.

Tests: ResolveQueueTest, OlderConfigurationTest; before, the rule of the older version was used (neither the version nor the check existed).

--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
+from burdocklug.kernel import BurdocklugError, ErrorKind
 from burdocklug.platform._jobs import decode_job
 from burdocklug.web import Application, Request, Response, json_response
 
@@ -61,17 +61,13 @@
         configuration = self._pool.directory.configuration
         if self._pool.is_refusing:
             raise BurdocklugError(ErrorKind.SHUTTING_DOWN, "this process is shutting down")
-        if not configuration.version:
-            raise BurdocklugError(ErrorKind.NO_CONFIGURATION, "no configuration yet")
         host, path = environ.get("HTTP_HOST", ""), environ["PATH_INFO"]
-        queue = configuration.find_queue(host.partition(":")[0], path)
-        if queue is None:
-            message = f"no queue at {host[:80]}{path[:80]}"
-            raise BurdocklugError(ErrorKind.NOT_FOUND, message, ran=Ran.NO)
+        queue = self._pool.directory.resolve_queue(host.partition(":")[0], path)
         req = Request(environ, {}, configuration.max_body_bytes, self._body_timeout_s)
-        return self._dispatch(environ["REQUEST_METHOD"], queue, path[len(queue.prefix) :], req)
+        job_id = path[len(queue.prefix) :]
+        return self._dispatch(environ["REQUEST_METHOD"], queue, job_id, req, configuration.version)
 
-    def _dispatch(self, method, queue, job_id, req):
+    def _dispatch(self, method, queue, job_id, req, version):
         if method == "GET" and not job_id:
             return json_response(200, PendingAnswer(self._pool.cells.pending(queue.name)))
         if not JOB_ID.fullmatch(job_id):
@@ -79,15 +75,21 @@
                 ErrorKind.BAD_REQUEST, f"{job_id[:40]!r} is not 16 hexadecimal digits", path="path"
             )
         if method == "POST":
-            return self._submit(queue, job_id, req)
+            return self._submit(queue, job_id, req, version)
         if method == "GET":
             return _state_response(self._pool.cells.state(job_id))
         if method == "DELETE":
             return _state_response(self._pool.cells.cancel(job_id))
         raise BurdocklugError(ErrorKind.METHOD_NOT_ALLOWED, f"{method[:20]} is not served")
 
-    def _submit(self, queue, job_id, req):
-        spec = decode_job(job_id, queue, req.read_body(), max_tasks=self._max_tasks)
+    def _submit(self, queue, job_id, req, version):
+        spec = decode_job(
+            job_id,
+            queue,
+            req.read_body(),
+            max_tasks=self._max_tasks,
+            configuration_version=version,
+        )
         outcome = self._pool.cells.submit(spec, wait_s=_wait_s(req, queue))
         return json_response(200, StateAnswer(str(outcome)))
 
--- a/burdocklug/platform/_jobs.py
+++ b/burdocklug/platform/_jobs.py
@@ -60,9 +60,14 @@
     repeat_count: int = 0
 
 
-def decode_job(job_id, queue, body, *, max_tasks):
+def decode_job(job_id, queue, body, *, max_tasks, configuration_version=0):
     """Return the job that a request body describes, with at most `max_tasks` tasks.
 
+    Parameters
+    ----------
+    configuration_version : int
+        Version of the configuration that `queue` is from; 0 if it is not known.
+
     Raises
     ------
     BurdocklugError
@@ -89,7 +94,8 @@
     tasks = sum(phase.count for phase in job.phases)
     if tasks > max_tasks:
         raise _bad_request(f"{tasks} tasks, at most {max_tasks} allowed", "$.phases")
-    return JobSpec(job_id, queue, job.spec, tuple(phase.to_step() for phase in job.phases))
+    steps = tuple(phase.to_step() for phase in job.phases)
+    return JobSpec(job_id, queue, job.spec, steps, configuration_version)
 
 
 def _check_phase(number, phase):
--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -3,6 +3,7 @@
 import msgspec
 import structlog
 
+from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
 from burdocklug.pools._differences import share_rules
 from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import PoolConfiguration
@@ -12,6 +13,7 @@
 __all__ = ["Directory"]
 
 COLD_CHANGE_S = 1.0  # later end of a cold time from which subscribers are notified
+BEHIND_RETRY_S = 0.5  # a change of the configuration takes some tenths of a second to arrive
 
 log = structlog.get_logger(__name__)
 
@@ -66,6 +68,30 @@
         """Return the longest time for which a caller of any queue waits, in seconds."""
         return max((queue.timeout_s for queue in self.configuration.queues), default=0.0)
 
+    def resolve_queue(self, host, path):
+        """Return the queue of a request.
+
+        Raises
+        ------
+        BurdocklugError
+            Of kind ``not_found`` if the newest configuration that is known to exist has no such
+            queue, of kind ``no_configuration`` while there is none or a newer one has not arrived.
+        """
+        if not self.configuration.version:
+            raise BurdocklugError(ErrorKind.NO_CONFIGURATION, "no configuration yet")
+        queue = self.configuration.find_queue(host, path)
+        if queue is not None:
+            return queue
+        where = f"{host[:80]}{path[:80]}"
+        if self.version_lag.is_behind:
+            raise BurdocklugError(
+                ErrorKind.NO_CONFIGURATION,
+                f"no queue at {where} in version {self.configuration.version}, "
+                f"and version {self.version_lag.newest} has not arrived",
+                retry_after_s=BEHIND_RETRY_S,
+            )
+        raise BurdocklugError(ErrorKind.NOT_FOUND, f"no queue at {where}", ran=Ran.NO)
+
     def note_version(self, version, *, source, now_s):
         """Record that another process has a version of the configuration."""
         if self.version_lag.note_heard(version, now_s):
--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -1,5 +1,6 @@
 """The scheduler's side of submissions, cancellations and queries from the processes of a pool."""
 
+import msgspec
 import structlog
 from eventlet.event import Event
 
@@ -75,7 +76,10 @@
         if message.plan_number != self._cell.plan_number:
             return SubmitReply(resubmit=True)  # one of the two does not know the latest plan yet
         now = self._timers.now()
-        spec = message.spec
+        spec = self._with_current_queue(message)
+        if spec is None:
+            reason = f"version {self._directory.configuration.version} has no such queue"
+            return SubmitReply(refused=reason, is_queue_removed=True)
         obstacle = self._leader.find_obstacle(spec) if scheduler.is_reconciled else None
         if obstacle is not None and self._leader.is_moving:
             return SubmitReply(resubmit=True)  # an endpoint that can hold it may still come
@@ -97,6 +101,29 @@
             return SubmitReply(job.outcome)
         return self._wait_for_outcome(scheduler, job, sender)
 
+    def _with_current_queue(self, message):
+        """Return the job with its queue by the newest configuration; None if that has none for it.
+
+        A job that a scheduler may have begun goes on by the rule by which it was accepted.
+        """
+        spec, configuration = message.spec, self._directory.configuration
+        is_older = 0 < spec.configuration_version < configuration.version
+        is_known = spec.job_id in self._leader.scheduler.jobs
+        if not is_older or is_known or message.since_heard_s is not None:
+            return spec
+        queue = configuration.find_queue(spec.queue.host, spec.queue.prefix + spec.job_id)
+        if queue == spec.queue:
+            return spec
+        log.info(
+            "job_requeued",
+            job=spec.job_id,
+            queue=spec.queue.name,
+            version=spec.configuration_version,
+            newest_version=configuration.version,
+            newest_queue=queue.name if queue else None,
+        )
+        return msgspec.structs.replace(spec, queue=queue) if queue else None
+
     def _since_heard_s(self, message, now):
         """Return the seconds since another scheduler may have acted on a job; None if none has.
 
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -218,6 +218,8 @@
         Delay in seconds before a refused job may be retried.
     unplaceable : bool
         Whether the job was refused because a task exceeds every endpoint, even an idle one.
+    is_queue_removed : bool
+        Whether the job was refused because a newer configuration than the sender's lacks its queue.
     """
 
     outcome: JobOutcome | None = None
@@ -227,6 +229,7 @@
     refused: str = ""
     retry_after_s: float = 0.0
     unplaceable: bool = False
+    is_queue_removed: bool = False
 
 
 class CancelJob(msgspec.Struct, frozen=True, array_like=True, tag="pool_cancel"):
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -218,12 +218,16 @@
 
 
 class JobSpec(msgspec.Struct, frozen=True):
-    """A job as submitted by its caller; each task gets the `payload`."""
+    """A job as submitted by its caller; each task gets the `payload`.
+
+    `configuration_version` is the version that the queue's rule is from; 0 if it is not known.
+    """
 
     job_id: str
     queue: QueueRule
     payload: str
     steps: tuple[StepSpec, ...]
+    configuration_version: int = 0
 
 
 class JobOutcome(enum.StrEnum):
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -6,7 +6,7 @@
 import structlog
 from eventlet.event import Event
 
-from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
 from burdocklug.pools._messages import SubmitJob, WithdrawJob
 from burdocklug.pools._models import JobOutcome
@@ -154,8 +154,8 @@
         Raises
         ------
         BurdocklugError
-            Of kind ``would_miss_deadline``, ``no_endpoint`` or ``no_scheduler`` if no task ran, of
-            kind ``outcome_unknown`` or ``deadline_exceeded`` if a task may have run.
+            Of kind ``would_miss_deadline``, ``no_endpoint``, ``no_scheduler`` or ``not_found`` if
+            no task ran, of kind ``outcome_unknown`` or ``deadline_exceeded`` if a task may have.
         """
         return self.resume(Submission(spec, self._timers.now(), wait_s))
 
@@ -217,6 +217,8 @@
                     ErrorKind.OUTCOME_UNKNOWN,
                     f"the job's scheduler was lost, and the next one refused it: {reply.refused}",
                 )
+            if reply.is_queue_removed:
+                raise BurdocklugError(ErrorKind.NOT_FOUND, reply.refused, ran=Ran.NO)
             if reply.refused:
                 raise BurdocklugError(
                     ErrorKind.NO_ENDPOINT if reply.unplaceable else ErrorKind.WOULD_MISS_DEADLINE,
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,10 +1,9 @@
-from types import SimpleNamespace
-
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Not
 
 from burdocklug.platform._callers import ClientsApp
 from burdocklug.pools import PoolConfiguration, QueueRule
+from burdocklug.pools._directory import Directory
 
 CLOSE = ("Connection", "close")
 
@@ -17,7 +16,8 @@
         self.is_refusing = False
         self.on_count = lambda: None
         queue = QueueRule(name="q", host="a.example", prefix="/a/", service="s")
-        self.directory = SimpleNamespace(configuration=PoolConfiguration(1, (queue,)))
+        self.directory = Directory()
+        self.directory.take_configuration(PoolConfiguration(1, (queue,)), source="test")
         self.cells = self
 
     def pending(self, _queue):
--- a/tests/pools/test_directory.py
+++ b/tests/pools/test_directory.py
@@ -1,8 +1,9 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.kernel import BurdocklugError, ErrorKind
 from burdocklug.pools._directory import Directory
-from burdocklug.pools._models import PoolConfiguration, ServiceRule
+from burdocklug.pools._models import PoolConfiguration, QueueRule, ServiceRule
 from tests.pools.builders import entry
 
 
@@ -84,3 +85,44 @@
         for now_s in (100.0, 101.0):
             self.assertThat(self.put(now_s, None), Equals(None))
         self.assertThat(self.notifications, Equals(1))
+
+
+class ResolveQueueTest(TestCase):
+    """A request on a route that the configuration in force has, or lacks."""
+
+    def setUp(self):
+        super().setUp()
+        self.directory = Directory()
+        self.queue = QueueRule("checks", "press.example", "/press/", "press-control")
+        self.take(10, (self.queue,))
+
+    def take(self, version, queues):
+        self.directory.take_configuration(PoolConfiguration(version, queues), source="test")
+
+    def refusal(self, path):
+        """Return the kind of error with which a request is refused."""
+        exc = self.assertRaises(
+            BurdocklugError, self.directory.resolve_queue, "press.example", path
+        )
+        return exc.kind
+
+    def test_a_route_that_is_there(self):
+        found = self.directory.resolve_queue("press.example", "/press/1")
+        self.assertThat(found, Equals(self.queue))
+
+    def test_a_route_that_the_newest_known_version_lacks_is_not_found(self):
+        self.directory.note_version(10, source="peer", now_s=5.0)
+        self.assertThat(self.refusal("/late/1"), Equals(ErrorKind.NOT_FOUND))
+
+    def test_a_missing_route_is_not_final_while_a_newer_version_is_known_to_exist(self):
+        """Guards against a 404 for a route that was acknowledged seconds before (CONFIG)."""
+        self.directory.note_version(12, source="peer", now_s=5.0)
+        self.assertThat(self.refusal("/late/1"), Equals(ErrorKind.NO_CONFIGURATION))
+        self.take(11, (self.queue,))
+        self.assertThat(self.refusal("/late/1"), Equals(ErrorKind.NO_CONFIGURATION))
+        self.take(12, (self.queue,))
+        self.assertThat(self.refusal("/late/1"), Equals(ErrorKind.NOT_FOUND))
+
+    def test_without_a_configuration_nothing_is_said_of_routes(self):
+        self.directory = Directory()
+        self.assertThat(self.refusal("/press/1"), Equals(ErrorKind.NO_CONFIGURATION))
--- a/tests/pools/test_job_server.py
+++ b/tests/pools/test_job_server.py
@@ -1,9 +1,11 @@
 """Answers of the scheduler's process to refused callers."""
 
 import eventlet
+import msgspec
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from burdocklug.pools._messages import SubmitJob
+from burdocklug.pools._models import PoolConfiguration, QueueRule, ServiceRule
 from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
 from tests.pools.builders import spec, step
 from tests.pools.test_leader import OWN, LeaderTestCase
@@ -60,3 +62,71 @@
         found = {row["job"]: row for row in rows}
         self.assertTrue(found["j0"]["reason"], found["j0"])
         self.assertIn("queue/checks", found["j0"]["classes"])
+
+
+class OlderConfigurationTest(LeaderTestCase):
+    """A job that the caller's process accepted by an older configuration than the scheduler's.
+
+    Guards against jobs that run by a rule that a newer version has changed or dropped (CONFIG).
+    """
+
+    OLD = QueueRule("checks", "press.example", "/press/", "press", priority=2)
+    NEW = QueueRule("checks", "press.example", "/press/", "press", priority=0)
+
+    def setUp(self):
+        super().setUp()
+        self.services = (ServiceRule("press"),)
+        self.take(10, self.OLD)
+        self.pass_time(0.2)
+
+    def take(self, version, *queues):
+        self.directory.take_configuration(
+            PoolConfiguration(version, queues, self.services), source="test"
+        )
+
+    def submit(self, job_id="j1", *, version, **changes):
+        """Submit a job in the background; return a list that takes the reply."""
+        replies = []
+        job = spec(job_id, step(1), rule=self.OLD)
+        job = msgspec.structs.replace(job, configuration_version=version)
+        message = SubmitJob(job, age_s=0.0, wait_s=5.0, **changes)
+        handle = self.network.handlers[SubmitJob]
+        thread = eventlet.spawn(lambda: replies.append(handle(OWN, message)))
+        self.addCleanup(thread.kill)
+        self.run_due()
+        return replies
+
+    def priority(self, job_id="j1"):
+        return self.leader.scheduler.jobs[job_id].spec.queue.priority
+
+    def test_a_job_of_the_same_version_goes_by_its_rule(self):
+        self.submit(version=10)
+        self.assertThat(self.priority(), Equals(2))
+
+    def test_a_job_of_an_older_version_goes_by_the_newest_rule(self):
+        self.take(12, self.NEW)
+        self.submit(version=10)
+        self.assertThat(self.priority(), Equals(0))
+
+    def test_a_job_of_a_newer_version_goes_by_its_rule(self):
+        self.submit(version=16)
+        self.assertThat(self.priority(), Equals(2))
+
+    def test_a_job_whose_queue_was_removed_is_refused_and_starts_nothing(self):
+        self.take(12)
+        replies = self.submit(version=10)
+        self.assertThat([reply.is_queue_removed for reply in replies], Equals([True]))
+        self.assertThat([reply.may_have_started for reply in replies], Equals([False]))
+        self.assertThat(list(self.leader.scheduler.jobs), Equals([]))
+
+    def test_a_job_that_was_accepted_before_the_change_goes_on(self):
+        self.submit(version=10)
+        self.take(12)
+        replies = self.submit(version=10)
+        self.assertThat(replies, Equals([]))
+
+    def test_a_job_that_another_scheduler_may_have_begun_goes_on(self):
+        self.take(12)
+        replies = self.submit(version=10, since_heard_s=0.4)
+        self.assertThat(replies, Equals([]))
+        self.assertThat(self.priority(), Equals(2))
