Election: a search tells of newer configurations, so that a process needs neither store nor scheduler for them

Cause: versions passed between a scheduler and its followers only. A process that the store turns away, while no scheduler is elected, had nobody from whom to take a configuration, though it asks all members in turn.

Change: the reply to a reach request names the version of its sender; the newest one is fetched.

--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -140,11 +140,14 @@
         the other processes yet.
     usable_cores : float
         Usable cores of the sender's host, 0 while it is overloaded.
+    configuration_version : int
+        Version of the sender's configuration.
     """
 
     claim: Claim | None
     draining: bool = False
     usable_cores: float = 1.0
+    configuration_version: int = 0
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/burdocklug/pools/election/_following.py
+++ b/burdocklug/pools/election/_following.py
@@ -132,6 +132,7 @@
             self.claim if is_fresh else None,
             self.draining or not self.ready,
             self._usable_cores(),
+            self._version(),
         )
 
     def _find_scheduler(self, members, replies):
--- a/burdocklug/pools/election/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -59,8 +59,8 @@
         Called with the incarnation of a peer that has a newer configuration or plan of cells, or
         knows of a change of the evacuations.
     on_version_heard : callable or None
-        Called with the incarnation of a peer and the version of its configuration, if that is newer
-        than the one in force here.
+        Called before that with the incarnation of a peer and the version of its configuration, if
+        that is newer than the one in force here.
     evacuations : callable
         Returns the `EvacuationView` of this process.
     plan_number : callable
--- a/burdocklug/pools/election/_own_claim.py
+++ b/burdocklug/pools/election/_own_claim.py
@@ -138,10 +138,22 @@
     def _run_query(self, handle, asked):
         try:
             members = self._members()
-            handle(members, query_members(self._network, members if asked is None else asked))
+            replies = query_members(self._network, members if asked is None else asked)
+            self._note_newest_version(replies)
+            handle(members, replies)
         finally:
             self._is_querying = False
 
+    def _note_newest_version(self, replies):
+        """Learn of a newer configuration while there is no scheduler that would pass it on."""
+        version, sender = max(
+            ((reply.configuration_version, sender) for sender, reply in replies.items()),
+            default=(0, ""),
+        )
+        if version > self._version() and self.on_version_heard is not None:
+            self.on_version_heard(sender, version)
+            self.on_newer_version(sender)
+
     def _announce(self, claim):
         self._announced_s = self._timers.now()
         for incarnation in self._members():
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -102,3 +102,24 @@
             return {p.name: p.pool.directory.configuration.version for p in processes}
 
         self.assertThat(run_in_virtual_time(scenario), Equals(dict.fromkeys(PROCESSES, 2)))
+
+
+class WithoutSchedulerTest(TestCase):
+    """Guards against a process that neither the store nor a scheduler tells of a new version."""
+
+    def test_a_process_that_the_store_turns_away_learns_a_version_from_any_peer(self):
+        def scenario():
+            deployment = VirtualDeployment(PROCESSES, ENDPOINTS).start(for_s=8.0)
+            for process in deployment.processes.values():
+                process.pool.election.draining = True  # so that none claims the role
+            scheduler = deployment.scheduler()
+            turned_away = [name for name in PROCESSES if name != scheduler.name][0]
+            deployment.links.cut("store", {turned_away}, {"store"})
+            scheduler.pool.election.step_down("test")
+            eventlet.sleep(1.0)
+            deployment.store.put_configuration(2)
+            eventlet.sleep(CONFIGURATION_BOUND_S)
+            process = deployment.processes[turned_away]
+            return process.pool.directory.configuration.version
+
+        self.assertThat(run_in_virtual_time(scenario), Equals(2))
