Configuration: a request's queue is looked up by host, not among all routes

Cause: each request went through all routes for its queue, and each submission through all for the set of priorities.

Change: an index by host, longest prefix first, made once for each version; the priorities and the longest wait too.

--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -62,11 +62,11 @@
 
     def priorities(self):
         """Return the set of priorities of the configured queues."""
-        return {queue.priority for queue in self.configuration.queues}
+        return self.configuration.priorities
 
     def longest_wait_s(self):
         """Return the longest time for which a caller of any queue waits, in seconds."""
-        return max((queue.timeout_s for queue in self.configuration.queues), default=0.0)
+        return self.configuration.longest_wait_s
 
     def resolve_queue(self, host, path):
         """Return the queue of a request.
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -1,6 +1,7 @@
 """Data model of a pool: endpoints, queues, jobs and reports."""
 
 import enum
+import functools
 from dataclasses import dataclass, field
 
 import msgspec
@@ -154,7 +155,7 @@
     cold_starts_per_s: float = 0.0
 
 
-class PoolConfiguration(msgspec.Struct, frozen=True):
+class PoolConfiguration(msgspec.Struct, frozen=True, dict=True):
     """The operators' configuration; a higher version supersedes a lower one.
 
     Parameters
@@ -179,8 +180,25 @@
 
     def find_queue(self, host, path):
         """Return the queue whose host matches and whose prefix is the longest match, or None."""
-        matches = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
-        return max(matches, key=lambda queue: len(queue.prefix), default=None)
+        candidates = self._longest_prefix_first.get(host, ())
+        return next((queue for queue in candidates if path.startswith(queue.prefix)), None)
+
+    @functools.cached_property
+    def _longest_prefix_first(self):
+        by_host = {}
+        for queue in sorted(self.queues, key=lambda queue: len(queue.prefix), reverse=True):
+            by_host.setdefault(queue.host, []).append(queue)
+        return by_host
+
+    @functools.cached_property
+    def priorities(self):
+        """Priorities of all queues, as a set."""
+        return frozenset(queue.priority for queue in self.queues)
+
+    @functools.cached_property
+    def longest_wait_s(self):
+        """Longest time for which a caller of any queue waits, in seconds."""
+        return max((queue.timeout_s for queue in self.queues), default=0.0)
 
     def find_service(self, name):
         """Return the configuration of a service, with its defaults if none is given."""
