Store: a poll on request cancels a call, unless its answer is arriving

A new scheduler's call in flight was left to its end, counted as sent before the election, and the next one came up to 0.4 s later.

Change: the follower asks the store's client whether a part of the answer has arrived. If so, the poll follows the answer without a pause; else the call is cancelled as before.

--- a/burdocklug/platform/_calls.py
+++ b/burdocklug/platform/_calls.py
@@ -75,7 +75,18 @@
         self._now = now
         self._addresses = {}
 
-    def call(self, address, method, path, body=None, *, timeout_s, longest_s=None, headers=b""):
+    def call(
+        self,
+        address,
+        method,
+        path,
+        body=None,
+        *,
+        timeout_s,
+        longest_s=None,
+        on_received=None,
+        headers=b"",
+    ):
         """Send a request and return the status and the body of the response.
 
         Parameters
@@ -85,6 +96,8 @@
             further byte of it.
         longest_s : float, optional
             Time for the whole response in seconds, while bytes of it keep arriving.
+        on_received : callable, optional
+            Called after each receipt of bytes of the response, if `longest_s` is given.
         headers : bytes, optional
             Additional header lines, each ending in CRLF.
 
@@ -100,7 +113,9 @@
         try:
             conn, generation = connections.acquire(self._now())
             sent, reusable = True, False
-            conn.on_received = limit.extend if longest_s is not None else None
+            conn.on_received = None
+            if longest_s is not None:
+                conn.on_received = lambda: (limit.extend(), on_received and on_received())
             try:
                 status, answer, reusable = exchange(
                     address, conn, method, path, raw, headers=headers
--- a/burdocklug/platform/_store.py
+++ b/burdocklug/platform/_store.py
@@ -1,5 +1,6 @@
 """The platform's metadata store as a `RecordStore`."""
 
+import collections
 import urllib.parse
 
 import msgspec
@@ -93,6 +94,7 @@
     def __init__(self, address, *, timeout_s, now):
         self._address = address
         self._timeout_s = timeout_s
+        self._receiving = collections.Counter()  # answers that are arriving, by prefix
         self._client = JsonClient(idle_s=STORE_IDLE_S, limit=STORE_CONNECTIONS, now=now)
 
     def read(self, prefix):
@@ -110,14 +112,29 @@
     def follow(self, prefix, after, *, wait_s):
         """Wait for changes after a revision; return them and the current revision."""
         query = {"prefix": prefix, "after": after, "wait_ms": int(wait_s * 1000)}
+        arriving = set()
+
+        def note_received():
+            if not arriving:
+                arriving.add(prefix)
+                self._receiving[prefix] += 1
+
         try:
-            answer = self._get("/kv-watch", query, _WatchAnswer, wait_s=wait_s)
+            answer = self._get(
+                "/kv-watch", query, _WatchAnswer, wait_s=wait_s, on_received=note_received
+            )
         except _Refused as exc:
             if exc.status == 410:
                 raise RevisionCompacted(prefix) from exc
             raise
+        finally:
+            self._receiving.subtract(arriving)
         return [item.to_change() for item in answer.events], answer.current_rev
 
+    def is_receiving(self, prefix):
+        """Return whether a part of the answer to a `follow` of this prefix has arrived, not all."""
+        return self._receiving[prefix] > 0
+
     def put(self, key, value, *, lease=0):
         """Write a record unconditionally."""
         write = {"key": key, "value": value}
@@ -153,11 +170,17 @@
                 raise LeaseEnded(lease) from exc
             raise
 
-    def _get(self, path, query, model, *, wait_s=0.0):
-        raw = self._call("GET", f"{path}?{urllib.parse.urlencode(query)}", None, wait_s=wait_s)
+    def _get(self, path, query, model, *, wait_s=0.0, on_received=None):
+        raw = self._call(
+            "GET",
+            f"{path}?{urllib.parse.urlencode(query)}",
+            None,
+            wait_s=wait_s,
+            on_received=on_received,
+        )
         return _decode(raw, model)
 
-    def _call(self, method, path, body, *, wait_s=0.0):
+    def _call(self, method, path, body, *, wait_s=0.0, on_received=None):
         try:
             status, raw = self._client.call(
                 self._address,
@@ -166,6 +189,7 @@
                 body,
                 timeout_s=self._timeout_s + wait_s,
                 longest_s=LONGEST_RESPONSE_S + wait_s,
+                on_received=on_received,
             )
         except NoResponse as exc:
             if exc.sent:
--- a/burdocklug/store/_follower.py
+++ b/burdocklug/store/_follower.py
@@ -16,9 +16,6 @@
 MAX_WAIT_S = 20.0  # longest wait of a call for a change; middleboxes cut longer calls
 INITIAL_BACKOFF_S = 0.2  # backoff after the first failure; doubles with each further one
 MAX_BACKOFF_S = 2.0  # longest backoff, so that a fleet does not overload a recovering store
-# A call that waits longer for a change is cancelled when a poll is asked for. One that does not is
-# left to its own time limit, since its answer may be half received.
-CANCELLED_WAIT_S = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -129,7 +126,7 @@
         self._is_suspect = False  # a connection may be silent, so calls must not wait on one
         self._wakeup = Event()
         self._in_flight = None
-        self._wait_s = 0.0  # time for which the call in flight waits for a change
+        self._is_poll_due = False  # a poll was asked for while an answer arrived
         self._revision = None
         self._newest_revision = 0
         self._backoff_s = INITIAL_BACKOFF_S
@@ -173,18 +170,22 @@
             self._on_failure(sent_s)
 
     def _wait_for_wakeup(self, timeout_s):
-        self._wakeup.wait(timeout=timeout_s)
+        if not self._is_poll_due:
+            self._wakeup.wait(timeout=timeout_s)
+        self._is_poll_due = False
         self._wakeup = Event()
 
     def poll_now(self):
         """Ask for changes at once, without the pause or the backoff.
 
-        A call that waits for a change is cancelled and sent again, as its connection may be silent.
+        A call in flight is cancelled and sent again, as its connection may be silent. If its answer
+        is arriving, the poll follows it, so that a large answer is not received in vain.
         """
         self._is_suspect = True
-        if self._in_flight is not None:
-            if self._wait_s > CANCELLED_WAIT_S:
-                eventlet.spawn_n(self._in_flight.kill, _CallCancelled())
+        if self._in_flight is not None and self._store.is_receiving(self._prefix):
+            self._is_poll_due = True
+        elif self._in_flight is not None:
+            eventlet.spawn_n(self._in_flight.kill, _CallCancelled())
         elif not self._wakeup.ready():
             self._wakeup.send(None)
 
@@ -234,7 +235,6 @@
     def _fetch_changes(self, wait_s):
         """Return changes and their revision; the call runs in a greenlet that can be cancelled."""
         done = Event()
-        self._wait_s = wait_s
         self._in_flight = eventlet.spawn(self._send_call, wait_s, done)
         try:
             return done.wait()
--- a/burdocklug/store/_records.py
+++ b/burdocklug/store/_records.py
@@ -70,6 +70,10 @@
             If the store no longer keeps these changes.
         """
 
+    def is_receiving(self, prefix):
+        """Return whether a part of the answer to a `follow` of this prefix has arrived, not all."""
+        return False
+
     @abc.abstractmethod
     def put(self, key, value, *, lease=0):
         """Write a record unconditionally, with no lease if `lease` is 0."""
--- a/tests/platform/virtual_store.py
+++ b/tests/platform/virtual_store.py
@@ -1,5 +1,6 @@
 """Store of records in virtual time, for deployments of whole processes in one test."""
 
+import collections
 import json
 from dataclasses import dataclass
 
@@ -154,12 +155,16 @@
 
     def __init__(self, store, links, name):
         self._idle = []
+        self._is_receiving = collections.Counter()
         self._store = store
         self._links = links
         self._name = name
 
+    def is_receiving(self, prefix):
+        return self._is_receiving[prefix] > 0
+
     def _call(self, answer, *, wait_s=0.0):
-        began_s = self._store.now()
+        began_s, prefix = self._store.now(), getattr(answer, "prefix", None)
         conn = self._connect()
         with eventlet.Timeout(TIMEOUT_S + wait_s, StoreUnavailable("no response")) as limit:
 
@@ -175,7 +180,11 @@
                         result = answer(self._store.now() - began_s >= wait_s)
                         if result is not None:
                             size = _answer_bytes(result)
-                            self._links.carry("store", self._name, size, on_piece=extend)
+                            self._is_receiving[prefix] += 1
+                            try:
+                                self._links.carry("store", self._name, size, on_piece=extend)
+                            finally:
+                                self._is_receiving[prefix] -= 1
                             conn.used_s = self._store.now()
                             self._idle.append(conn)
                             return result
@@ -213,6 +222,7 @@
             ]
             return (events, self._store.revision) if events or is_late else None
 
+        answer.prefix = prefix
         return self._call(answer, wait_s=wait_s)
 
     def put(self, key, value, *, lease=0):
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -25,6 +25,7 @@
         self.reads = list(reads)
         self.follows = list(follows)
         self.follow_revisions = []
+        self.is_answer_arriving = False
 
     def read(self, prefix):
         return self._next(self.reads)
@@ -33,6 +34,9 @@
         self.follow_revisions.append(after)
         return self._next(self.follows)
 
+    def is_receiving(self, prefix):
+        return self.is_answer_arriving
+
     @staticmethod
     def _next(responses):
         response = responses.pop(0)
@@ -149,10 +153,11 @@
             follower.poll_now()
 
 
-class SilentStore:
+class SilentStore(ScriptedStore):
     """Store whose first calls hang; a later call returns one record, and the next ones hang."""
 
     def __init__(self, *, silent):
+        super().__init__([], [])
         self.silent = silent
         self.waits_s = []
 
@@ -182,6 +187,20 @@
         run_greenlets()
         self.assertThat(self.applied, Equals([record("a/1", 2)]))
 
+    def test_poll_now_leaves_an_answer_that_is_arriving_and_asks_after_it_without_a_pause(self):
+        """Guards against a large answer that is received in part, time and again."""
+        store = SilentStore(silent=1)
+        store.is_answer_arriving = True
+        follower = self.follow(store, PollIntervals(0.0, retry_s=60.0))
+        follower._backoff_s = 60.0
+        arriving = follower._in_flight
+        follower.poll_now()
+        run_greenlets()
+        self.assertIs(follower._in_flight, arriving)
+        arriving.kill(StoreUnavailable("stopped arriving"))
+        run_greenlets()
+        self.assertThat(self.applied, Equals([record("a/1", 2)]))
+
     def test_each_call_waits_for_the_time_of_the_pace(self):
         store = SilentStore(silent=1)
         self.follow(store, PollIntervals(0.0, wait_s=0.3))
