Store: a follower behind a slow link reads the newest configuration, not each one in between

What would have been seen: with a scheduler on a slow link, or a process without one, changes 0.33 s apart of a configuration of 4,200 routes are in force later and later: each answer has all versions since the last one, whole, so that an answer grows with the delay that it causes.

Change: after an answer with several changes of one key, the follower of the operators' keys reads them anew, which has the newest of each. Other prefixes are followed as before.

Tests: GrowingConfigurationTest with both links of the scheduler, and one of the follower."

--- a/burdocklug/platform/_calls.py
+++ b/burdocklug/platform/_calls.py
@@ -36,17 +36,22 @@
         Seconds until the response is complete; None if `timeout_s` limits that.
     now : callable
         Returns monotonic seconds.
+    on_received : callable or None
+        Called after each receipt of bytes.
     """
 
-    def __init__(self, address, timeout_s, longest_s, now):
+    def __init__(self, address, timeout_s, longest_s, now, on_received):
         self._timeout_s = timeout_s
         self._now = now
+        self._on_received = on_received
         self._end_s = now() + (timeout_s if longest_s is None else longest_s)
         exc = AnswerTimeout(f"{address}: no response in {timeout_s:.2f} s")
         self._timeout = eventlet.Timeout(timeout_s, exc)
 
-    def extend(self):
+    def note_received(self):
         """Allow another `timeout_s` from now, up to the limit for the whole response."""
+        if self._on_received is not None:
+            self._on_received()
         self._timeout.cancel()
         self._timeout.seconds = max(0.0, min(self._timeout_s, self._end_s - self._now()))
         self._timeout.start()
@@ -109,13 +114,11 @@
         raw = b"" if body is None else encode_json(body)
         connections = self._connections(address)
         sent, conn = False, None
-        limit = _AnswerLimit(address, timeout_s, longest_s, self._now)
+        limit = _AnswerLimit(address, timeout_s, longest_s, self._now, on_received)
         try:
             conn, generation = connections.acquire(self._now())
             sent, reusable = True, False
-            conn.on_received = None
-            if longest_s is not None:
-                conn.on_received = lambda: (limit.extend(), on_received and on_received())
+            conn.on_received = limit.note_received if longest_s is not None else None
             try:
                 status, answer, reusable = exchange(
                     address, conn, method, path, raw, headers=headers
--- a/burdocklug/platform/_operator.py
+++ b/burdocklug/platform/_operator.py
@@ -48,6 +48,7 @@
             pace=pace,
             on_answer=self._note_answer,
             on_failure=on_failure or self._note_failure,
+            skips_superseded=True,
             known_revision=lambda: directory.operators_revision,
             now=now,
         )
@@ -82,7 +83,7 @@
         self._directory.configuration_age.note_failure()
 
     def _note_answer(self, sent_s):
-        view, revision = self._directory.evacuation_view, self._follower.revision
+        view, revision = self._directory.evacuation_view, self._follower.newest_revision
         self._take(view.read_up_to(revision))
         self._directory.operators_revision = max(revision, self._directory.operators_revision)
         self._directory.configuration_age.note_answer(sent_s)
--- a/burdocklug/store/_follower.py
+++ b/burdocklug/store/_follower.py
@@ -85,6 +85,9 @@
     on_failure : callable, optional
         Called with the time at which it was sent after each failed call, and after one whose answer
         was older than an earlier one.
+    skips_superseded : bool, optional
+        Whether to read all records anew after an answer with several changes of one record, as
+        when a slow link does not keep up with changes of a large one.
     known_revision : callable, optional
         Returns a revision up to which the reader knows all changes from elsewhere; those are not
         read again.
@@ -109,6 +112,7 @@
         pace,
         on_answer=None,
         on_failure=None,
+        skips_superseded=False,
         known_revision=int,
         now=time.monotonic,
     ):
@@ -121,6 +125,7 @@
         self._pace = pace
         self._on_answer = on_answer
         self._on_failure = on_failure
+        self._skips_superseded = skips_superseded
         self._known_revision = known_revision
         self._now = now
         self._is_suspect = False  # a connection may be silent, so calls must not wait on one
@@ -136,6 +141,11 @@
         """Revision up to which changes were applied; None while all records must be read."""
         return self._revision
 
+    @property
+    def newest_revision(self):
+        """Revision of the newest answer that was applied; 0 before the first one."""
+        return self._newest_revision
+
     def start(self):
         """Start following in a new greenlet."""
         eventlet.spawn(self._run)
@@ -223,6 +233,8 @@
         for change in changes:
             self._apply_change(change)
         self._revision = self._newest_revision = revision
+        if self._skips_superseded and len({change.key for change in changes}) < len(changes):
+            self._revision = None
         return True
 
     def _apply_change(self, change):
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -7,6 +7,7 @@
 from burdocklug.pools._messages import ConfigurationRequest
 from tests.pools.test_partitions import ENDPOINTS, PROCESSES
 from tests.pools.virtual_deployment import VirtualDeployment, run_in_virtual_time
+from tests.scenarios import with_scenarios
 
 CONFIGURATION_BOUND_S = 3.0  # `config_apply_ms` of the deployments with slow links
 SLOW_BYTES_PER_S = 1.19e6  # 9.5 Mbit/s
@@ -16,14 +17,20 @@
 STORM_CHANGES = 12
 
 
+@with_scenarios
 class GrowingConfigurationTest(TestCase):
     """Guards against processes that stay at an old version once a transfer outlasts its limit."""
 
+    scenarios = [
+        ("scheduler on a fast link", {"leader_bytes_per_s": FAST_BYTES_PER_S}),
+        ("scheduler on a slow link", {"leader_bytes_per_s": SLOW_BYTES_PER_S}),
+    ]
+
     def start(self):
         deployment = VirtualDeployment(PROCESSES, ENDPOINTS).start(for_s=8.0)
         self.leader = deployment.scheduler().name
         for name in PROCESSES:
-            rate = FAST_BYTES_PER_S if name == self.leader else SLOW_BYTES_PER_S
+            rate = self.leader_bytes_per_s if name == self.leader else SLOW_BYTES_PER_S
             deployment.links.bytes_per_s[name] = rate
         return deployment
 
--- a/tests/store/test_follower.py
+++ b/tests/store/test_follower.py
@@ -98,6 +98,17 @@
         )
         self.assertThat(replaced, Equals([[], [record("a/3", 40)]]))
 
+    def test_after_several_changes_of_one_record_only_the_newest_state_is_read(self):
+        store = ScriptedStore(
+            [([], 5), ([record("a/1", 9)], 9)], [([record("a/1", 6), record("a/1", 7)], 7)]
+        )
+        replaced = []
+        follower, applied = make_follower(store, replace=replaced.append, skips_superseded=True)
+        for _ in range(3):
+            follower._step()
+        self.assertThat(applied, Equals([record("a/1", 6), record("a/1", 7)]))
+        self.assertThat(replaced, Equals([[], [record("a/1", 9)]]))
+
     def test_a_stale_answer_changes_nothing(self):
         store, _replaced, applied = self.follow(
             [([], 10)], [([record("a/1", 9)], 9), ([record("a/1", 11)], 11)], steps=3
