--- a/burdocklug/pools/__init__.py
+++ b/burdocklug/pools/__init__.py
@@ -10,9 +10,11 @@
 4. `agents`: one for each endpoint, which sends the orders and reports how the runs end.
 
 `election` decides which process is the scheduler, `_leader` runs the scheduler there, `_directory`
-has the endpoints and the configuration, and `_part` ties these together in each process.
+has the endpoints and the configuration, `_exchange` passes new configurations from the scheduler to
+the others, and `_part` ties these together in each process.
 """
 
+from burdocklug.pools._configuration import PoolConfiguration, QueueRule, ServiceRule
 from burdocklug.pools._directory import Directory
 from burdocklug.pools._evacuations import EvacuationView
 from burdocklug.pools._models import (
@@ -20,13 +22,10 @@
     EndpointEntry,
     JobOutcome,
     JobSpec,
-    PoolConfiguration,
-    QueueRule,
     Resources,
     RunEnd,
     RunEndKind,
     RunReport,
-    ServiceRule,
     StepSpec,
 )
 from burdocklug.pools.agents import (
--- a/burdocklug/pools/_differences.py
+++ b/burdocklug/pools/_differences.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from burdocklug.pools._models import PoolConfiguration, QueueRule
+from burdocklug.pools._configuration import PoolConfiguration, QueueRule
 
 __all__ = [
     "ConfigurationChange",
--- a/burdocklug/pools/_directory.py
+++ b/burdocklug/pools/_directory.py
@@ -4,9 +4,9 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError, ErrorKind, Ran
+from burdocklug.pools._configuration import PoolConfiguration
 from burdocklug.pools._differences import share_rules
 from burdocklug.pools._evacuations import EvacuationView
-from burdocklug.pools._models import PoolConfiguration
 from burdocklug.pools._version_lag import VersionLag
 from burdocklug.pools._view_age import ViewAge
 
--- a/burdocklug/pools/_exchange.py
+++ b/burdocklug/pools/_exchange.py
@@ -6,9 +6,13 @@
 import structlog
 
 from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
+from burdocklug.pools._configuration import PoolConfiguration
+from burdocklug.pools._configuration_messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    VersionNotice,
+)
 from burdocklug.pools._differences import apply_change, decode_change, difference, encode_change
-from burdocklug.pools._messages import ConfigurationReply, ConfigurationRequest, VersionNotice
-from burdocklug.pools._models import PoolConfiguration
 
 __all__ = ["ConfigurationExchange"]
 
--- a/burdocklug/pools/election/_held_claim.py
+++ b/burdocklug/pools/election/_held_claim.py
@@ -244,6 +244,16 @@
         if is_newer and self.on_newer_version is not None:
             self.on_newer_version(sender)
 
+    def _note_newest_version(self, replies):
+        """Learn of a newer configuration while there is no scheduler that would pass it on."""
+        version, sender = max(
+            ((reply.configuration_version, sender) for sender, reply in replies.items()),
+            default=(0, ""),
+        )
+        if version > self._version() and self.on_version_heard is not None:
+            self.on_version_heard(sender, version)
+            self.on_newer_version(sender)
+
     def dump(self):
         """Return the claim in force as plain data."""
         claim = self.claim
--- a/burdocklug/pools/election/_own_claim.py
+++ b/burdocklug/pools/election/_own_claim.py
@@ -144,16 +144,6 @@
         finally:
             self._is_querying = False
 
-    def _note_newest_version(self, replies):
-        """Learn of a newer configuration while there is no scheduler that would pass it on."""
-        version, sender = max(
-            ((reply.configuration_version, sender) for sender, reply in replies.items()),
-            default=(0, ""),
-        )
-        if version > self._version() and self.on_version_heard is not None:
-            self.on_version_heard(sender, version)
-            self.on_newer_version(sender)
-
     def _announce(self, claim):
         self._announced_s = self._timers.now()
         for incarnation in self._members():
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -4,7 +4,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from burdocklug.pools._messages import ConfigurationRequest
+from burdocklug.pools._configuration_messages import ConfigurationRequest
 from tests.pools.test_partitions import ENDPOINTS, PROCESSES
 from tests.pools.virtual_deployment import VirtualDeployment, run_in_virtual_time
 from tests.scenarios import with_scenarios
--- a/tests/pools/builders.py
+++ b/tests/pools/builders.py
@@ -1,9 +1,9 @@
 """Entries, jobs and a scheduler in virtual time for tests of pools."""
 
+from burdocklug.pools._configuration import QueueRule
 from burdocklug.pools._models import (
     EndpointEntry,
     JobSpec,
-    QueueRule,
     Resources,
     RunEndKind,
     StepSpec,
--- a/tests/pools/cells/test_cells.py
+++ b/tests/pools/cells/test_cells.py
@@ -9,7 +9,8 @@
 from testtools.matchers import Equals, GreaterThan, LessThan
 
 from burdocklug.kernel import BurdocklugError
-from burdocklug.pools._models import JobOutcome, QueueRule
+from burdocklug.pools._configuration import QueueRule
+from burdocklug.pools._models import JobOutcome
 from burdocklug.pools.cells import CellPlan, cell_of
 from burdocklug.pools.election._fleet import CELLS_KEY
 from tests.pools.builders import spec, step
--- a/tests/pools/test_models.py
+++ b/tests/pools/test_configuration.py
@@ -3,7 +3,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, Is
 
-from burdocklug.pools._models import PoolConfiguration, QueueRule
+from burdocklug.pools._configuration import PoolConfiguration, QueueRule
 
 
 def queue(name, host, prefix, **changes):
--- a/tests/pools/test_differences.py
+++ b/tests/pools/test_differences.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals, LessThan
 
+from burdocklug.pools._configuration import PoolConfiguration, QueueRule, ServiceRule
 from burdocklug.pools._differences import (
     apply_change,
     decode_change,
@@ -12,7 +13,6 @@
     encode_change,
     share_rules,
 )
-from burdocklug.pools._models import PoolConfiguration, QueueRule, ServiceRule
 
 
 def queue(name, **changes):
--- a/tests/pools/test_directory.py
+++ b/tests/pools/test_directory.py
@@ -2,8 +2,8 @@
 from testtools.matchers import Equals
 
 from burdocklug.kernel import BurdocklugError, ErrorKind
+from burdocklug.pools._configuration import PoolConfiguration, QueueRule, ServiceRule
 from burdocklug.pools._directory import Directory
-from burdocklug.pools._models import PoolConfiguration, QueueRule, ServiceRule
 from tests.pools.builders import entry
 
 
--- a/tests/pools/test_exchange.py
+++ b/tests/pools/test_exchange.py
@@ -11,9 +11,9 @@
 from burdocklug.kernel import TimerService
 from burdocklug.peers import PeerOutcomeUnknown
 from burdocklug.pools import _exchange
+from burdocklug.pools._configuration_messages import ConfigurationRequest
 from burdocklug.pools._directory import Directory
 from burdocklug.pools._exchange import ConfigurationExchange
-from burdocklug.pools._messages import ConfigurationRequest
 from burdocklug.pools.cells import CellPlan
 from tests.pools.test_differences import configuration, queue
 
--- a/tests/pools/test_job_server.py
+++ b/tests/pools/test_job_server.py
@@ -4,8 +4,8 @@
 import msgspec
 from testtools.matchers import Equals, GreaterThan, LessThan
 
+from burdocklug.pools._configuration import PoolConfiguration, QueueRule, ServiceRule
 from burdocklug.pools._messages import SubmitJob
-from burdocklug.pools._models import PoolConfiguration, QueueRule, ServiceRule
 from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
 from tests.pools.builders import spec, step
 from tests.pools.test_leader import OWN, LeaderTestCase
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -26,6 +26,7 @@
     "burdocklug.routing._messages",
     "burdocklug.limits._messages",
     "burdocklug.pools._messages",
+    "burdocklug.pools._configuration_messages",
     "burdocklug.pools.cells._network",
 )
 
