Pools: a process that knows it is behind tells no number of waiting jobs by its old configuration

Cause: jobs are checked by the scheduler, a missing route by the process itself; these requests by nobody.

Change: after 1 s with a newer version known and missing they get 503 no_configuration.

Test: KnownLagTest; before, the process answered 0 all along (no check existed).

--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -69,7 +69,7 @@
 
     def _dispatch(self, method, queue, job_id, req, version):
         if method == "GET" and not job_id:
-            return json_response(200, PendingAnswer(self._pool.cells.pending(queue.name)))
+            return json_response(200, PendingAnswer(self._pool.pending(queue.name)))
         if not JOB_ID.fullmatch(job_id):
             raise BurdocklugError(
                 ErrorKind.BAD_REQUEST, f"{job_id[:40]!r} is not 16 hexadecimal digits", path="path"
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -3,7 +3,7 @@
 import eventlet
 import structlog
 
-from burdocklug.kernel import part
+from burdocklug.kernel import BurdocklugError, ErrorKind, part
 from burdocklug.pools._cell import CellServices
 from burdocklug.pools._cells import Cells
 from burdocklug.pools._directory import Directory
@@ -38,6 +38,8 @@
 MAX_VERSION_AGE_S = 1.5  # one read without an answer
 # Time without a part of a newer version that is known to exist, after which the store is asked.
 MAX_BEHIND_S = 0.8
+# Time for which such a version may be missing until nothing is said of a queue by the older one.
+MAX_TRUSTED_BEHIND_S = 1.0
 PLAN_CHECK_S = 1.0  # period of the check whether another number of cells is wanted
 
 log = structlog.get_logger(__name__)
@@ -168,6 +170,23 @@
         if self._reads_configuration and not before and self.on_configuration_doubtful is not None:
             self.on_configuration_doubtful()
 
+    def pending(self, queue):
+        """Return how many jobs of a queue have started no task.
+
+        Raises
+        ------
+        BurdocklugError
+            Of kind ``no_configuration`` while this process lacks a newer configuration, which may
+            not have the queue any more. Jobs are checked by the scheduler instead.
+        """
+        lag = self.directory.version_lag
+        if lag.behind_s(self._timers.now()) > MAX_TRUSTED_BEHIND_S:
+            raise BurdocklugError(
+                ErrorKind.NO_CONFIGURATION,
+                f"version {lag.newest} of the configuration has not arrived",
+            )
+        return self.cells.pending(queue)
+
     @property
     def is_ready(self):
         """Whether callers' jobs can be accepted now."""
--- a/tests/platform/test_large_configurations.py
+++ b/tests/platform/test_large_configurations.py
@@ -4,6 +4,7 @@
 from testtools import TestCase
 from testtools.matchers import Equals
 
+from burdocklug.kernel import BurdocklugError, ErrorKind
 from burdocklug.pools._configuration_messages import ConfigurationRequest
 from tests.pools.test_partitions import ENDPOINTS, PROCESSES
 from tests.pools.virtual_deployment import VirtualDeployment, run_in_virtual_time
@@ -111,6 +112,31 @@
         self.assertThat(run_in_virtual_time(scenario), Equals(dict.fromkeys(PROCESSES, 2)))
 
 
+class KnownLagTest(TestCase):
+    """Guards against answers by an old configuration in a process that knows of a newer one."""
+
+    def test_nothing_is_said_of_a_queue_when_a_version_has_been_missing_for_long(self):
+        def scenario():
+            deployment = VirtualDeployment(PROCESSES, ENDPOINTS).start(for_s=8.0)
+            process = next(
+                p for p in deployment.processes.values() if p.pool.leader.scheduler is None
+            )
+            answers = [process.pool.pending("r/press/")]
+            process.pool.directory.note_version(9, source="test", now_s=process.timers.now())
+            for pause_s in (0.8, 0.4):
+                eventlet.sleep(pause_s)
+                try:
+                    answers.append(process.pool.pending("r/press/"))
+                except BurdocklugError as exc:
+                    answers.append(exc.kind)
+            deployment.store.put_configuration(9)
+            eventlet.sleep(CONFIGURATION_BOUND_S)
+            return [*answers, process.pool.pending("r/press/")]
+
+        answers = run_in_virtual_time(scenario)
+        self.assertThat(answers, Equals([0, 0, ErrorKind.NO_CONFIGURATION, 0]))
+
+
 class WithoutSchedulerTest(TestCase):
     """Guards against a process that neither the store nor a scheduler tells of a new version."""
 
