--- a/review/standins-2/bed.py
+++ b/review/standins-2/bed.py
@@ -780,10 +780,10 @@
         return late
 
     def cut_zone(self, zone):
-        """Cut the processes and workers of a zone off from those of the others."""
+        """Cut the processes and workers of a zone off from those of the others and the store."""
         members = [*self.processes.items(), *((w.name, w.zone) for w in self.workers)]
         inside = [name for name, place in members if place == zone]
-        outside = [name for name, place in members if place != zone]
+        outside = ["store", *(name for name, place in members if place != zone)]
         self.record.note(f"the zone {zone} is cut off")
         self.links.cut_between(inside, outside)
 
