Submitting: a job whose callers have left is withdrawn from its scheduler

What callers saw: a client behind a zone cut lost its connection and sent its job again, 1.3 s later, to a process on the other side.

Cause: a process that waits for a job's outcome did not look at its caller's connection. It went on waiting for a caller that was gone, and its scheduler counted it as one that is in touch, so nothing ended the first runs.

The wish of the caller was not lost on its way: nobody expressed it.

Change: the listener watches the connection of a request that waits. When it has ended, the process withdraws the job from each scheduler that may have it from this caller, until that scheduler has replied or counts this process as lost. A scheduler drops such a job if it has not run, and otherwise stops its runs and keeps its progress, so that a new submission resumes it; it is not cancelled. Another caller, at the same process or elsewhere, keeps the job. A process whose callers have left no longer counts among a job's callers, so that the last of several callers is recognized.

Weighed: letting the runs go on until shortly before the caller may come back, so that a short job is answered at once then. Rejected: the scheduler may be killed in that time, and its leases would outlast the 1.3 s.

--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -90,7 +90,9 @@
             max_tasks=self._max_tasks,
             configuration_version=version,
         )
-        outcome = self._pool.cells.submit(spec, wait_s=_wait_s(req, queue))
+        wait_s = _wait_s(req, queue)
+        with req.watch_connection() as connection:
+            outcome = self._pool.cells.submit(spec, wait_s=wait_s, caller=connection)
         return json_response(200, StateAnswer(str(outcome)))
 
 
--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -151,13 +151,14 @@
         """Number of submissions whose callers wait."""
         return sum(cell.submitter.waiting for cell in self._all)
 
-    def submit(self, spec, *, wait_s):
+    def submit(self, spec, *, wait_s, caller=None):
         """Submit a job to the scheduler of its cell; see `Submitter.submit`.
 
         A job that no endpoint of its cell can hold is passed on to the other cells, and a job whose
         cell changes with the plan goes on in its new one.
         """
-        submission = Submission(spec, self._services.timers.now(), wait_s)
+        now = self._services.timers.now()
+        submission = Submission(spec, now, wait_s, caller=caller)
         while True:
             submission.plan_number = self._plan.number
             try:
--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -209,12 +209,19 @@
             self._leader.scheduler.cancel(job_id, longest_wait_s=self._directory.longest_wait_s())
 
     def _on_withdraw(self, sender, message):
-        job = self._leader.scheduler.jobs.get(message.job_id) if self._leader.scheduler else None
+        job = self._find_job(message.job_id)
         if job is not None:
             self._leader.scheduler.withdraw(job, sender, only_waiting=message.only_waiting)
+        return self._state_reply(job)
 
     def _on_get_state(self, _sender, message):
-        job = self._leader.scheduler.jobs.get(message.job_id) if self._leader.scheduler else None
+        return self._state_reply(self._find_job(message.job_id))
+
+    def _find_job(self, job_id):
+        return self._leader.scheduler.jobs.get(job_id) if self._leader.scheduler else None
+
+    @staticmethod
+    def _state_reply(job):
         if job is None:
             return JobStateReply("")
         if job.outcome is not None:
--- a/burdocklug/pools/_messages.py
+++ b/burdocklug/pools/_messages.py
@@ -243,7 +243,9 @@
 
 
 class WithdrawJob(msgspec.Struct, frozen=True, array_like=True, tag="pool_withdraw"):
-    """Gives up a job whose caller's process shuts down; the submission gets its reply at once.
+    """Gives up a job whose caller has left, or whose caller's process shuts down.
+
+    The submission gets its reply at once.
 
     Parameters
     ----------
@@ -264,7 +266,7 @@
 
 
 class JobStateReply(msgspec.Struct, frozen=True, array_like=True, tag="pool_job"):
-    """Reply to `CancelJob` and `GetJobState`.
+    """Reply to `CancelJob`, `WithdrawJob` and `GetJobState`.
 
     Parameters
     ----------
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -241,7 +241,7 @@
         return job
 
     def withdraw(self, job, sender, *, only_waiting):
-        """Give up a job for a process that shuts down, unless another process waits for it too.
+        """Give up a job for a process, unless another process waits for it too.
 
         A job that has not run is dropped. The runs of others are stopped, and a new submission
         resumes them.
@@ -251,17 +251,22 @@
         job : Job
             The job.
         sender : str
-            Incarnation of the process that shuts down.
+            Incarnation of the process, which shuts down or whose last caller has left.
         only_waiting : bool
             Whether to leave the job alone if it may have run.
         """
-        if job.outcome is not None or any(other != sender for other in job.callers):
+        has_not_run = not job.started and job.hold is None
+        if job.outcome is not None or (only_waiting and not has_not_run):
             return
-        if not job.started and job.hold is None:
-            log.info("job_withdrawn", job=job.job_id, sender=sender)
+        if any(other != sender for other in job.callers):
+            if not only_waiting:
+                job.callers.pop(sender, None)
+            return
+        log.info("job_withdrawn", job=job.job_id, sender=sender, started=job.started)
+        if has_not_run:
             self.drop_job(job)
             self.notify_callers(job)
-        elif not only_waiting:
+        else:
             self.suspend(job)
 
     def drop_job(self, job):
--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -1,6 +1,6 @@
 """Submits callers' jobs to the scheduler, and resubmits them to its successor on a failover."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import eventlet
 import structlog
@@ -14,6 +14,7 @@
 from burdocklug.pools.cells import CellView
 from burdocklug.pools.contention import MIN_RUN_FACTOR
 from burdocklug.pools.scheduling import critical_path_s
+from burdocklug.pools.submitting._withdrawals import JobWithdrawals
 
 __all__ = ["JobMoved", "Submission", "Submitter"]
 
@@ -33,6 +34,10 @@
     """Raised in calls to a scheduler that is no longer followed, or that does not reply in time."""
 
 
+class _CallerLeft(Exception):
+    """Raised in calls for a job whose caller has closed its connection."""
+
+
 @dataclass(slots=True)
 class Submission:
     """A job to submit, and what is known of its runs under earlier schedulers.
@@ -51,6 +56,10 @@
         Number of the plan of cells by which the cell was chosen that has the submission now.
     is_unplaceable : bool
         Whether that cell refused the job because none of its endpoints can hold it.
+    caller : ConnectionWatch or None
+        Connection of the caller, if it may end before the job does.
+    asked : set of str
+        Schedulers of that cell that may have the job, as far as this process knows.
     """
 
     spec: object
@@ -60,11 +69,17 @@
     progress: object = None
     plan_number: int = 0
     is_unplaceable: bool = False
+    caller: object = None
+    asked: set = field(default_factory=set)
 
     @property
     def may_have_started(self):
         return self.earlier_reply_s is not None
 
+    @property
+    def has_caller_left(self):
+        return self.caller is not None and self.caller.has_ended
+
 
 class Submitter:
     """Submits jobs on behalf of this process's callers.
@@ -92,6 +107,7 @@
         self._priorities = priorities
         self._cell = cell or CellView(0)
         self._calls = {}  # scheduler and job id of each call, by its event
+        self._withdrawals = JobWithdrawals(network, timers, is_awaited=self._is_awaited)
 
     def apply_claim(self, claim):
         """Abandon calls to schedulers other than that of the claim, after a grace period."""
@@ -101,10 +117,13 @@
             self._timers.after(HANDOVER_GRACE_S, lambda: self._abandon_calls(stale_calls))
 
     @staticmethod
-    def _abandon_calls(events):
+    def _abandon_calls(events, error=_SchedulerLost):
         for event in events:
             if not event.ready():
-                event.send_exception(_SchedulerLost())
+                event.send_exception(error())
+
+    def _is_awaited(self, scheduler, job_id):
+        return (scheduler, job_id) in self._calls.values()
 
     def withdraw_waiting(self, *, only_waiting):
         """Ask the scheduler to give up the jobs that callers of this process wait for.
@@ -126,8 +145,17 @@
         self._is_closing = True
         self._abandon_calls(list(self._calls))
 
+    @staticmethod
+    def _check_caller(submission):
+        """Raise if nobody waits for the job any more; the answer has no reader."""
+        if submission.has_caller_left:
+            raise BurdocklugError(
+                ErrorKind.OUTCOME_UNKNOWN, "the caller closed its connection before the job ended"
+            )
+
     def _check_open(self, submission):
         """Raise the answer to a caller whose job this process does not submit again."""
+        self._check_caller(submission)
         if not self._is_closing:
             return
         if submission.may_have_started:
@@ -171,6 +199,7 @@
         """
         spec = submission.spec
         submission.is_unplaceable = False
+        submission.asked.clear()
         self.waiting += 1
         try:
             return self._submit(submission)
@@ -189,6 +218,8 @@
             raise
         finally:
             self.waiting -= 1
+            if submission.has_caller_left:
+                self._withdrawals.withdraw(submission, submission.asked)
 
     def _submit(self, submission):
         deadline_s = submission.received_s + submission.wait_s + REPLY_MARGIN_S
@@ -265,6 +296,7 @@
         """
         while True:
             eventlet.sleep(POLL_S)
+            self._check_caller(submission)
             self._check_in_time(submission)
             election = self._election
             if election.claim is None or election.claim.scheduler != claim.scheduler:
@@ -277,6 +309,7 @@
         while True:
             if submission.plan_number != self._cell.plan_number:
                 raise JobMoved()
+            self._check_caller(submission)
             now, claim = self._timers.now(), self._election.confirmed_claim
             if claim is not None and now < deadline_s:
                 return claim
@@ -295,10 +328,19 @@
         """Return the scheduler's reply, or None if the job has to be resubmitted."""
         done = Event()
         self._calls[done] = (scheduler, submission.spec.job_id)
+        submission.asked.add(scheduler)
+        if submission.caller is not None:
+            submission.caller.on_end(lambda: self._abandon_calls([done], _CallerLeft))
         thread = eventlet.spawn(self._send_submission, scheduler, submission, deadline_s, done)
         try:
-            return done.wait()
+            reply = done.wait()
+            submission.asked.discard(scheduler)
+            return reply
+        except _CallerLeft:
+            log.info("caller_left", job=submission.spec.job_id, scheduler=scheduler)
+            return None
         except PeerUnreachable as exc:
+            submission.asked.discard(scheduler)
             log.info("scheduler_not_reached", job=submission.spec.job_id, error=str(exc)[:120])
             self._election.note_not_reached(scheduler)
             eventlet.sleep(POLL_S)
--- /dev/null
+++ b/burdocklug/pools/submitting/_withdrawals.py
@@ -0,0 +1,76 @@
+"""Withdraws jobs for which no caller of this process waits any more."""
+
+import eventlet
+import structlog
+
+from burdocklug.peers import PeerOutcomeUnknown, PeerUnreachable
+from burdocklug.pools._messages import WithdrawJob
+
+__all__ = ["JobWithdrawals"]
+
+CALL_TIMEOUT_S = 0.2
+RETRY_S = 0.05
+# A scheduler that has not been reached for this time counts this process as lost.
+MAX_TRY_S = 2.0
+# A job whose caller's waiting time ends within this time is ended by its scheduler anyway.
+EXPIRY_S = 0.3
+
+log = structlog.get_logger(__name__)
+
+
+class JobWithdrawals:
+    """Tells schedulers of jobs whose callers have closed their connections.
+
+    Such a caller may send its job again to any process, also to one that follows another scheduler
+    behind a partition. The first runs have to be over by then.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+        Network to the other processes.
+    timers : TimerService
+        Clock.
+    is_awaited : callable
+        Takes a scheduler and a job id, and returns whether another caller waits for that job.
+    """
+
+    def __init__(self, network, timers, *, is_awaited):
+        self._network = network
+        self._timers = timers
+        self._is_awaited = is_awaited
+
+    def withdraw(self, submission, schedulers):
+        """Withdraw a submission, in the background.
+
+        Parameters
+        ----------
+        submission : Submission
+            The submission.
+        schedulers : iterable of str
+            The schedulers that may have the job from this process.
+        """
+        expires_s = submission.received_s + submission.wait_s
+        if expires_s - self._timers.now() <= EXPIRY_S:
+            return
+        for scheduler in schedulers:
+            eventlet.spawn_n(self._withdraw, scheduler, submission.spec.job_id)
+
+    def _withdraw(self, scheduler, job_id):
+        """Tell one scheduler until it has replied or this process counts as lost there.
+
+        It is told twice of a job that it doesn't know, as it may not have handled the submission
+        yet.
+        """
+        until_s, was_unknown = self._timers.now() + MAX_TRY_S, False
+        while self._timers.now() < until_s and not self._is_awaited(scheduler, job_id):
+            try:
+                message = WithdrawJob(job_id, only_waiting=False)
+                reply = self._network.call(scheduler, message, timeout_s=CALL_TIMEOUT_S)
+            except (PeerUnreachable, PeerOutcomeUnknown) as exc:
+                log.info("withdrawal_not_sent", job=job_id, error=str(exc)[:120])
+            else:
+                # Processes of earlier releases don't reply with a state.
+                if reply is None or reply.state or was_unknown:
+                    return
+                was_unknown = True
+            eventlet.sleep(RETRY_S)
--- a/burdocklug/web/__init__.py
+++ b/burdocklug/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP listeners: routing, size and time limits of requests, error responses, the server."""
 
+from burdocklug.web._connection import ConnectionWatch
 from burdocklug.web._routes import (
     Application,
     Request,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "Application",
+    "ConnectionWatch",
     "HttpListener",
     "Request",
     "Response",
--- a/burdocklug/web/_routes.py
+++ b/burdocklug/web/_routes.py
@@ -9,6 +9,7 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError, ErrorKind, answer_for, encode_error_body
+from burdocklug.web._connection import ConnectionWatch
 
 __all__ = ["Application", "Request", "Response", "RouteTable", "error_response", "json_response"]
 
@@ -97,6 +98,10 @@
             )
         return body
 
+    def watch_connection(self):
+        """Return a `ConnectionWatch` of the client's connection; call it once the body is read."""
+        return ConnectionWatch(self.environ["wsgi.input"].get_socket())
+
     def _too_large(self):
         self.environ["burdocklug.close"] = True
         return BurdocklugError(
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -115,11 +115,22 @@
         """Return status and decoded body of a caller's request; None for a broken connection."""
         return call_json(self.addresses[name], method, path, body, host=host, timeout_s=timeout_s)
 
-    def submit(self, name, job_id, *, count=2, spec="run 0.05", **job):
+    def submit(self, name, job_id, **job):
         """Submit a job of one step and return status and answer."""
+        return self.call(name, "POST", f"/checks/{job_id}", self._job(**job))
+
+    def open_submission(self, name, job_id, **job):
+        """Submit a job of one step and return the connection, on which the answer is to come."""
+        ip, _, port = self.addresses[name].rpartition(":")
+        conn = http.client.HTTPConnection(ip, int(port), timeout=12.0)
+        body = json.dumps(self._job(**job)).encode()
+        conn.request("POST", f"/checks/{job_id}", body=body, headers={"Host": "checks.example"})
+        return conn
+
+    @staticmethod
+    def _job(*, count=2, spec="run 0.05", **job):
         phases = [{"count": count, "cpu": 1000, "mem_mb": 64, "estimate_ms": 50}]
-        body = {"spec": spec, "phases": phases, "best_effort": True, **job}
-        return self.call(name, "POST", f"/checks/{job_id}", body)
+        return {"spec": spec, "phases": phases, "best_effort": True, **job}
 
     def state(self, name, *, token=SECRET):
         """Return status and state dump of a daemon."""
@@ -140,6 +151,11 @@
         record = self.control("GET", "/record")["starts"]
         return [(worker, *start) for worker, starts in record.items() for start in starts]
 
+    def ends(self):
+        """Return each end of a run: worker, task, attempt, how, milliseconds."""
+        record = self.control("GET", "/record")["ends"]
+        return [(worker, *end) for worker, ends in record.items() for end in ends]
+
     def stop(self):
         """End everything that was started."""
         for name, child in self.children.items():
--- a/tests/platform/test_fleet.py
+++ b/tests/platform/test_fleet.py
@@ -3,7 +3,7 @@
 
 import eventlet
 from testtools import TestCase
-from testtools.matchers import Equals, GreaterThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 
 from standins.platform_fleet import CONFIG, GIVEN_UP, RESUBMIT_S, PlatformFleet
 
@@ -138,6 +138,22 @@
         self.assertThat(self.fleet.submit("north-1", "9" * 16)[0], Equals(200))
         self.assertIn("settings_reread", self.fleet.children["north-1"].stderr_text())
 
+    def test_a_job_stops_when_its_caller_has_left_and_runs_when_it_comes_again(self):
+        """Guards against runs that go on for a caller that is gone (review/6)."""
+        for number, name in enumerate(PROCESSES):
+            job_id = f"ab{number:014x}"
+            connection = self.fleet.open_submission(name, job_id, spec="run 1.5")
+            eventlet.sleep(0.4)
+            connection.close()
+            closed_ms = time.monotonic() * 1000
+            eventlet.sleep(RESUBMIT_S)
+            ends = [end for end in self.fleet.ends() if end[1].startswith(job_id)]
+            self.assertThat([end[3] for end in ends], Equals(["stopped"] * 2))
+            self.assertThat(max(end[4] for end in ends) - closed_ms, LessThan(RESUBMIT_S * 1000))
+            answer = self.fleet.submit(name, job_id, spec="run 1.5")
+            self.assertThat(answer, Equals((200, {"state": "completed"})))
+            self.assertThat(len(self.attempts_of(job_id)), Equals(4))
+
     def test_an_unreadable_entry_changes_nothing(self):
         self.fleet.control("PUT", "/operator/servers/i-0000", {"service": 5})
         self.fleet.control("PUT", "/operator/servers/i-bad", ["what"])
--- a/tests/pools/virtual_deployment.py
+++ b/tests/pools/virtual_deployment.py
@@ -334,13 +334,14 @@
         self.links.cut((name, "in"), everyone, {name})
         self.links.cut((name, "out"), {name}, everyone)
 
-    def submit(self, name, spec, *, wait_s):
+    def submit(self, name, spec, *, wait_s, **options):
         """Submit a job at a process in the background; return a list that takes its answer."""
         answers = []
 
         def run():
             try:
-                answers.append(self.processes[name].pool.cells.submit(spec, wait_s=wait_s))
+                cells = self.processes[name].pool.cells
+                answers.append(cells.submit(spec, wait_s=wait_s, **options))
             except BurdocklugError as exc:
                 answers.append(exc)
 
