--- a/tests/callers/test_border.py
+++ b/tests/callers/test_border.py
@@ -96,6 +96,15 @@
         status, again = exchange(self.address, request("GET", f"/v1/jobs/{self.key}"))
         self.assertThat((status, again), Equals((200, answer)))
 
+    def test_a_caller_that_leaves_and_comes_again_gets_the_answer_of_the_first_runs(self):
+        sent = request("POST", "/v1/jobs", body(wait=True), Idempotency_Key=self.key)
+        host, _, port = self.address.partition(":")
+        socket.create_connection((host, int(port)), timeout=ANSWER_TIMEOUT_S).sendall(sent)
+        eventlet.sleep(0.2)
+        status, answer = exchange(self.address, sent)
+        self.assertThat((status, answer["state"]), Equals((200, "complete")))
+        self.assertThat(list(self.starts.values()), Equals([1]))
+
     def test_health_and_metrics(self):
         for path in ("/v1/health", "/metrics"):
             status, _ = exchange(self.address, request("GET", path))
--- a/tests/pools/test_departed_callers.py
+++ b/tests/pools/test_departed_callers.py
@@ -93,10 +93,11 @@
         self.assertThat(max(ends), LessThan(0.2))
         self.assertThat(answers, Equals([JobOutcome.COMPLETED]))
 
-    def test_no_task_runs_twice_at_once_if_the_scheduler_is_killed_meanwhile(self):
+    def test_they_have_also_stopped_if_the_scheduler_is_killed_meanwhile(self):
         for kill_after_s in (0.0, 0.001, 0.1, 0.5, 0.9, 1.2):
-            overlaps, _ends, answers = self.play(kill_after_s=kill_after_s)
+            overlaps, ends, answers = self.play(kill_after_s=kill_after_s)
             self.assertThat(overlaps, Equals([]))
+            self.assertThat(max(ends), LessThan(RESUBMIT_S - END_TOLERANCE_S))
             self.assertThat(answers, Equals([JobOutcome.COMPLETED]))
 
     def test_a_second_submission_that_has_joined_keeps_its_runs(self):
@@ -119,6 +120,35 @@
         self.assertThat((answers, starts), Equals(([JobOutcome.COMPLETED], 2)))
 
 
+@with_scenarios
+class FrozenFollowerTest(TestCase):
+    """A client's process is frozen while the client leaves, and learns of it when it wakes."""
+
+    scenarios = [(f"{for_s} s", {"for_s": for_s}) for for_s in (0.2, 0.5, 0.8, 0.95, 1.2, 2.5)]
+
+    def test_runs_have_stopped_before_the_job_may_come_again(self):
+        def scenario():
+            deployment = VirtualDeployment(PROCESSES, ENDPOINTS, run_s=8.0).start()
+            name = next(n for n in PROCESSES if n != deployment.scheduler().name)
+            caller, job = FakeCaller(), spec("j1", step(2, estimate_s=8.0), rule=QUEUE)
+            deployment.submit(name, job, wait_s=WAIT_S, caller=caller)
+            eventlet.sleep(0.5)
+            others = (set(deployment.domains) | {"store"}) - {name}
+            deployment.links.cut("in", others, {name})
+            deployment.links.cut("out", {name}, others)
+            left_s = now_s()
+            eventlet.sleep(self.for_s)
+            deployment.links.heal("in")
+            deployment.links.heal("out")
+            caller.leave()
+            eventlet.sleep(4.0)
+            return [end_s - left_s for end_s in ends_of(deployment)]
+
+        ends = run_in_virtual_time(scenario)
+        self.assertThat(len(ends), Equals(2))
+        self.assertThat(max(ends), LessThan(RESUBMIT_S - END_TOLERANCE_S))
+
+
 @with_scenarios
 class FollowerCutOffTest(TestCase):
     """A client's process is cut off from its scheduler when the client leaves."""
