Submitting: a job is withdrawn also when its caller's waiting time is almost over

Cause, in: a process did not withdraw a job whose caller left within 0.3 s of the end of its waiting time, since the scheduler ends it then anyway. It does so at the end of the longest waiting time of all callers, also of those that have left, so that the runs could go on for a caller that left first.

--- a/burdocklug/pools/submitting/_submitter.py
+++ b/burdocklug/pools/submitting/_submitter.py
@@ -1,7 +1,5 @@
 """Submits callers' jobs to the scheduler, and resubmits them to its successor on a failover."""
 
-from dataclasses import dataclass, field
-
 import eventlet
 import structlog
 from eventlet.event import Event
@@ -14,9 +12,10 @@
 from burdocklug.pools.cells import CellView
 from burdocklug.pools.contention import MIN_RUN_FACTOR
 from burdocklug.pools.scheduling import critical_path_s
+from burdocklug.pools.submitting._submission import Submission
 from burdocklug.pools.submitting._withdrawals import JobWithdrawals
 
-__all__ = ["JobMoved", "Submission", "Submitter"]
+__all__ = ["JobMoved", "Submitter"]
 
 NO_SCHEDULER_WAIT_S = 0.5  # longest wait for a scheduler by a job that can't have started yet
 HANDOVER_GRACE_S = 0.05  # wait for the last replies of a scheduler that hands over its jobs
@@ -38,49 +37,6 @@
     """Raised in calls for a job whose caller has closed its connection."""
 
 
-@dataclass(slots=True)
-class Submission:
-    """A job to submit, and what is known of its runs under earlier schedulers.
-
-    Parameters
-    ----------
-    spec : JobSpec
-        The job.
-    received_s, wait_s : float
-        When the job was received, and the seconds from then for which its caller waits.
-    earlier_reply_s : float or None
-        Time of the last reply of a scheduler that may have started the job.
-    progress : JobProgress or None
-        Progress of the job there.
-    plan_number : int
-        Number of the plan of cells by which the cell was chosen that has the submission now.
-    is_unplaceable : bool
-        Whether that cell refused the job because none of its endpoints can hold it.
-    caller : ConnectionWatch or None
-        Connection of the caller, if it may end before the job does.
-    asked : set of str
-        Schedulers of that cell that may have the job, as far as this process knows.
-    """
-
-    spec: object
-    received_s: float
-    wait_s: float
-    earlier_reply_s: float | None = None
-    progress: object = None
-    plan_number: int = 0
-    is_unplaceable: bool = False
-    caller: object = None
-    asked: set = field(default_factory=set)
-
-    @property
-    def may_have_started(self):
-        return self.earlier_reply_s is not None
-
-    @property
-    def has_caller_left(self):
-        return self.caller is not None and self.caller.has_ended
-
-
 class Submitter:
     """Submits jobs on behalf of this process's callers.
 
@@ -219,7 +175,7 @@
         finally:
             self.waiting -= 1
             if submission.has_caller_left:
-                self._withdrawals.withdraw(submission, submission.asked)
+                self._withdrawals.withdraw(submission.spec.job_id, submission.asked)
 
     def _submit(self, submission):
         deadline_s = submission.received_s + submission.wait_s + REPLY_MARGIN_S
--- a/burdocklug/pools/submitting/_withdrawals.py
+++ b/burdocklug/pools/submitting/_withdrawals.py
@@ -12,8 +12,6 @@
 RETRY_S = 0.05
 # A scheduler that has not been reached for this time counts this process as lost.
 MAX_TRY_S = 2.0
-# A job whose caller's waiting time ends within this time is ended by its scheduler anyway.
-EXPIRY_S = 0.3
 
 log = structlog.get_logger(__name__)
 
@@ -39,21 +37,18 @@
         self._timers = timers
         self._is_awaited = is_awaited
 
-    def withdraw(self, submission, schedulers):
-        """Withdraw a submission, in the background.
+    def withdraw(self, job_id, schedulers):
+        """Withdraw a job in the background.
 
         Parameters
         ----------
-        submission : Submission
-            The submission.
+        job_id : str
+            The job.
         schedulers : iterable of str
             The schedulers that may have the job from this process.
         """
-        expires_s = submission.received_s + submission.wait_s
-        if expires_s - self._timers.now() <= EXPIRY_S:
-            return
         for scheduler in schedulers:
-            eventlet.spawn_n(self._withdraw, scheduler, submission.spec.job_id)
+            eventlet.spawn_n(self._withdraw, scheduler, job_id)
 
     def _withdraw(self, scheduler, job_id):
         """Tell one scheduler until it has replied or this process counts as lost there.
--- a/tests/pools/test_departed_callers.py
+++ b/tests/pools/test_departed_callers.py
@@ -119,6 +119,21 @@
         answers, starts = run_in_virtual_time(scenario)
         self.assertThat((answers, starts), Equals(([JobOutcome.COMPLETED], 2)))
 
+    def test_its_runs_stop_if_the_caller_with_the_longest_wait_left_first(self):
+        def scenario():
+            deployment = VirtualDeployment(PROCESSES, ENDPOINTS, run_s=RUN_S).start()
+            callers, job = [FakeCaller(), FakeCaller()], spec("j1", step(2), rule=QUEUE)
+            for name, caller, wait_s in zip(PROCESSES, callers, (WAIT_S, 1.0), strict=False):
+                deployment.submit(name, job, wait_s=wait_s, caller=caller)
+            for caller in callers:
+                eventlet.sleep(0.4)
+                caller.leave()
+            left_s = now_s()
+            eventlet.sleep(RESUBMIT_S)
+            return [end_s - left_s for end_s in ends_of(deployment)]
+
+        self.assertThat(max(run_in_virtual_time(scenario)), LessThan(0.2))
+
 
 @with_scenarios
 class FrozenFollowerTest(TestCase):
