Cells: a scheduler with a partial claim writes no plan of cells

Cause: a scheduler behind the cut, which reached four processes on small hosts, wanted two cells, and wrote that plan for the whole pool to the store, at 39.49 s, just after the cut had ended at 39.4 s. A change of the plan costs the endpoints that move 2 s.

Change: only a scheduler with a full claim chooses a plan. A partial one knows only the hosts that it reaches.

--- a/burdocklug/pools/_cells.py
+++ b/burdocklug/pools/_cells.py
@@ -92,9 +92,12 @@
             cell.leader.note_plan()
 
     def check_plan(self):
-        """Write a new plan if this process schedules the first cell and another one is wanted."""
+        """Write a new plan if this process schedules the first cell and another one is wanted.
+
+        A scheduler with a partial claim knows only some of the hosts that may schedule a cell.
+        """
         election, services = self.first.election, self._services
-        if not election.is_scheduler:
+        if not (election.is_scheduler and election.claim.is_full):
             return
         now = services.timers.now()
         cores = [services.host.usable_cores(now), *election.followers.live_cores(now).values()]
--- a/tests/pools/cells/test_cells.py
+++ b/tests/pools/cells/test_cells.py
@@ -257,3 +257,31 @@
             return [len(process.pool.cells) for process in deployment.processes.values()]
 
         self.assertThat(run_in_virtual_time(scenario), Equals([2, 2, 2, 2]))
+
+
+class PartialClaimTest(TestCase):
+    """A scheduler that reaches only small hosts does not split the whole pool.
+
+    Guards against a plan that it writes as a partition ends, which costs all others 2 s.
+    """
+
+    def test_a_scheduler_of_one_failure_domain_writes_no_plan(self):
+        def scenario():
+            deployment = make_deployment(1, endpoints=12)
+            for process in deployment.processes.values():
+                if process.failure_domain == "north":
+                    process.pool.host._cores = 0.02
+            deployment.start()
+            inside = deployment.members_of("north")
+            outside = set(deployment.domains) - inside
+            deployment.links.cut("in", outside, inside)
+            deployment.links.cut("out", inside, outside)
+            eventlet.sleep(6.0)
+            claims = [process.pool.election.claim for process in deployment.processes.values()]
+            return {claim.is_full for claim in claims if claim}, {
+                len(process.pool.cells) for process in deployment.processes.values()
+            }
+
+        kinds, cells = run_in_virtual_time(scenario)
+        self.assertThat(kinds, Equals({True, False}))
+        self.assertThat(cells, Equals({1}))
