--- a/burdocklug/pools/submitting/_withdrawals.py
+++ b/burdocklug/pools/submitting/_withdrawals.py
@@ -53,8 +53,8 @@
     def _withdraw(self, scheduler, job_id):
         """Tell one scheduler until it has replied or this process counts as lost there.
 
-        It is told twice of a job that it doesn't know, as it may not have handled the submission
-        yet.
+        A scheduler that doesn't know the job is told once more, as the submission may still be on
+        its way.
         """
         until_s, was_unknown = self._timers.now() + MAX_TRY_S, False
         while self._timers.now() < until_s and not self._is_awaited(scheduler, job_id):
