--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -2,7 +2,8 @@
 
 ``python -m tools.run_tests`` prints the output of each group as it ends, then one line with the
 sums. Most tests with whole fleets wait and most others compute, so that the groups take about as
-long together as the longest of them.
+long together as the longest of them. The groups of `ALONE` load a whole process each; they run one
+after the other once all others have ended.
 """
 
 import re
@@ -11,7 +12,7 @@
 import tempfile
 from pathlib import Path
 
-__all__ = ["GROUPS", "pytest_arguments", "summed_counts"]
+__all__ = ["ALONE", "GROUPS", "pytest_arguments", "summed_counts"]
 
 ROOT = Path(__file__).resolve().parent.parent
 GROUPS = {
@@ -24,8 +25,10 @@
     "bench": ("tests/bench",),
     "control": ("tests/tickets", "tests/store", "tests/peers", "tests/hosts"),
     "pools": ("tests/pools",),
+    "crowds": ("tests/web/test_crowds.py",),
     "others": ("tests", "burdocklug", "tools"),
 }
+ALONE = ("crowds",)
 COUNTS = re.compile(r"^(\d+) passed, (\d+) failed$", re.MULTILINE)
 
 
@@ -75,20 +78,28 @@
 
 def main():
     """Run all groups; return 0 if every one of them passed, else 1."""
-    runs = {}
-    for group in GROUPS:
-        log = tempfile.TemporaryFile(mode="w+", encoding="utf-8")
-        command = [sys.executable, "-m", "pytest", *pytest_arguments(group)]
-        runs[group] = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log), log
-    codes, outputs = [], []
-    for group, (process, log) in runs.items():
-        codes.append(process.wait())
-        log.seek(0)
-        outputs.append(log.read())
-        print(f"== {group}\n{outputs[-1]}", flush=True)
-    passed, failed = summed_counts(outputs)
+    runs = {group: _start(group) for group in GROUPS if group not in ALONE}
+    results = [_finish(group, *run) for group, run in runs.items()]
+    results += [_finish(group, *_start(group)) for group in ALONE]
+    passed, failed = summed_counts(output for _code, output in results)
     print(f"{passed} passed, {failed} failed")
-    return int(any(codes))
+    return int(any(code for code, _output in results))
+
+
+def _start(group):
+    """Start pytest for a group; return its process and the file that collects its output."""
+    log = tempfile.TemporaryFile(mode="w+", encoding="utf-8")
+    command = [sys.executable, "-m", "pytest", *pytest_arguments(group)]
+    return subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log), log
+
+
+def _finish(group, process, log):
+    """Wait for a group's end and print its output; return its exit code and output."""
+    code = process.wait()
+    log.seek(0)
+    output = log.read()
+    print(f"== {group}\n{output}", flush=True)
+    return code, output
 
 
 if __name__ == "__main__":
