Web: lines between and behind chunks have a bound

Seen: two clients whose chunked body held one line without an end (a trailer, a chunk size, an extension, or bytes where a chunk ends) made a process hold all of it; peaks of 228,724 to 229,132 kB for 2 x 96 MB, and more for longer lines.

Cause: eventlet's `wsgi.Input` reads these lines by `readline()` without a size, and a body of small chunks as one list of pieces.

Change: a file object beneath eventlet's own parser. A line of framing has 16,384 bytes at most; all framing of a body 65,536 bytes and 64 more for each byte of the body, so that chunks of one byte with extensions pass. Body bytes are taken as they arrive, in pieces of 512 bytes from chunks, so that the parser's list stays short. An unreadable body closes its connection.

Weighed: `h11` would replace eventlet's whole protocol class and state of connections, at the price of its own events for each chunk; a subclass of `Input` would repeat its parser. The file object bounds what the parser can read and leaves it as it is.

--- /dev/null
+++ b/burdocklug/web/_reader.py
@@ -0,0 +1,52 @@
+"""Bounded reading of a request from a client's connection, beneath eventlet's own parser."""
+
+__all__ = ["BodyReader", "FramingError"]
+
+MAX_FRAMING_LINE_BYTES = 16_384  # a chunk size with its extensions, or a trailer
+FREE_FRAMING_BYTES = 65_536  # framing of one body, beside what its bytes allow
+FRAMING_BYTES_PER_BODY_BYTE = 64  # a chunk of one byte needs 5
+
+
+class FramingError(ValueError):
+    """Raised for a body with too much framing around its bytes."""
+
+
+class BodyReader:
+    """File object of a body, with bounds on what eventlet's parser reads without any.
+
+    Parameters
+    ----------
+    source : io.BufferedReader
+        File object of the connection.
+
+    Notes
+    -----
+    The parser reads body bytes by `read`, and the lines between and behind chunks by `readline`
+    without a size.
+    """
+
+    def __init__(self, source):
+        self._source = source
+        self._framing_left = FREE_FRAMING_BYTES
+
+    def read(self, size):
+        """Return up to `size` bytes of the body as soon as some have arrived."""
+        data = self._source.read1(size)
+        self._framing_left += FRAMING_BYTES_PER_BODY_BYTE * len(data)
+        return data
+
+    def readline(self):
+        """Return a line of framing.
+
+        Raises
+        ------
+        FramingError
+            If the line, or all framing of the body so far, is too long.
+        """
+        line = self._source.readline(MAX_FRAMING_LINE_BYTES)
+        self._framing_left -= len(line)
+        if self._framing_left < 0:
+            raise FramingError("too many bytes of framing for the bytes of the body")
+        if len(line) == MAX_FRAMING_LINE_BYTES and not line.endswith(b"\n"):
+            raise FramingError(f"a line of framing is over {MAX_FRAMING_LINE_BYTES} bytes")
+        return line
--- a/burdocklug/web/_routes.py
+++ b/burdocklug/web/_routes.py
@@ -16,6 +16,8 @@
 log = structlog.get_logger(__name__)
 
 JSON_TYPE = "application/json"
+PIECE_BYTES = 16_384
+CHUNKED_PIECE_BYTES = 512  # the parser keeps an object for each chunk of a piece
 _REASONS = {
     200: "OK",
     201: "Created",
@@ -81,10 +83,10 @@
         )
 
     def _read(self, content_length):
-        limit = self.max_body_bytes + 1 if content_length is None else content_length
         try:
-            body = self.environ["wsgi.input"].read(limit)
+            body = self._read_pieces(content_length)
         except (OSError, ValueError) as exc:
+            self.environ["burdocklug.close"] = True
             raise BurdocklugError(
                 ErrorKind.BAD_REQUEST, f"body unreadable: {exc}", path="$"
             ) from exc
@@ -98,6 +100,19 @@
             )
         return body
 
+    def _read_pieces(self, content_length):
+        """Return the body; of one that is too large, one byte more than its limit."""
+        is_chunked = content_length is None
+        limit = self.max_body_bytes + 1 if is_chunked else content_length
+        piece = CHUNKED_PIECE_BYTES if is_chunked else PIECE_BYTES
+        source, body = self.environ["wsgi.input"], bytearray()
+        while len(body) < limit:
+            data = source.read(min(piece, limit - len(body)))
+            if not data:
+                break
+            body += data
+        return bytes(body)
+
     def watch_connection(self):
         """Return a `ConnectionWatch` of the client's connection; call it once the body is read."""
         return ConnectionWatch(self.environ["wsgi.input"].get_socket())
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -7,6 +7,7 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError, ErrorKind, encode_error_body
+from burdocklug.web._reader import BodyReader
 
 __all__ = ["HttpListener"]
 
@@ -32,6 +33,12 @@
         finally:
             timeout.cancel()
 
+    def get_environ(self):
+        """Return the WSGI environment, with a bounded reader of the body."""
+        environ = super().get_environ()
+        environ["wsgi.input"].rfile = BodyReader(self.rfile)
+        return environ
+
     def _check_content_length(self):
         """Refuse a malformed Content-Length; eventlet's own response names no `path`."""
         text = self.headers.get("Content-Length")
