Web: a client whose bytes are always at hand no longer keeps the loop

Seen: while some clients sent bodies in small chunks, or many requests ahead on one connection, an ordinary caller got no answer; heartbeats, readiness and timeouts waited too.

Cause: a green socket switches to the event loop only where it would block. A connection with bytes in its buffer is read, parsed and answered without ever giving way.

Change: the file object of a connection counts its work (bytes, calls and requests) and lets all others run after 64 KB or 256 calls of it.

The turns are counted by tests without a clock.

--- a/burdocklug/web/_reader.py
+++ b/burdocklug/web/_reader.py
@@ -1,6 +1,12 @@
 """Bounded reading of a request from a client's connection, beneath eventlet's own parser."""
 
-__all__ = ["BodyReader", "FramingError"]
+import eventlet
+
+__all__ = ["BodyReader", "ConnectionReader", "FramingError"]
+
+TURN_BYTES = 65_536  # work of one connection before all others have their turn
+CALL_BYTES = 256  # work of a call, as bytes that take as long
+REQUEST_BYTES = 16_384  # work of parsing and dispatching a request
 
 MAX_FRAMING_LINE_BYTES = 16_384  # a chunk size with its extensions, or a trailer
 FREE_FRAMING_BYTES = 65_536  # framing of one body, beside what its bytes allow
@@ -11,12 +17,62 @@
     """Raised for a body with too much framing around its bytes."""
 
 
+class ConnectionReader:
+    """File object of a connection that gives way to other connections after a bounded work.
+
+    Notes
+    -----
+    A green socket switches to the event loop only where it has to wait. A client whose bytes are
+    always there would keep the loop, and with it heartbeats, timeouts and every other client.
+
+    Parameters
+    ----------
+    source : io.BufferedReader
+        File object of the socket.
+    """
+
+    def __init__(self, source):
+        self._source = source
+        self._work = 0
+
+    @property
+    def closed(self):
+        """Whether the file object is closed."""
+        return self._source.closed
+
+    def close(self):
+        """Close the file object."""
+        self._source.close()
+
+    def start_request(self):
+        """Count the work of a request beside its bytes."""
+        self._count(REQUEST_BYTES)
+
+    def readline(self, size):
+        """Return a line, or its first `size` bytes."""
+        line = self._source.readline(size)
+        self._count(CALL_BYTES + len(line))
+        return line
+
+    def read1(self, size):
+        """Return up to `size` bytes as soon as some have arrived."""
+        data = self._source.read1(size)
+        self._count(CALL_BYTES + len(data))
+        return data
+
+    def _count(self, work):
+        self._work += work
+        if self._work >= TURN_BYTES:
+            self._work = 0
+            eventlet.sleep(0)
+
+
 class BodyReader:
     """File object of a body, with bounds on what eventlet's parser reads without any.
 
     Parameters
     ----------
-    source : io.BufferedReader
+    source : ConnectionReader
         File object of the connection.
 
     Notes
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -7,7 +7,7 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError, ErrorKind, encode_error_body
-from burdocklug.web._reader import BodyReader
+from burdocklug.web._reader import BodyReader, ConnectionReader
 
 __all__ = ["HttpListener"]
 
@@ -21,7 +21,14 @@
 
     header_timeout_s = 10.0
 
+    def setup(self):
+        """Open the file objects of the connection."""
+        super().setup()
+        self.rfile = ConnectionReader(self.rfile)
+
     def parse_request(self):
+        """Read the headers; return whether the request can be served."""
+        self.rfile.fp.start_request()
         timeout = eventlet.Timeout(self.header_timeout_s)
         try:
             return super().parse_request() and self._check_content_length()
--- a/tests/web/test_reader.py
+++ b/tests/web/test_reader.py
@@ -1,5 +1,6 @@
 import io
 
+import eventlet
 from testtools import ExpectedException, TestCase
 from testtools.matchers import Equals
 
@@ -7,13 +8,19 @@
     FRAMING_BYTES_PER_BODY_BYTE,
     FREE_FRAMING_BYTES,
     MAX_FRAMING_LINE_BYTES,
+    TURN_BYTES,
     BodyReader,
+    ConnectionReader,
     FramingError,
 )
 
 
+def connection(data):
+    return ConnectionReader(io.BufferedReader(io.BytesIO(data)))
+
+
 def reader(data):
-    return BodyReader(io.BufferedReader(io.BytesIO(data)))
+    return BodyReader(connection(data))
 
 
 class FramingTest(TestCase):
@@ -38,3 +45,35 @@
         for _ in range(FREE_FRAMING_BYTES):
             self.assertThat(lines.read(1), Equals(b"b"))
             lines.readline()
+
+
+class TurnsTest(TestCase):
+    """A connection whose bytes are always there gives way to others."""
+
+    def turns_during(self, read):
+        turns = []
+
+        def take_turns():
+            while True:
+                turns.append(None)
+                eventlet.sleep(0)
+
+        thread = eventlet.spawn(take_turns)
+        read()
+        thread.kill()
+        return len(turns)
+
+    def test_while_it_sends_a_large_body(self):
+        source = reader(bytes(100 * TURN_BYTES))
+        turns = self.turns_during(lambda: [None for _ in iter(lambda: source.read(4096), b"")])
+        self.assertTrue(turns >= 100, turns)
+
+    def test_while_it_sends_short_lines(self):
+        source = connection(b"\n" * 100_000)
+        turns = self.turns_during(lambda: [None for _ in iter(lambda: source.readline(100), b"")])
+        self.assertTrue(turns >= 100, turns)
+
+    def test_while_it_sends_small_requests(self):
+        source = connection(b"")
+        turns = self.turns_during(lambda: [source.start_request() for _ in range(1000)])
+        self.assertTrue(turns >= 100, turns)
