Web: one budget for the requests under way in a process

Seen: some hundred clients whose bodies stop just short of their end made a process hold all of them: 700 x 262,144 bytes in `pool` and 90 x 2,000,000 bytes in `own` had peaks of 175,296 to 297,632 kB, 163,840 allowed.

Cause: each body had a bound, their sum had none.

Change: the part "web" is a budget that all HTTP listeners of a process share: an eighth of the new setting `process.memory_mb` (256 by default; `limits.memory_mb` of the platform's settings). Bytes are charged as they arrive, decoded jobs of a pool until they are answered. When it is used up, the partial request without progress for longest gives way with 503 `server_busy`, ran "no". A request that has arrived whole never does. Refusals are counted by reason, with gauges of connections and bytes, and logged in one line a reason and second. `check-settings` refuses a memory whose eighth is less than one full-size body.

Weighed: refusing the newcomer alone would keep ordinary callers out while a crowd sits still; closing the request without progress lets them in, at the price of slow senders while memory is short.

The choice is a plain function, tested in virtual time; a listener with a full budget is tested over sockets.

--- a/burdocklug/callers/_part.py
+++ b/burdocklug/callers/_part.py
@@ -31,6 +31,7 @@
             self.app,
             max_connections=listen.max_connections,
             header_timeout_s=listen.header_timeout_s,
+            budget=process["web"],
         )
 
     def start(self):
@@ -64,7 +65,7 @@
         return render_metrics(self._process)
 
 
-@part("callers", needs=("jobs", "limits", "tickets"))
+@part("callers", needs=("web", "jobs", "limits", "tickets"))
 def build_callers(process):
     """Return the callers' listener of a process."""
     return CallersPart(process)
--- a/burdocklug/daemon/_imports.py
+++ b/burdocklug/daemon/_imports.py
@@ -10,6 +10,7 @@
 
 PART_MODULES = {
     "own": (
+        "burdocklug.web._part",
         "burdocklug.store._part",
         "burdocklug.peers._part",
         "burdocklug.tickets._part",
@@ -21,6 +22,7 @@
         "burdocklug.operators._part",
     ),
     "pool": (
+        "burdocklug.web._part",
         "burdocklug.peers._part",
         "burdocklug.pools._part",
         "burdocklug.platform._store",
--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -23,6 +23,9 @@
 ]
 
 MIN_SECRET_CHARS = 16  # shorter secrets can be guessed by online attempts
+BYTES_PER_MB = 1024 * 1024
+REQUESTS_SHARE = 8  # clients' requests hold at most this part of the memory
+POOL_MAX_BODY_BYTES = 262_144  # a configuration's default
 
 Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
 Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,62})\Z")]
@@ -33,12 +36,21 @@
 
 
 class ProcessSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """Identity of this process, the process names of its fleet, and the log level."""
+    """Identity of this process, the process names of its fleet, its memory, and the log level.
+
+    The host gives this process `memory_mb` megabytes; an eighth of them is for clients' requests.
+    """
 
     name: Name
     failure_domain: Name
     fleet: list[Name] = []
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
+    memory_mb: Count = 256
+
+    @property
+    def max_request_bytes(self):
+        """Largest sum of the bytes that clients' requests hold at a time."""
+        return self.memory_mb * BYTES_PER_MB // REQUESTS_SHARE
 
 
 class ListenSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
@@ -225,4 +237,19 @@
         faults = ["$.pool: missing; required by the profile pool"]
     if faults:
         raise SettingsError(faults)
-    return msgspec.convert(data, Settings)
+    settings = msgspec.convert(data, Settings)
+    if faults := list(_check_memory(settings)):
+        raise SettingsError(faults)
+    return settings
+
+
+def _check_memory(settings):
+    """Yield a fault if not even one body of the largest size fits into the memory for requests."""
+    is_pool = settings.profile == "pool"
+    largest = POOL_MAX_BODY_BYTES if is_pool else settings.listen.max_body_bytes
+    if settings.process.max_request_bytes < largest:
+        needed_mb = -(-largest * REQUESTS_SHARE // BYTES_PER_MB)
+        yield (
+            f"$.process.memory_mb: {settings.process.memory_mb} is too little for a body of "
+            f"{largest} bytes, which needs {needed_mb}"
+        )
--- a/burdocklug/operators/_part.py
+++ b/burdocklug/operators/_part.py
@@ -28,6 +28,7 @@
             app(process, listen),
             max_connections=MAX_CONNECTIONS,
             header_timeout_s=listen.header_timeout_s,
+            budget=process["web"],
         )
 
     def start(self):
@@ -39,13 +40,13 @@
         self._listener.stop(timeout_s=STOP_TIMEOUT_S)
 
 
-@part("operators", needs=("tickets", "peers"))
+@part("operators", needs=("web", "tickets", "peers"))
 def build_operators(process):
     """Return the operators' listener of a process."""
     return OperatorsPart(process, operators_app)
 
 
-@part("pool_operators", needs=("pool",), profile="pool")
+@part("pool_operators", needs=("web", "pool"), profile="pool")
 def build_pool_operators(process):
     """Return the operators' listener of a process in a pool."""
     return OperatorsPart(process, pool_operators_app)
--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -90,6 +90,7 @@
             max_tasks=self._max_tasks,
             configuration_version=version,
         )
+        req.account.hold(spec.size_bytes)
         wait_s = _wait_s(req, queue)
         with req.watch_connection() as connection:
             outcome = self._pool.cells.submit(spec, wait_s=wait_s, caller=connection)
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -124,12 +124,14 @@
             ),
             max_connections=listen.max_connections,
             header_timeout_s=listen.header_timeout_s,
+            budget=process["web"],
         )
         self._readiness = HttpListener(
             process.settings.pool.readiness,
             ReadinessApp(lambda: pool.is_ready and not process.draining),
             max_connections=READY_CONNECTIONS,
             header_timeout_s=listen.header_timeout_s,
+            budget=process["web"],
         )
 
     def start(self):
@@ -150,7 +152,7 @@
     return CataloguePart(process)
 
 
-@part("clients", needs=("pool",), profile="pool")
+@part("clients", needs=("web", "pool"), profile="pool")
 def build_clients(process):
     """Return the listeners for clients and the load balancer."""
     return ClientsPart(process)
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -21,6 +21,10 @@
 ]
 
 
+STEP_BYTES = 400  # of a `StepSpec` with its `Resources`
+REFERENCE_BYTES = 8
+
+
 class Resources(msgspec.Struct, frozen=True, array_like=True):
     """Resources of an endpoint, or those that a task needs.
 
@@ -143,6 +147,12 @@
     steps: tuple[StepSpec, ...]
     configuration_version: int = 0
 
+    @property
+    def size_bytes(self):
+        """Rough number of bytes of memory that the job takes up, without its tasks' state."""
+        references = sum(len(step.after) for step in self.steps)
+        return len(self.payload) + STEP_BYTES * len(self.steps) + REFERENCE_BYTES * references
+
 
 class JobOutcome(enum.StrEnum):
     """How a job ended."""
--- a/burdocklug/web/__init__.py
+++ b/burdocklug/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP listeners: routing, size and time limits of requests, error responses, the server."""
 
+from burdocklug.web._budget import ClientBudget
 from burdocklug.web._connection import ConnectionWatch
 from burdocklug.web._routes import (
     Application,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Application",
+    "ClientBudget",
     "ConnectionWatch",
     "HttpListener",
     "Request",
--- a/burdocklug/web/_routes.py
+++ b/burdocklug/web/_routes.py
@@ -9,6 +9,8 @@
 import structlog
 
 from burdocklug.kernel import BurdocklugError, ErrorKind, answer_for, encode_error_body
+from burdocklug.web._budget import ACCOUNT_KEY, UNBOUNDED
+from burdocklug.web._clients import RefusalReason
 from burdocklug.web._connection import ConnectionWatch
 
 __all__ = ["Application", "Request", "Response", "RouteTable", "error_response", "json_response"]
@@ -73,24 +75,36 @@
             ``bad_request``.
         """
         content_length = _content_length(self.environ)
-        if content_length is not None and content_length > self.max_body_bytes:
+        if content_length is not None and content_length > self._limit_bytes:
             raise self._too_large()
-        with eventlet.Timeout(self.body_timeout_s, False):
+        with eventlet.Timeout(self.body_timeout_s, False), self.account.receiving_body():
             return self._read(content_length)
         self.environ["burdocklug.close"] = True
+        self.account.note(RefusalReason.BODY_SLOW)
         raise BurdocklugError(
             ErrorKind.SLOW_SENDER, f"body not complete after {self.body_timeout_s} s", path="$"
         )
 
+    @property
+    def _limit_bytes(self):
+        """Largest body: that of the settings, or all of the memory for requests if that is less."""
+        return min(self.max_body_bytes, self.account.max_bytes)
+
+    @property
+    def account(self):
+        """The request's account in the budget of the process."""
+        return self.environ.get(ACCOUNT_KEY, UNBOUNDED)
+
     def _read(self, content_length):
         try:
             body = self._read_pieces(content_length)
         except (OSError, ValueError) as exc:
             self.environ["burdocklug.close"] = True
+            self.account.note(RefusalReason.MALFORMED)
             raise BurdocklugError(
                 ErrorKind.BAD_REQUEST, f"body unreadable: {exc}", path="$"
             ) from exc
-        if len(body) > self.max_body_bytes:
+        if len(body) > self._limit_bytes:
             raise self._too_large()
         if content_length is not None and len(body) < content_length:
             raise BurdocklugError(
@@ -103,13 +117,14 @@
     def _read_pieces(self, content_length):
         """Return the body; of one that is too large, one byte more than its limit."""
         is_chunked = content_length is None
-        limit = self.max_body_bytes + 1 if is_chunked else content_length
+        limit = self._limit_bytes + 1 if is_chunked else content_length
         piece = CHUNKED_PIECE_BYTES if is_chunked else PIECE_BYTES
         source, body = self.environ["wsgi.input"], bytearray()
         while len(body) < limit:
             data = source.read(min(piece, limit - len(body)))
             if not data:
                 break
+            self.account.receive(len(data))
             body += data
         return bytes(body)
 
@@ -119,8 +134,9 @@
 
     def _too_large(self):
         self.environ["burdocklug.close"] = True
+        self.account.note(RefusalReason.BODY_TOO_LARGE)
         return BurdocklugError(
-            ErrorKind.BODY_TOO_LARGE, f"body is over {self.max_body_bytes} bytes", path="$"
+            ErrorKind.BODY_TOO_LARGE, f"body is over {self._limit_bytes} bytes", path="$"
         )
 
     def query_float(self, name, default, *, maximum):
@@ -192,9 +208,11 @@
         try:
             return self.respond(environ)
         except BurdocklugError as exc:
+            if exc.kind is ErrorKind.SERVER_BUSY:
+                environ["burdocklug.close"] = True
             return error_response(exc)
         except Exception:
-            log.exception("request_failed", path=environ.get("PATH_INFO"))
+            log.exception("request_failed", path=environ.get("PATH_INFO", "")[:200])
             return error_response(BurdocklugError(ErrorKind.INTERNAL, "internal error"))
 
 
--- a/tests/kernel/test_settings.py
+++ b/tests/kernel/test_settings.py
@@ -1,7 +1,11 @@
-from testtools import TestCase
+import tempfile
+from pathlib import Path
+
+import yaml
+from testtools import ExpectedException, TestCase
 from testtools.matchers import Equals
 
-from burdocklug.kernel import check_settings
+from burdocklug.kernel import SettingsError, check_settings, load_settings
 
 GOOD = {
     "process": {"name": "freistadt-1", "failure_domain": "freistadt"},
@@ -39,3 +43,21 @@
                 ]
             ),
         )
+
+
+class MemoryTest(TestCase):
+    """The eighth of the memory that is for requests holds one of the largest size at least."""
+
+    def load(self, **process):
+        path = Path(tempfile.mkdtemp(prefix="burdocklug-")) / "p.yaml"
+        settings = dict(GOOD, process={**GOOD["process"], **process})
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        return load_settings(path)
+
+    def test_too_little_is_refused_and_the_least_is_named(self):
+        with ExpectedException(SettingsError, r"\$.process.memory_mb: 61 is .* needs 62"):
+            self.load(memory_mb=61)
+
+    def test_the_least_and_the_default_are_taken(self):
+        self.load(memory_mb=62)
+        self.load()
--- a/tests/web/test_odd_requests.py
+++ b/tests/web/test_odd_requests.py
@@ -35,20 +35,29 @@
 
 
 class ListenerTestCase(TestCase):
+    budget = None
+
     def setUp(self):
         super().setUp()
         self.app = SizeApp()
-        address = free_address()
-        listener = HttpListener(address, self.app, max_connections=10, header_timeout_s=5.0)
+        self.address = free_address()
+        listener = HttpListener(
+            self.address, self.app, max_connections=10, header_timeout_s=5.0, budget=self.budget
+        )
         listener.start()
         self.addCleanup(listener.stop, timeout_s=1.0)
-        ip, _, port = address.rpartition(":")
-        self.sock = socket.create_connection((ip, int(port)), timeout=30.0)
-        self.addCleanup(self.sock.close)
-
-    def read_response(self):
-        """Return the status line and the body of a response."""
-        file = self.sock.makefile("rb")
+        self.sock = self.connect()
+
+    def connect(self):
+        """Return a new connection to the listener."""
+        ip, _, port = self.address.rpartition(":")
+        sock = socket.create_connection((ip, int(port)), timeout=30.0)
+        self.addCleanup(sock.close)
+        return sock
+
+    def read_response(self, sock=None):
+        """Return the status and the body of a response."""
+        file = (sock or self.sock).makefile("rb")
         status, length = file.readline(), 0
         while (line := file.readline()) != b"\r\n":
             if line.lower().startswith(b"content-length:"):
