Web: a body that nobody needs is read up to a bound

Seen: a chunked body without an end, sent to a path that nobody serves, was read for as long as it came (96 MB of 96 MB in the tests) while its connection counted as in use. A client that was refused while it still sent could lose the response: two of the new tests ended with a reset connection.

Cause: eventlet's `Input.discard` has neither a size nor a time. Where the connection was closed instead, it was closed with unread bytes, which resets it.

Change: the rest of a body is read up to 262,144 bytes and 2 s; then the connection is closed. Before a connection is closed with input unread, its sending side is shut down and 1 MiB at most read for 1 s at most. Meanwhile the connection may give way to others. The protocol class moved to a module of its own.

RefusedBodyTest was red for a bad length and a malformed chunk (2 of 6 rows), and passes.

--- a/burdocklug/web/_reader.py
+++ b/burdocklug/web/_reader.py
@@ -2,7 +2,7 @@
 
 import eventlet
 
-__all__ = ["BodyReader", "ConnectionReader", "FramingError"]
+__all__ = ["BodyReader", "ConnectionReader", "FramingError", "discard_body", "is_read"]
 
 TURN_BYTES = 65_536  # work of one connection before all others have their turn
 CALL_BYTES = 256  # work of a call, as bytes that take as long
@@ -11,6 +11,10 @@
 MAX_FRAMING_LINE_BYTES = 16_384  # a chunk size with its extensions, or a trailer
 FREE_FRAMING_BYTES = 65_536  # framing of one body, beside what its bytes allow
 FRAMING_BYTES_PER_BODY_BYTE = 64  # a chunk of one byte needs 5
+# What is read of a body that the application left unread, to use its connection again.
+DISCARD_BYTES = 262_144
+DISCARD_S = 2.0
+DISCARD_PIECE_BYTES = 512  # the parser keeps an object for each chunk of a piece
 
 
 class FramingError(ValueError):
@@ -106,3 +110,30 @@
         if len(line) == MAX_FRAMING_LINE_BYTES and not line.endswith(b"\n"):
             raise FramingError(f"a line of framing is over {MAX_FRAMING_LINE_BYTES} bytes")
         return line
+
+
+def is_read(body):
+    """Return whether an `eventlet.wsgi.Input` has been read to its end."""
+    if body.chunked_input:
+        return body.chunk_length == 0
+    return body.position >= (body.content_length or 0)
+
+
+def discard_body(body):
+    """Read an `eventlet.wsgi.Input` to its end.
+
+    Raises
+    ------
+    OSError
+        If the end does not come within `DISCARD_BYTES` and `DISCARD_S`.
+    """
+    if is_read(body):
+        return
+    too_long = OSError(
+        f"more than {DISCARD_BYTES} bytes or {DISCARD_S} s of a body were not needed"
+    )
+    with eventlet.Timeout(DISCARD_S, too_long):
+        for _ in range(DISCARD_BYTES // DISCARD_PIECE_BYTES):
+            if not body.read(DISCARD_PIECE_BYTES):
+                return
+    raise too_long
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -7,89 +7,14 @@
 import structlog
 from eventlet import greenio
 
-from burdocklug.kernel import BurdocklugError, ErrorKind, encode_error_body
-from burdocklug.web._budget import ACCOUNT_KEY, ClientBudget, RequestAccount
-from burdocklug.web._clients import Phase, RefusalReason
-from burdocklug.web._reader import BodyReader, ConnectionReader
+from burdocklug.web._budget import ClientBudget
+from burdocklug.web._clients import RefusalReason
+from burdocklug.web._protocol import MAX_REQUEST_LINE_BYTES, BoundedProtocol
 
 __all__ = ["HttpListener"]
 
 log = structlog.get_logger(__name__)
 
-MAX_HEADER_LINE_BYTES = 8192
-CONNECTION = 3  # index of the `ClientConnection` in eventlet's state of a connection
-
-
-class _TimedHeadersProtocol(eventlet.wsgi.HttpProtocol):
-    """Closes a connection whose request line and headers take longer than `header_timeout_s`."""
-
-    header_timeout_s = 10.0
-    budget = None
-
-    def setup(self):
-        """Open the file objects of the connection."""
-        super().setup()
-        self.rfile = ConnectionReader(self.rfile)
-        self._conn = self.conn_state[CONNECTION]
-        self._conn.drop = self._drop
-
-    def parse_request(self):
-        """Read the headers; return whether the request can be served."""
-        self.rfile.fp.start_request()
-        timeout = eventlet.Timeout(self.header_timeout_s)
-        try:
-            return super().parse_request() and self._check_content_length()
-        except eventlet.Timeout as exc:
-            if exc is not timeout:
-                raise
-            self.close_connection = 1
-            return False
-        finally:
-            timeout.cancel()
-
-    def get_environ(self):
-        """Return the WSGI environment, with a bounded reader of the body."""
-        environ = super().get_environ()
-        environ["wsgi.input"].rfile = BodyReader(self.rfile)
-        environ[ACCOUNT_KEY] = RequestAccount(self.budget, self._conn)
-        return environ
-
-    def handle_one_response(self):
-        """Serve a request whose headers have arrived."""
-        self._conn.phase = Phase.SERVING
-        try:
-            super().handle_one_response()
-        finally:
-            self.budget.release(self._conn)
-            self._conn.phase = Phase.IDLE
-            if self._conn.is_dropped:
-                self.close_connection = 1
-
-    def _drop(self, exc):
-        """Interrupt the receipt of a request with an error, or close the connection."""
-        eventlet.hubs.get_hub().schedule_call_global(0, self._interrupt, exc)
-
-    def _interrupt(self, exc):
-        if self._conn.receiver is not None:
-            self._conn.receiver.throw(exc)
-        else:
-            greenio.shutdown_safe(self.connection)
-
-    def _check_content_length(self):
-        """Refuse a malformed Content-Length; eventlet's own response names no `path`."""
-        text = self.headers.get("Content-Length")
-        if text is None or (text.isascii() and text.isdigit()):
-            return True
-        exc = BurdocklugError(
-            ErrorKind.BAD_REQUEST, f"{text[:40]!r} is not a length", path="header Content-Length"
-        )
-        body = encode_error_body(exc)
-        head = f"HTTP/1.1 400 Bad Request\r\nContent-Length: {len(body)}\r\nConnection: close"
-        self.wfile.write(head.encode() + b"\r\n\r\n" + body)
-        self.wfile.flush()
-        self.close_connection = 1
-        return False
-
 
 class _ConnectionPool(eventlet.GreenPool):
     """The green threads of a listener's connections, each of which it enters in the budget."""
@@ -148,7 +73,7 @@
         sock = eventlet.listen((host, int(port)), backlog=self._max_connections, reuse_port=False)
         protocol = type(
             "_Protocol",
-            (_TimedHeadersProtocol,),
+            (BoundedProtocol,),
             {"header_timeout_s": self._header_timeout_s, "budget": self._budget},
         )
         pool = _ConnectionPool(self._max_connections, address=self.address, budget=self._budget)
@@ -162,7 +87,7 @@
             protocol=protocol,
             custom_pool=pool,
             socket_timeout=self._header_timeout_s,
-            url_length_limit=MAX_HEADER_LINE_BYTES,
+            url_length_limit=MAX_REQUEST_LINE_BYTES,
         )
 
     def stop(self, *, timeout_s):
--- a/tests/web/test_odd_requests.py
+++ b/tests/web/test_odd_requests.py
@@ -39,7 +39,7 @@
 
     def setUp(self):
         super().setUp()
-        self.app = SizeApp()
+        self.app = self.make_app()
         self.address = free_address()
         listener = HttpListener(
             self.address, self.app, max_connections=10, header_timeout_s=5.0, budget=self.budget
@@ -48,6 +48,10 @@
         self.addCleanup(listener.stop, timeout_s=1.0)
         self.sock = self.connect()
 
+    def make_app(self):
+        """Return the application that the listener serves."""
+        return SizeApp()
+
     def connect(self):
         """Return a new connection to the listener."""
         ip, _, port = self.address.rpartition(":")
