Web: a connection without a whole request gives way to a new one

Seen: as many silent connections as a listener may have, or ones with half a request, kept every other caller out until they timed out; so did 16 of them on the readiness listener, and 100 on the operators'.

Cause: eventlet's server spawns one green thread a connection from a pool of fixed size, and stops accepting where the pool is used up.

Change: where there are as many connections as there may be, one gives way: first those that never had a whole request, among them the one without progress for longest. None that is being served does. Where all are, new ones wait in the listen queue, and the next connection to be answered is closed behind its response.

The choice is tested in virtual time; that served requests stay is tested over sockets.

--- a/burdocklug/web/_budget.py
+++ b/burdocklug/web/_budget.py
@@ -85,7 +85,7 @@
             if victim is None:
                 self.note(RefusalReason.MEMORY, conn)
                 raise busy_error()
-            self._drop(victim, RefusalReason.MEMORY)
+            self._drop(victim, RefusalReason.MEMORY, busy_error())
         conn.held_bytes += count
         self.held_bytes += count
 
@@ -101,14 +101,14 @@
         )
         if victim is None:
             return False
-        self._drop(victim, reason)
+        self._drop(victim, reason, None)
         return True
 
-    def _drop(self, victim, reason):
+    def _drop(self, victim, reason, exc):
         self.note(reason, victim)
         victim.is_dropped = True
         self.release(victim)
-        victim.drop(busy_error())
+        victim.drop(exc)
 
     def note(self, reason, conn):
         """Count a refusal or closing, and log at most one line for each reason and second."""
--- a/burdocklug/web/_clients.py
+++ b/burdocklug/web/_clients.py
@@ -59,7 +59,8 @@
     receiver : greenlet or None
         Where a part of a request is being received.
     drop : callable
-        Ends its request or closes it; called with the error for the client.
+        Ends its request with the error that it is called with; closes the connection if that is
+        None.
     """
 
     listener: str
--- a/burdocklug/web/_protocol.py
+++ b/burdocklug/web/_protocol.py
@@ -31,6 +31,7 @@
 
     header_timeout_s = 10.0
     budget = None
+    is_newcomer_waiting = None
 
     def setup(self):
         """Open the file objects of the connection."""
@@ -72,7 +73,8 @@
         finally:
             self.budget.release(self._conn)
             self._conn.phase = Phase.IDLE
-            if self._conn.is_dropped:
+            self._conn.has_been_served = True
+            if self._conn.is_dropped or self.is_newcomer_waiting():
                 self.close_connection = 1
 
     def _discard_body(self):
@@ -114,11 +116,11 @@
                 eventlet.sleep(0)
 
     def _drop(self, exc):
-        """Interrupt the receipt of a request with an error, or close the connection."""
+        """Interrupt the receipt of a body with an error; without one, close the connection."""
         eventlet.hubs.get_hub().schedule_call_global(0, self._interrupt, exc)
 
     def _interrupt(self, exc):
-        if self._conn.receiver is not None:
+        if exc is not None and self._conn.receiver is not None:
             self._conn.receiver.throw(exc)
         else:
             greenio.shutdown_safe(self.connection)
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -17,7 +17,11 @@
 
 
 class _ConnectionPool(eventlet.GreenPool):
-    """The green threads of a listener's connections, each of which it enters in the budget."""
+    """The green threads of a listener's connections, each of which it enters in the budget.
+
+    Where there are as many as there may be, a connection without a whole request gives way to a
+    new one; if all are being served, the next one to be answered does.
+    """
 
     def __init__(self, size, *, address, budget):
         super().__init__(size)
@@ -25,14 +29,16 @@
         self._budget = budget
 
     def spawn(self, serve, conn_state):
-        """Serve an accepted connection."""
-        return super().spawn(self._serve, serve, conn_state)
-
-    def _serve(self, serve, conn_state):
+        """Serve an accepted connection once there is room for it."""
+        if self.free() <= 0:
+            self._budget.make_room(self._address, RefusalReason.CONNECTIONS)
         (ip, port), sock, _state = conn_state
         conn = self._budget.open(self._address, f"{ip}:{port}")
         conn.drop = lambda _exc: greenio.shutdown_safe(sock)
         conn_state.append(conn)
+        return super().spawn(self._serve, serve, conn_state, conn)
+
+    def _serve(self, serve, conn_state, conn):
         try:
             serve(conn_state)
         except OSError as exc:
@@ -52,7 +58,8 @@
     app : callable
         The WSGI application.
     max_connections : int
-        Largest number of open connections; further ones wait in the listen queue.
+        Largest number of open connections. Those without a whole request give way to new ones;
+        while all are being served, new ones wait in the listen queue.
     header_timeout_s : float
         Seconds within which the headers must arrive; also the idle timeout of a connection.
     budget : ClientBudget, optional
@@ -74,7 +81,11 @@
         protocol = type(
             "_Protocol",
             (BoundedProtocol,),
-            {"header_timeout_s": self._header_timeout_s, "budget": self._budget},
+            {
+                "header_timeout_s": self._header_timeout_s,
+                "budget": self._budget,
+                "is_newcomer_waiting": staticmethod(lambda: pool.waiting() > 0),
+            },
         )
         pool = _ConnectionPool(self._max_connections, address=self.address, budget=self._budget)
         self._server = eventlet.spawn(
