Web: a listener survives the end of the descriptors

Seen: a process that had no descriptor left for a client's connection never accepted another one, on any path; callers were refused until its restart.

Cause: `accept` fails with EMFILE, which ends eventlet's server loop.

Change: where `accept` finds no descriptor or memory, a connection without a whole request gives way and `accept` is tried again. Callers' connections take at most half of the new setting `process.max_fds` (4096 by default) and half of `process.memory_mb` at 128 KiB each; endpoints, peers and the store have the rest. 16 connections accepted in a row let all others run.

--- a/burdocklug/callers/_part.py
+++ b/burdocklug/callers/_part.py
@@ -29,7 +29,9 @@
         self._listener = HttpListener(
             listen.callers,
             self.app,
-            max_connections=listen.max_connections,
+            max_connections=min(
+                listen.max_connections, process.settings.process.max_caller_connections
+            ),
             header_timeout_s=listen.header_timeout_s,
             budget=process["web"],
         )
--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -25,6 +25,9 @@
 MIN_SECRET_CHARS = 16  # shorter secrets can be guessed by online attempts
 BYTES_PER_MB = 1024 * 1024
 REQUESTS_SHARE = 8  # clients' requests hold at most this part of the memory
+CONNECTIONS_SHARE = 2  # callers' connections take at most this part of memory and descriptors
+CONNECTION_BYTES = 131_072  # of a connection with its socket's buffers and its green thread
+MIN_DESCRIPTORS = 400  # files, peers, endpoints, and the connections of operators
 POOL_MAX_BODY_BYTES = 262_144  # a configuration's default
 
 Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
@@ -32,13 +35,15 @@
 Secret = typing.Annotated[str, msgspec.Meta(min_length=MIN_SECRET_CHARS)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86400)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+Descriptors = typing.Annotated[int, msgspec.Meta(ge=MIN_DESCRIPTORS)]
 Cores = typing.Annotated[float, msgspec.Meta(gt=0, le=1000)]
 
 
 class ProcessSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """Identity of this process, the process names of its fleet, its memory, and the log level.
+    """Identity of this process, the process names of its fleet, its resources, and the log level.
 
     The host gives this process `memory_mb` megabytes; an eighth of them is for clients' requests.
+    It may open `max_fds` file descriptors, of which callers' connections take up at most half.
     """
 
     name: Name
@@ -46,12 +51,19 @@
     fleet: list[Name] = []
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
     memory_mb: Count = 256
+    max_fds: Descriptors = 4096
 
     @property
     def max_request_bytes(self):
         """Largest sum of the bytes that clients' requests hold at a time."""
         return self.memory_mb * BYTES_PER_MB // REQUESTS_SHARE
 
+    @property
+    def max_caller_connections(self):
+        """Largest number of callers' connections for which there are memory and descriptors."""
+        by_memory = self.memory_mb * BYTES_PER_MB // CONNECTIONS_SHARE // CONNECTION_BYTES
+        return max(1, min(by_memory, self.max_fds // CONNECTIONS_SHARE))
+
 
 class ListenSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """Listening addresses, each an IP address and a TCP port, and connection and request limits.
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -122,7 +122,9 @@
                 body_timeout_s=listen.body_timeout_s,
                 max_tasks=process.settings.pool.max_tasks,
             ),
-            max_connections=listen.max_connections,
+            max_connections=min(
+                listen.max_connections, process.settings.process.max_caller_connections
+            ),
             header_timeout_s=listen.header_timeout_s,
             budget=process["web"],
         )
--- a/burdocklug/web/_budget.py
+++ b/burdocklug/web/_budget.py
@@ -95,9 +95,12 @@
         conn.held_bytes = keep
 
     def make_room(self, listener, reason):
-        """Close the connection of a listener that gives way; return whether there was one."""
+        """Close the connection of a listener that gives way; return whether there was one.
+
+        Without a listener, the connection may be one of any.
+        """
         victim = choose_connection_to_close(
-            conn for conn in self.connections if conn.listener == listener
+            conn for conn in self.connections if listener in (None, conn.listener)
         )
         if victim is None:
             return False
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -1,5 +1,6 @@
 """An HTTP listener based on eventlet's WSGI server."""
 
+import errno
 import logging
 
 import eventlet
@@ -15,6 +16,36 @@
 
 log = structlog.get_logger(__name__)
 
+ACCEPTS_PER_TURN = 16  # connections accepted before all others have their turn
+ACCEPT_RETRY_S = 0.01
+EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class _ListeningSocket:
+    """A green listening socket that goes on where the process has no descriptor left."""
+
+    def __init__(self, sock, *, budget):
+        self._sock = sock
+        self._budget = budget
+        self._accepted = 0
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def accept(self):
+        """Return the next connection and the address of its client."""
+        self._accepted += 1
+        if self._accepted % ACCEPTS_PER_TURN == 0:
+            eventlet.sleep(0)
+        while True:
+            try:
+                return self._sock.accept()
+            except OSError as exc:
+                if exc.errno not in EXHAUSTED:
+                    raise
+                self._budget.make_room(None, RefusalReason.DESCRIPTORS)
+            eventlet.sleep(ACCEPT_RETRY_S)
+
 
 class _ConnectionPool(eventlet.GreenPool):
     """The green threads of a listener's connections, each of which it enters in the budget.
@@ -90,7 +121,7 @@
         pool = _ConnectionPool(self._max_connections, address=self.address, budget=self._budget)
         self._server = eventlet.spawn(
             eventlet.wsgi.server,
-            sock,
+            _ListeningSocket(sock, budget=self._budget),
             self._app,
             log=logging.getLogger("burdocklug.web"),
             log_output=False,
--- a/tests/kernel/test_settings.py
+++ b/tests/kernel/test_settings.py
@@ -61,3 +61,14 @@
     def test_the_least_and_the_default_are_taken(self):
         self.load(memory_mb=62)
         self.load()
+
+    def test_fewer_descriptors_than_a_process_needs_are_refused(self):
+        with ExpectedException(SettingsError, r"\$.process.max_fds"):
+            self.load(max_fds=399)
+
+    def test_connections_fit_into_half_of_the_memory_and_of_the_descriptors(self):
+        counts = [
+            self.load(**limits).process.max_caller_connections
+            for limits in ({}, {"memory_mb": 160}, {"max_fds": 400}, {"memory_mb": 10_000})
+        ]
+        self.assertThat(counts, Equals([1024, 640, 200, 2048]))
