Web: the kernel's buffers of a client's connection have a fixed size

Seen: a connection whose bodies had been read kept 799,886 bytes of what the client sent ahead, outside of every limit of the process; the platform counts them towards its memory.

Cause: the kernel lets the buffer of a connection grow with what is read from it, up to megabytes.

--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -2,6 +2,7 @@
 
 import errno
 import logging
+import socket
 
 import eventlet
 import eventlet.wsgi
@@ -19,6 +20,16 @@
 ACCEPTS_PER_TURN = 16  # connections accepted before all others have their turn
 ACCEPT_RETRY_S = 0.01
 EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+LISTEN_QUEUE = 256  # connections that wait to be accepted
+SOCKET_BUFFER_BYTES = 32_768  # for each direction; the kernel takes twice as much
+
+
+def _listen(host, port):
+    """Return a listening socket whose connections have buffers of a fixed size."""
+    sock = eventlet.listen((host, port), backlog=LISTEN_QUEUE, reuse_port=False)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):  # connections inherit them
+        sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+    return sock
 
 
 class _ListeningSocket:
@@ -108,7 +119,7 @@
     def start(self):
         """Bind the address and start to serve in a new greenlet."""
         host, _, port = self.address.rpartition(":")
-        sock = eventlet.listen((host, int(port)), backlog=self._max_connections, reuse_port=False)
+        sock = _listen(host, int(port))
         protocol = type(
             "_Protocol",
             (BoundedProtocol,),
