Web: limits on the size and time of headers apply, those of the operator too

Seen: `max_header_bytes`, `header_timeout_s` and `idle_timeout_s` of a pool's configuration had no effect; a request line could trickle for ever, as only the headers behind it were timed; headers up to 64 KB were held. A single line of 10 KB, or 101 short lines, was refused although within the 16,384 bytes that a configuration allows.

Cause: the configuration's fields were decoded and never read. eventlet bounds lines at 8,192 bytes and headers at 65,536, and the standard library's parser counts lines.

Change: the listener takes its limits from a function, which in a pool reads the configuration in force. The time runs from the first byte of a request to the end of its headers. Headers are read under their own limit, whatever their number (431 `headers_too_large`), and what they hold is charged to the budget.

--- a/burdocklug/kernel/_errors.py
+++ b/burdocklug/kernel/_errors.py
@@ -24,6 +24,7 @@
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
     SLOW_SENDER = "slow_sender"
+    HEADERS_TOO_LARGE = "headers_too_large"
     SERVER_BUSY = "server_busy"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     NOT_FOUND = "not_found"
@@ -85,6 +86,7 @@
     ErrorKind.BAD_REQUEST: ErrorAnswer(400, 10, Ran.NO),
     ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, 11, Ran.NO),
     ErrorKind.SLOW_SENDER: ErrorAnswer(408, 12, Ran.NO),
+    ErrorKind.HEADERS_TOO_LARGE: ErrorAnswer(431, 17, Ran.NO),
     ErrorKind.SERVER_BUSY: ErrorAnswer(503, 16, Ran.NO, 1.0),
     ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(405, 13, Ran.NO),
     ErrorKind.NOT_FOUND: ErrorAnswer(404, 14, Ran.UNKNOWN),
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -7,7 +7,7 @@
 from burdocklug.platform._entries import SERVERS_PREFIX, decode_entry, worker_id
 from burdocklug.platform._operator import OperatorFollower
 from burdocklug.store import PrefixFollower, Record, record_stores
-from burdocklug.web import HttpListener
+from burdocklug.web import ConnectionLimits, HttpListener
 
 __all__ = ["CataloguePart", "ClientsPart"]
 
@@ -126,6 +126,7 @@
                 listen.max_connections, process.settings.process.max_caller_connections
             ),
             header_timeout_s=listen.header_timeout_s,
+            get_limits=self._connection_limits,
             budget=process["web"],
         )
         self._readiness = HttpListener(
@@ -136,6 +137,15 @@
             budget=process["web"],
         )
 
+    def _connection_limits(self):
+        """Return the limits of the configuration in force."""
+        configuration = self._pool.directory.configuration
+        return ConnectionLimits(
+            configuration.header_timeout_s,
+            configuration.idle_timeout_s,
+            configuration.max_header_bytes,
+        )
+
     def start(self):
         """Start both listeners."""
         self._clients.start()
--- a/burdocklug/web/__init__.py
+++ b/burdocklug/web/__init__.py
@@ -2,6 +2,7 @@
 
 from burdocklug.web._budget import ClientBudget
 from burdocklug.web._connection import ConnectionWatch
+from burdocklug.web._protocol import ConnectionLimits
 from burdocklug.web._routes import (
     Application,
     Request,
@@ -15,6 +16,7 @@
 __all__ = [
     "Application",
     "ClientBudget",
+    "ConnectionLimits",
     "ConnectionWatch",
     "HttpListener",
     "Request",
--- a/burdocklug/web/_reader.py
+++ b/burdocklug/web/_reader.py
@@ -2,7 +2,15 @@
 
 import eventlet
 
-__all__ = ["BodyReader", "ConnectionReader", "FramingError", "discard_body", "is_read"]
+__all__ = [
+    "BodyReader",
+    "ConnectionReader",
+    "FramingError",
+    "HeadTooLarge",
+    "HeaderReader",
+    "discard_body",
+    "is_read",
+]
 
 TURN_BYTES = 65_536  # work of one connection before all others have their turn
 CALL_BYTES = 256  # work of a call, as bytes that take as long
@@ -17,6 +25,16 @@
 DISCARD_PIECE_BYTES = 512  # the parser keeps an object for each chunk of a piece
 
 
+# Memory of a header's text and of its copies, and of the objects that hold one field.
+BYTES_PER_HEADER_BYTE = 4
+BYTES_PER_HEADER_FIELD = 600
+HEADER_CHARGE_BYTES = 16_384  # charged at a time
+
+
+class HeadTooLarge(ValueError):
+    """Raised for headers that are over their limit."""
+
+
 class FramingError(ValueError):
     """Raised for a body with too much framing around its bytes."""
 
@@ -49,8 +67,11 @@
         self._source.close()
 
     def start_request(self):
-        """Count the work of a request beside its bytes."""
+        """Wait for the first bytes of a request; return whether there are any."""
+        if not self._source.peek(1):
+            return False
         self._count(REQUEST_BYTES)
+        return True
 
     def readline(self, size):
         """Return a line, or its first `size` bytes."""
@@ -71,6 +92,55 @@
             eventlet.sleep(0)
 
 
+class HeaderReader:
+    """File object of a request's headers.
+
+    Parameters
+    ----------
+    source : ConnectionReader
+        File object of the connection.
+    max_bytes : int
+        Largest size of all headers.
+    charge : callable
+        Called with the number of bytes of memory that more headers take up.
+
+    Notes
+    -----
+    The standard library's parser accepts 100 lines, but splits what it is given by itself: so it
+    gets all headers as one line, and the empty line behind them.
+    """
+
+    def __init__(self, source, *, max_bytes, charge):
+        self._source = source
+        self._max_bytes = max_bytes
+        self._charge = charge
+        self._end = None
+
+    def readline(self, _size=-1):
+        """Return all headers, then the line that ends them; empty at the end of the stream.
+
+        Raises
+        ------
+        HeadTooLarge
+            If the headers are over their limit.
+        """
+        if self._end is not None:
+            return self._end
+        lines, size, uncharged = [], 0, 0
+        while (line := self._source.readline(self._max_bytes + 1)) not in (b"\r\n", b"\n", b""):
+            size += len(line)
+            if size > self._max_bytes:
+                raise HeadTooLarge(f"headers are over {self._max_bytes} bytes")
+            lines.append(line)
+            uncharged += BYTES_PER_HEADER_FIELD + BYTES_PER_HEADER_BYTE * len(line)
+            if uncharged >= HEADER_CHARGE_BYTES:
+                self._charge(uncharged)
+                uncharged = 0
+        self._charge(uncharged)
+        self._end = line
+        return b"".join(lines) or line
+
+
 class BodyReader:
     """File object of a body, with bounds on what eventlet's parser reads without any.
 
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -11,7 +11,11 @@
 
 from burdocklug.web._budget import ClientBudget
 from burdocklug.web._clients import RefusalReason
-from burdocklug.web._protocol import MAX_REQUEST_LINE_BYTES, BoundedProtocol
+from burdocklug.web._protocol import (
+    MAX_REQUEST_LINE_BYTES,
+    BoundedProtocol,
+    ConnectionLimits,
+)
 
 __all__ = ["HttpListener"]
 
@@ -104,15 +108,21 @@
         while all are being served, new ones wait in the listen queue.
     header_timeout_s : float
         Seconds within which the headers must arrive; also the idle timeout of a connection.
+    get_limits : callable, optional
+        Returns the `ConnectionLimits` in force, in place of `header_timeout_s`.
     budget : ClientBudget, optional
         Budget of the process for clients' requests; one of its own by default.
     """
 
-    def __init__(self, address, app, *, max_connections, header_timeout_s, budget=None):
+    def __init__(
+        self, address, app, *, max_connections, header_timeout_s, get_limits=None, budget=None
+    ):
         self.address = address
         self._app = app
         self._max_connections = max_connections
         self._header_timeout_s = header_timeout_s
+        limits = ConnectionLimits(header_timeout_s, header_timeout_s)
+        self._get_limits = get_limits or (lambda: limits)
         self._budget = budget or ClientBudget()
         self._server = None
 
@@ -124,7 +134,7 @@
             "_Protocol",
             (BoundedProtocol,),
             {
-                "header_timeout_s": self._header_timeout_s,
+                "get_limits": staticmethod(self._get_limits),
                 "budget": self._budget,
                 "is_newcomer_waiting": staticmethod(lambda: pool.waiting() > 0),
             },
--- /dev/null
+++ b/tests/platform/test_client_limits.py
@@ -0,0 +1,69 @@
+"""The operator's limits on connections are those of the clients' listener."""
+
+import eventlet
+import msgspec
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from burdocklug.kernel import Process, Settings
+from burdocklug.platform._part import ClientsPart
+from burdocklug.pools import PoolConfiguration
+from burdocklug.web import ClientBudget
+from standins.ports import free_address
+from tests.platform.test_callers import FakePool
+from tests.web.crowds import head
+from tests.web.test_odd_requests import ListenerTestCase
+
+SECRET = "only-for-tests-of-limits"
+
+
+class ClientLimitsTest(ListenerTestCase):
+    def setUp(self):
+        TestCase.setUp(self)
+        self.pool = FakePool()
+        self.pool.is_ready = True
+        self.pool.remaining_grace_s = lambda: 0.0
+        self.address = free_address()
+        listen = {"callers": self.address, "operators": free_address(), "peers": free_address()}
+        settings = {
+            "profile": "pool",
+            "process": {"name": "a", "failure_domain": "a"},
+            "listen": listen,
+            "peers": {"shared_key": SECRET},
+            "platform": {"addresses": [free_address()]},
+            "operator_token": SECRET,
+            "pool": {
+                "readiness": free_address(),
+                "records": "platform",
+                "orders": "platform",
+                "max_lease_ms": 1000,
+            },
+        }
+        process = Process(msgspec.convert(settings, Settings))
+        process.parts = {"pool": self.pool, "web": ClientBudget()}
+        part = ClientsPart(process)
+        part.start()
+        self.addCleanup(part.stop)
+        self.sock = self.connect()
+
+    def configure(self, **limits):
+        queues = self.pool.directory.configuration.queues
+        configuration = PoolConfiguration(2, queues, **limits)
+        self.pool.directory.take_configuration(configuration, source="test")
+
+    def test_the_size_of_headers(self):
+        self.configure(max_header_bytes=1000)
+        self.sock.sendall(head("/a/", "X: " + "a" * 1000, method="GET"))
+        self.assertThat(self.read_response()[0], Equals(431))
+
+    def test_the_time_of_headers(self):
+        self.configure(header_timeout_s=0.3)
+        self.sock.sendall(b"GET /a/")
+        self.assertThat(self.sock.recv(1), Equals(b""))
+
+    def test_the_time_between_requests(self):
+        self.configure(idle_timeout_s=0.3)
+        self.sock.sendall(head("/a/", "Host: a.example", method="GET"))
+        self.read_response()
+        eventlet.sleep(0.6)
+        self.assertThat(self.sock.recv(1), Equals(b""))
--- a/tests/web/test_reader.py
+++ b/tests/web/test_reader.py
@@ -74,6 +74,6 @@
         self.assertTrue(turns >= 100, turns)
 
     def test_while_it_sends_small_requests(self):
-        source = connection(b"")
+        source = connection(b"a")
         turns = self.turns_during(lambda: [source.start_request() for _ in range(1000)])
         self.assertTrue(turns >= 100, turns)
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -34,6 +34,7 @@
     ErrorKind.BAD_REQUEST: "mend the request at `path`",
     ErrorKind.BODY_TOO_LARGE: "send smaller jobs",
     ErrorKind.SLOW_SENDER: "send again; look at the caller's network",
+    ErrorKind.HEADERS_TOO_LARGE: "send fewer or shorter headers",
     ErrorKind.SERVER_BUSY: "send again after `retry_after_s`; see `client_refused` in the log",
     ErrorKind.METHOD_NOT_ALLOWED: "mend the request",
     ErrorKind.NOT_FOUND: "check the key; a delayed first attempt may still arrive",
