--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -14,6 +14,7 @@
 from tests.web.crowds import head
 from tests.web.test_odd_requests import ListenerTestCase
 
+READ_TIMEOUT_S = 5.0  # shorter than the limits of other sources
 SECRET = "only-for-tests-of-limits"
 
 
@@ -45,6 +46,7 @@
         part.start()
         self.addCleanup(part.stop)
         self.sock = self.connect()
+        self.sock.settimeout(READ_TIMEOUT_S)
 
     def configure(self, **limits):
         queues = self.pool.directory.configuration.queues
