Clients: a deadline of many digits is bounded, not an internal error

Seen: a deadline of 400 digits was answered with 500 and a stack trace in the log (OverflowError), one of 5,000 digits too (ValueError); one of 15 digits kept a job waiting for as long as its connection stayed open.

Change: a caller's wait is 3,600 s at most, as in the other profile.

Evidence: the two errors were raised by the former function in a run of it; WaitTest covers both and the bound.

--- a/burdocklug/platform/_callers.py
+++ b/burdocklug/platform/_callers.py
@@ -13,6 +13,8 @@
 
 __all__ = ["ClientsApp", "ReadinessApp"]
 
+MAX_WAIT_S = 3600.0  # for a job's outcome
+MAX_WAIT_DIGITS = 15  # of a time in milliseconds; more are over `MAX_WAIT_S`
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 
 
@@ -107,7 +109,9 @@
             f"{text[:40]!r} is not a time in milliseconds",
             path="header X-Deadline-Ms",
         )
-    return int(text) / 1000
+    if len(text.lstrip("0")) > MAX_WAIT_DIGITS:
+        return MAX_WAIT_S
+    return min(int(text) / 1000, MAX_WAIT_S)
 
 
 def _state_response(state):
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,9 +1,10 @@
 from testtools import TestCase
 from testtools.matchers import Contains, Equals, Not
 
-from burdocklug.platform._callers import ClientsApp
+from burdocklug.platform._callers import MAX_WAIT_S, ClientsApp, _wait_s
 from burdocklug.pools import PoolConfiguration, QueueRule
 from burdocklug.pools._directory import Directory
+from burdocklug.web import Request
 
 CLOSE = ("Connection", "close")
 
@@ -51,3 +52,16 @@
     def test_a_drain_that_begins_during_a_request_closes_its_connection(self):
         self.pool.on_count = lambda: setattr(self.pool, "draining", True)
         self.assertThat(self.ask()[1], Contains(CLOSE))
+
+
+class WaitTest(TestCase):
+    """The time for which a caller waits for its job."""
+
+    def wait_s(self, text):
+        req = Request({"HTTP_X_DEADLINE_MS": text}, {}, 10, 1.0)
+        return _wait_s(req, QueueRule(name="q", host="a", prefix="/a/", service="s"))
+
+    def test_it_is_given_in_milliseconds_and_bounded(self):
+        texts = ["1500", "0001500", "3600001", "9" * 400, "9" * 5000]
+        waits = [self.wait_s(text) for text in texts]
+        self.assertThat(waits, Equals([1.5, 1.5, MAX_WAIT_S, MAX_WAIT_S, MAX_WAIT_S]))
