Scheduler: the jobs that it holds have a bound in memory

Seen in the code: a job may have 10,000 tasks, of some 430 bytes each in its scheduler, and a process forwards as many as it has callers. 1,000 such jobs are 4 GB at a scheduler whose host has 160 MB. Not reproduced with real processes.

Change: a scheduler counts the bytes of the jobs it knows, ended ones until they are forgotten. Beyond a quarter of `process.memory_mb`, a new job is refused with 429, ran "no", and a time to come back. A job that another scheduler may have begun, or that is known already, is taken all the same.

Evidence: tests in virtual time of the refusal, of what is taken beside it, and that the memory is free again.

--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -25,6 +25,7 @@
 MIN_SECRET_CHARS = 16  # shorter secrets can be guessed by online attempts
 BYTES_PER_MB = 1024 * 1024
 REQUESTS_SHARE = 8  # clients' requests hold at most this part of the memory
+JOBS_SHARE = 4  # the jobs of a scheduler hold at most this part of the memory
 CONNECTIONS_SHARE = 2  # callers' connections take at most this part of memory and descriptors
 CONNECTION_BYTES = 131_072  # of a connection with its socket's buffers and its green thread
 MIN_DESCRIPTORS = 400  # files, peers, endpoints, and the connections of operators
@@ -42,7 +43,8 @@
 class ProcessSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
     """Identity of this process, the process names of its fleet, its resources, and the log level.
 
-    The host gives this process `memory_mb` megabytes; an eighth of them is for clients' requests.
+    The host gives this process `memory_mb` megabytes; an eighth of them is for clients' requests,
+    and a quarter for the jobs of a scheduler.
     It may open `max_fds` file descriptors, of which callers' connections take up at most half.
     """
 
@@ -58,6 +60,11 @@
         """Largest sum of the bytes that clients' requests hold at a time."""
         return self.memory_mb * BYTES_PER_MB // REQUESTS_SHARE
 
+    @property
+    def max_job_bytes(self):
+        """Largest number of bytes that the jobs of a scheduler take up."""
+        return self.memory_mb * BYTES_PER_MB // JOBS_SHARE
+
     @property
     def max_caller_connections(self):
         """Largest number of callers' connections for which there are memory and descriptors."""
--- a/burdocklug/pools/_cell.py
+++ b/burdocklug/pools/_cell.py
@@ -46,6 +46,8 @@
         a newer plan of cells.
     on_version_heard : callable
         Called with the incarnation of a peer and the version of its configuration, if it is newer.
+    max_job_bytes : int
+        Memory for the jobs of a scheduler.
     cancellations : Cancellations
         Jobs that were cancelled at this process, whichever cell had them.
     """
@@ -63,6 +65,7 @@
     on_elected: object
     on_newer_version: object
     on_version_heard: object
+    max_job_bytes: int
     cancellations: Cancellations = field(default_factory=Cancellations)
 
 
@@ -140,6 +143,7 @@
             distance_factor=services.settings.distance_factor,
             is_paused=services.is_paused,
             cell=self.view,
+            max_job_bytes=services.max_job_bytes,
         )
 
     def _own_entries(self):
--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -18,12 +18,13 @@
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
 from burdocklug.pools.cells import CellView
-from burdocklug.pools.scheduling import TAKEOVER_DELAY_S, progress_of
+from burdocklug.pools.scheduling import TAKEOVER_DELAY_S, job_size_bytes, progress_of
 
 __all__ = ["JobServer"]
 
 # Shorter than `SCHEDULER_TIMEOUT_S`: the sender cannot have resubmitted the job elsewhere yet.
 MAX_SUBMISSION_AGE_S = 0.7
+DEFAULT_MAX_JOB_BYTES = 64 * 1024 * 1024
 MAX_KNOWN_DOMAINS = 2000  # bound on the remembered failure domains of incarnations
 
 log = structlog.get_logger(__name__)
@@ -48,15 +49,29 @@
         Returns whether this process was paused and may have lost the scheduler's role meanwhile.
     cell : CellView, optional
         The jobs of the cell; all of them by default.
+    max_job_bytes : int, optional
+        Memory for jobs, beyond which a new job is refused.
     """
 
-    def __init__(self, leader, network, timers, directory, election, *, is_paused, cell=None):
+    def __init__(
+        self,
+        leader,
+        network,
+        timers,
+        directory,
+        election,
+        *,
+        is_paused,
+        cell=None,
+        max_job_bytes=DEFAULT_MAX_JOB_BYTES,
+    ):
         self._leader = leader
         self._network = network
         self._timers = timers
         self._directory = directory
         self._election = election
         self._is_paused = is_paused
+        self._max_job_bytes = max_job_bytes
         self._domains = {}
         self._cell = cell or CellView(0)
         network.register(SubmitReply)
@@ -89,6 +104,9 @@
             log.info("job_impossible", job=spec.job_id, reason=obstacle)
             expires_s = now - message.age_s + message.wait_s
             return self._refuse_unplaceable(scheduler, spec.job_id, obstacle, expires_s)
+        if message.since_heard_s is None and not self._has_memory_for(scheduler, spec):
+            log.warning("job_refused", job=spec.job_id, reason="memory", held=scheduler.held_bytes)
+            return SubmitReply(refused="memory", retry_after_s=MAX_RETRY_S)
         job = scheduler.submit(
             spec,
             received_s=now - message.age_s,
@@ -101,6 +119,11 @@
             return SubmitReply(job.outcome)
         return self._wait_for_outcome(scheduler, job, sender)
 
+    def _has_memory_for(self, scheduler, spec):
+        """Return whether a job is known, or fits beside those that are held already."""
+        is_known = spec.job_id in scheduler.jobs
+        return is_known or scheduler.held_bytes + job_size_bytes(spec) <= self._max_job_bytes
+
     def _with_current_queue(self, message):
         """Return the job with its queue by the newest configuration; None if that has none for it.
 
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -3,7 +3,7 @@
 import structlog
 
 from burdocklug.pools._endpoint_holder import RESUBMIT_GRACE_S, EndpointHolder
-from burdocklug.pools._job_server import JobServer
+from burdocklug.pools._job_server import DEFAULT_MAX_JOB_BYTES, JobServer
 from burdocklug.pools.agents import AgentOrders, AnswerTimes, fenced_domains
 from burdocklug.pools.election import FENCED
 from burdocklug.pools.scheduling import Scheduler, dump_scheduler, scheduler_load
@@ -47,6 +47,8 @@
         Returns whether this process was paused and may have lost the scheduler's role meanwhile.
     cell : CellView, optional
         The endpoints and jobs of the cell; all of them by default.
+    max_job_bytes : int, optional
+        Memory for jobs, beyond which a new job is refused.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         distance_factor,
         is_paused,
         cell=None,
+        max_job_bytes=DEFAULT_MAX_JOB_BYTES,
     ):
         super().__init__(
             network,
@@ -78,7 +81,14 @@
         self._start_waiting_due = False
         self._is_view_usable = True
         self._server = JobServer(
-            self, network, timers, directory, election, is_paused=is_paused, cell=self._cell
+            self,
+            network,
+            timers,
+            directory,
+            election,
+            is_paused=is_paused,
+            cell=self._cell,
+            max_job_bytes=max_job_bytes,
         )
         timers.every(UPKEEP_S, self._upkeep)
         timers.every(LOAD_LOG_S, self._log_load)
--- a/burdocklug/pools/_models.py
+++ b/burdocklug/pools/_models.py
@@ -147,6 +147,11 @@
     steps: tuple[StepSpec, ...]
     configuration_version: int = 0
 
+    @property
+    def task_count(self):
+        """Number of tasks in all its steps."""
+        return sum(step.count for step in self.steps)
+
     @property
     def size_bytes(self):
         """Rough number of bytes of memory that the job takes up, without its tasks' state."""
--- a/burdocklug/pools/_part.py
+++ b/burdocklug/pools/_part.py
@@ -103,6 +103,7 @@
             on_elected=self._note_elected,
             on_newer_version=self._exchange.fetch,
             on_version_heard=self._note_version,
+            max_job_bytes=self._process.settings.process.max_job_bytes,
         )
 
     @property
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -36,6 +36,8 @@
     ----------
     jobs, endpoints : dict
         Jobs by id and endpoints by id.
+    held_bytes : int
+        Rough number of bytes of memory that the jobs take up.
     counts : Counter
         Counts of events by name.
     latencies : LatencyCounts
@@ -56,6 +58,7 @@
 
     def __init__(self, orders, *, now):
         self.jobs = {}
+        self.held_bytes = 0
         self.endpoints = {}
         self.counts = Counter()
         self.latencies = LatencyCounts()
@@ -139,6 +142,7 @@
         job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave, times=times)
         job.caller_domain = caller_domain
         self.jobs[spec.job_id] = job
+        self.held_bytes += job.size_bytes
         self.contention.note_asked(job, self._now())
         self.submitted_s = self._now()
         self.counts["jobs"] += 1
@@ -272,7 +276,8 @@
     def drop_job(self, job):
         """Remove a job of which no task has started, so that its id is free again."""
         self._waiting.pop(job.job_id, None)
-        self.jobs.pop(job.job_id, None)
+        if self.jobs.pop(job.job_id, None) is not None:
+            self.held_bytes -= job.size_bytes
 
     def _stop(self, task):
         task.state = TaskState.ENDED
@@ -290,6 +295,7 @@
                     task.name in endpoint.runs for task, endpoint in self._placed_tasks(job)
                 ):
                     del self.jobs[job.job_id]
+                    self.held_bytes -= job.size_bytes
 
     def _placed_tasks(self, job):
         for task in job.tasks:
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -15,11 +15,13 @@
     "TaskState",
     "apply_progress",
     "critical_path_s",
+    "job_size_bytes",
     "make_job",
     "progress_of",
 ]
 
 
+TASK_BYTES = 512  # of memory, with its name and its sets
 UNLIMITED_WAVE = 1_000_000  # larger than any step
 NO_RUNS = QueueTimes()  # of a queue of which nothing is known
 
@@ -139,6 +141,11 @@
         """Id of the job."""
         return self.spec.job_id
 
+    @property
+    def size_bytes(self):
+        """Rough number of bytes of memory that the job takes up."""
+        return job_size_bytes(self.spec)
+
     @property
     def may_start(self):
         """Whether it has tasks that the scheduler should start."""
@@ -170,6 +177,11 @@
         self.waiting.append(task)
 
 
+def job_size_bytes(spec):
+    """Return the rough number of bytes of memory that a submitted job takes up at its scheduler."""
+    return spec.size_bytes + TASK_BYTES * spec.task_count
+
+
 def progress_of(job):
     """Return the progress of a job, for the scheduler that takes it over."""
     return JobProgress(
--- a/tests/pools/test_job_server.py
+++ b/tests/pools/test_job_server.py
@@ -7,6 +7,7 @@
 from burdocklug.pools._configuration import PoolConfiguration, QueueRule, ServiceRule
 from burdocklug.pools._messages import SubmitJob
 from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
+from burdocklug.pools.scheduling._jobs import TASK_BYTES
 from tests.pools.builders import spec, step
 from tests.pools.test_leader import OWN, LeaderTestCase
 
@@ -130,3 +131,43 @@
         replies = self.submit(version=10, since_heard_s=0.4)
         self.assertThat(replies, Equals([]))
         self.assertThat(self.priority(), Equals(2))
+
+
+class FullMemoryTest(LeaderTestCase):
+    """Guards against jobs that wait in such numbers that their scheduler runs out of memory."""
+
+    def setUp(self):
+        super().setUp()
+        self.leader._server._max_job_bytes = 20 * TASK_BYTES + 10_000
+        self.pass_time(0.2)
+
+    def submit(self, job_id, count, **more):
+        replies = []
+        message = SubmitJob(spec(job_id, step(count, estimate_s=0.01)), 0.0, 60.0, **more)
+        handle = self.network.handlers[SubmitJob]
+        thread = eventlet.spawn(lambda: replies.append(handle(OWN, message)))
+        self.addCleanup(thread.kill)
+        eventlet.sleep(0)
+        return replies
+
+    def test_a_job_beyond_the_memory_is_refused_and_none_of_it_has_run(self):
+        first = self.submit("j1", 20)
+        [reply] = self.submit("j2", 30)
+        self.assertThat((first, reply.refused), Equals(([], "memory")))
+        self.assertThat((reply.may_have_started, reply.retry_after_s), Equals((False, MAX_RETRY_S)))
+        self.assertThat(list(self.leader.scheduler.jobs), Equals(["j1"]))
+
+    def test_the_same_job_and_one_that_may_have_run_elsewhere_are_not(self):
+        self.submit("j1", 20)
+        self.assertThat(self.submit("j1", 20), Equals([]))
+        self.assertThat(self.submit("j2", 30, since_heard_s=0.1), Equals([]))
+
+    def test_the_memory_of_jobs_that_are_forgotten_is_free_again(self):
+        scheduler = self.leader.scheduler
+        self.submit("j1", 20)
+        self.submit("j2", 5)
+        scheduler.drop_job(scheduler.jobs["j2"])
+        scheduler.cancel("j1", longest_wait_s=0.0)
+        self.pass_time(100.0)
+        scheduler.forget_ended()
+        self.assertThat((scheduler.jobs, scheduler.held_bytes), Equals(({}, 0)))
--- a/tests/pools/virtual_deployment.py
+++ b/tests/pools/virtual_deployment.py
@@ -30,6 +30,7 @@
 TICK_S = 0.01  # resolution at which endpoints notice ends of runs and leases
 LATENESS_S = 1e-6  # timers fire slightly late
 IDLE_LIMIT_S = 3600.0  # nothing is due any more
+MAX_JOB_BYTES = 64 * 1024 * 1024  # of a scheduler
 
 
 class VirtualHub(BaseHub):
@@ -215,7 +216,9 @@
         self.is_silent = False  # once it has ended, whether nothing refuses connections to it
         self.timers = TimerService(now=now_s)
         self.settings = SimpleNamespace(
-            process=SimpleNamespace(name=name, failure_domain=failure_domain),
+            process=SimpleNamespace(
+                name=name, failure_domain=failure_domain, max_job_bytes=MAX_JOB_BYTES
+            ),
             pool=SimpleNamespace(
                 cpu_share=1.0,
                 cpu_speed=1.0,
