--- a/burdocklug/web/_budget.py
+++ b/burdocklug/web/_budget.py
@@ -143,6 +143,10 @@
             "refused": {str(reason): self.refusals[reason] for reason in RefusalReason},
         }
 
+    def dump(self):
+        """Return the same as `counts`, for the state dump."""
+        return self.counts()
+
 
 class RequestAccount:
     """What a connection's request takes up of the budget.
