Soak: a plan draws clients that do not end their requests

A new kind of fault opens 60 connections to one or two processes: silent ones, parts of a request line, of headers and of bodies in each form, an unfinished trailer, a body to a path that nobody serves, and requests sent ahead whose responses nobody reads. It counts as planned work: no request of another caller may be cut for it.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -1,6 +1,7 @@
 """Faults from outside: each is a generator that harms the fleet, waits, and makes it good."""
 
 import signal
+import socket
 
 from burdocklug.kernel import Registry
 from standins.platform_fleet import CONFIG
@@ -8,9 +9,24 @@
 __all__ = ["PLANNED", "fault_kinds"]
 
 fault_kinds = Registry("soak fault")
-PLANNED = frozenset({"configuration", "evacuate", "hangup", "stop", "worker_drain"})
+PLANNED = frozenset(
+    {"configuration", "evacuate", "hangup", "stop", "unruly_clients", "worker_drain"}
+)
 SHARE = 0.3  # of the calls that a fault of a share hits
 DELAY_S = 0.15  # over what peers usually take, under their timeouts
+CROWD = 60  # connections of unruly clients to a process
+CONNECT_TIMEOUT_S = 1.0
+BODY = b"POST /checks/dddddddddddddddd HTTP/1.1\r\nHost: checks.example\r\n"
+UNFINISHED_REQUESTS = (
+    b"",
+    b"POST /che",
+    BODY,
+    BODY + b"Content-Length: 60000\r\n\r\n" + b" " * 50_000,
+    BODY + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 5000,
+    BODY + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-A: " + b"a" * 30_000,
+    b"POST /nowhere HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 5000,
+    b"GET /checks/ HTTP/1.1\r\nHost: checks.example\r\n\r\n" * 200,
+)
 
 
 def _processes(fleet, rng, most):
@@ -77,6 +93,24 @@
     yield
 
 
+@fault_kinds.register("unruly_clients")
+def unruly_clients(fleet, rng):
+    """Open connections with requests that do not end, or whose responses nobody reads."""
+    socks = []
+    for name in _processes(fleet, rng, 2):
+        ip, _, port = fleet.addresses[name].rpartition(":")
+        for _ in range(CROWD):
+            try:
+                sock = socket.create_connection((ip, int(port)), timeout=CONNECT_TIMEOUT_S)
+                socks.append(sock)
+                sock.sendall(rng.choice(UNFINISHED_REQUESTS))
+            except OSError:
+                continue  # the process is down, or no longer reads
+    yield
+    for sock in socks:
+        sock.close()
+
+
 def _store_fault(name, value):
     def harm(fleet, _rng):
         fleet.control("POST", "/faults", {name: value})
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -8,7 +8,7 @@
 from tests.scenarios import with_scenarios
 
 DURATION_S = 9.0
-KINDS_OF_FIRST_SEEDS = sorted(set(fault_kinds.names()) - {"evacuate"})
+KINDS_OF_FIRST_SEEDS = sorted(set(fault_kinds.names()) - {"evacuate", "unruly_clients"})
 
 
 @with_scenarios
@@ -20,6 +20,7 @@
         # Kinds that nothing else plays with real processes.
         ("all killed", {"seed": 1, "kinds": ["kill_all"]}),
         ("silent between processes", {"seed": 1, "kinds": ["peers_link_silent"]}),
+        ("unruly clients", {"seed": 1, "kinds": ["unruly_clients", "kill", "stop"]}),
         ("evacuations", {"seed": 1, "kinds": ["evacuate", "kill", "store_silent", "compact"]}),
     ]
 
