Web: a request that arrives whole as it gives way is answered; descriptors

Seen while reading the change: a connection that was chosen to give way, and whose request arrived whole before it was closed, would lose the response. The limit on callers' connections did not know that of the system, which can be lower than `process.max_fds`. A connection that waited for room as its listener stopped stayed in the budget.

Change: a connection that is being served is not closed before its response. Callers' connections leave half of the system's descriptors, too.

Evidence: DroppedAsItIsServedTest, and the limits in ClientLimitsTest. Not seen in a run of a real process.

--- a/burdocklug/callers/_part.py
+++ b/burdocklug/callers/_part.py
@@ -2,7 +2,7 @@
 
 from burdocklug.callers._routes import callers_app
 from burdocklug.kernel import BurdocklugError, ErrorKind, part
-from burdocklug.web import HttpListener
+from burdocklug.web import HttpListener, max_caller_connections
 
 __all__ = ["CallersPart"]
 
@@ -29,9 +29,7 @@
         self._listener = HttpListener(
             listen.callers,
             self.app,
-            max_connections=min(
-                listen.max_connections, process.settings.process.max_caller_connections
-            ),
+            max_connections=max_caller_connections(process.settings),
             header_timeout_s=listen.header_timeout_s,
             budget=process["web"],
         )
--- a/burdocklug/platform/_part.py
+++ b/burdocklug/platform/_part.py
@@ -7,7 +7,7 @@
 from burdocklug.platform._entries import SERVERS_PREFIX, decode_entry, worker_id
 from burdocklug.platform._operator import OperatorFollower
 from burdocklug.store import PrefixFollower, Record, record_stores
-from burdocklug.web import ConnectionLimits, HttpListener
+from burdocklug.web import ConnectionLimits, HttpListener, max_caller_connections
 
 __all__ = ["CataloguePart", "ClientsPart"]
 
@@ -122,9 +122,7 @@
                 body_timeout_s=listen.body_timeout_s,
                 max_tasks=process.settings.pool.max_tasks,
             ),
-            max_connections=min(
-                listen.max_connections, process.settings.process.max_caller_connections
-            ),
+            max_connections=max_caller_connections(process.settings),
             header_timeout_s=listen.header_timeout_s,
             get_limits=self._connection_limits,
             budget=process["web"],
--- a/burdocklug/web/__init__.py
+++ b/burdocklug/web/__init__.py
@@ -2,6 +2,7 @@
 
 from burdocklug.web._budget import ClientBudget
 from burdocklug.web._connection import ConnectionWatch
+from burdocklug.web._part import max_caller_connections
 from burdocklug.web._protocol import ConnectionLimits
 from burdocklug.web._routes import (
     Application,
@@ -24,4 +25,5 @@
     "RouteTable",
     "error_response",
     "json_response",
+    "max_caller_connections",
 ]
--- a/burdocklug/web/_protocol.py
+++ b/burdocklug/web/_protocol.py
@@ -201,10 +201,12 @@
                 eventlet.sleep(0)
 
     def _drop(self, exc):
-        """Interrupt the receipt of a body with an error; without one, close the connection."""
+        """Interrupt the receipt of a request with an error; without one, close the connection."""
         eventlet.hubs.get_hub().schedule_call_global(0, self._interrupt, exc)
 
     def _interrupt(self, exc):
+        if self._conn.phase is Phase.SERVING:
+            return  # the request arrived whole meanwhile; the connection ends with its response
         if exc is not None and self._conn.receiver is not None:
             self._conn.receiver.throw(exc)
         else:
--- a/burdocklug/web/_server.py
+++ b/burdocklug/web/_server.py
@@ -82,7 +82,11 @@
         conn = self._budget.open(self._address, f"{ip}:{port}")
         conn.drop = lambda _exc: greenio.shutdown_safe(sock)
         conn_state.append(conn)
-        return super().spawn(self._serve, serve, conn_state, conn)
+        try:
+            return super().spawn(self._serve, serve, conn_state, conn)
+        except BaseException:  # the listener stops
+            self._budget.close(conn)
+            raise
 
     def _serve(self, serve, conn_state, conn):
         try:
--- a/tests/platform/test_client_limits.py
+++ b/tests/platform/test_client_limits.py
@@ -1,5 +1,8 @@
 """The operator's limits on connections are those of the clients' listener."""
 
+import resource
+from unittest import mock
+
 import eventlet
 import msgspec
 from testtools import TestCase
@@ -8,7 +11,7 @@
 from burdocklug.kernel import Process, Settings
 from burdocklug.platform._part import ClientsPart
 from burdocklug.pools import PoolConfiguration
-from burdocklug.web import ClientBudget
+from burdocklug.web import ClientBudget, max_caller_connections
 from standins.ports import free_address
 from tests.platform.test_callers import FakePool
 from tests.web.crowds import head
@@ -40,7 +43,7 @@
                 "max_lease_ms": 1000,
             },
         }
-        process = Process(msgspec.convert(settings, Settings))
+        process = self.process = Process(msgspec.convert(settings, Settings))
         process.parts = {"pool": self.pool, "web": ClientBudget()}
         part = ClientsPart(process)
         part.start()
@@ -53,6 +56,13 @@
         configuration = PoolConfiguration(2, queues, **limits)
         self.pool.directory.take_configuration(configuration, source="test")
 
+    def test_callers_leave_half_of_the_descriptors(self):
+        system_limits = {50: 25, 4000: 1000, resource.RLIM_INFINITY: 1000}
+        settings = self.process.settings
+        for limit, expected in system_limits.items():
+            with mock.patch("resource.getrlimit", return_value=(limit, limit)):
+                self.assertThat(max_caller_connections(settings), Equals(expected))
+
     def test_the_size_of_headers(self):
         self.configure(max_header_bytes=1000)
         self.sock.sendall(head("/a/", "X: " + "a" * 1000, method="GET"))
--- a/tests/web/test_full_listener.py
+++ b/tests/web/test_full_listener.py
@@ -90,6 +90,26 @@
         self.assertThat(self.read_response(), Equals((200, b"waited")))
 
 
+class DroppedAsItIsServedTest(ListenerTestCase):
+    """A connection that has to give way just as its request arrives whole."""
+
+    budget = ClientBudget()
+
+    def make_app(self):
+        return WaitingApp()
+
+    def test_its_response_is_sent_and_the_connection_is_closed(self):
+        self.sock.sendall(head("/wait", "Content-Length: 0"))
+        eventlet.sleep(0.05)
+        (conn,) = self.budget.connections
+        conn.is_dropped = True
+        conn.drop(None)
+        eventlet.sleep(0.05)
+        self.app.go.send(None)
+        self.assertThat(self.read_response()[0], Equals(200))
+        self.assertThat(self.sock.recv(1), Equals(b""))
+
+
 class BusyListenerTest(ListenerTestCase):
     budget = ClientBudget()
 
