Jobs: submissions are limited by their decoded size

Seen: in the profile `own`, six whole bodies of 2 MB, each a payload of empty lists, made a process hold 350,356 kB, 163,840 allowed. One body of the default limit, 8 MB, takes up 190 MB more in a run of the decoder alone. Jobs whose caller does not wait were bounded by their number of tasks only.

Cause: three bytes of JSON become an object of some 70 bytes, and only the bytes of JSON were limited.

Change: the largest size that a body's values can take follows from its brackets, commas and colons, without decoding it. It is charged to the budget before the body is decoded (413 `body_too_large` if it could not be held by itself), and to the running jobs until they end: beyond the new setting `jobs.max_job_bytes` a job is refused with 429 `queue_full`.

The size is checked against that of the interpreter's objects.

--- a/burdocklug/callers/_routes.py
+++ b/burdocklug/callers/_routes.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from burdocklug.jobs import decoded_size_bytes
 from burdocklug.kernel import BurdocklugError, ErrorKind
 from burdocklug.web import Response, RouteTable, json_response
 
@@ -51,7 +52,9 @@
             raise BurdocklugError(
                 ErrorKind.BAD_REQUEST, "the header is missing", path="header Idempotency-Key"
             )
-        return _response(jobs.submit(key, req.read_body(), wait_s=_wait_s(req)))
+        body = req.read_body()
+        req.account.hold(decoded_size_bytes(body))
+        return _response(jobs.submit(key, body, wait_s=_wait_s(req)))
 
     @app.route("GET", "/v1/jobs/{key}")
     def status(req):
--- a/burdocklug/jobs/_caller_keys.py
+++ b/burdocklug/jobs/_caller_keys.py
@@ -4,7 +4,7 @@
 
 from burdocklug.jobs._jobs import encode_error
 from burdocklug.jobs._ledger import check_digest
-from burdocklug.jobs._models import submission_digest
+from burdocklug.jobs._models import decoded_size_bytes, submission_digest
 from burdocklug.jobs._waiting import wait_for_record
 from burdocklug.kernel import BurdocklugError, ErrorKind
 
@@ -56,7 +56,7 @@
             for another body, ``claim_uncertain`` or ``shutting_down``.
         """
         self._check_age(key)
-        record, owner = self._find_or_start(key, submission)
+        record, owner = self._find_or_start(key, submission, size_bytes=decoded_size_bytes(body))
         if record is not None:
             return wait_for_record(record, wait_s)
         if owner == self._service.incarnation:
@@ -77,7 +77,7 @@
         if age_s > self._service.settings.claim_window_s - MAX_CLOCK_SKEW_S:
             raise BurdocklugError(ErrorKind.KEY_EXPIRED, f"key {key.text} is {age_s:.0f} s old")
 
-    def _find_or_start(self, key, submission):
+    def _find_or_start(self, key, submission, *, size_bytes):
         """Return the record of a caller key and the key's owner; start the job of a new key.
 
         Notes
@@ -99,7 +99,8 @@
                 ErrorKind.KEY_CONFLICT, f"key {key.text} was used with another body"
             )
         if is_new:
-            return self._start_claimed(key, submission, digest), self._service.incarnation
+            record = self._start_claimed(key, submission, digest, size_bytes)
+            return record, self._service.incarnation
         return None, self._service.resolve_owner(claim.owner)
 
     def _acquire_claim(self, key, digest):
@@ -113,7 +114,7 @@
         finally:
             self._claims_in_flight.pop(key.text).send(None)
 
-    def _start_claimed(self, key, submission, digest):
+    def _start_claimed(self, key, submission, digest, size_bytes):
         """Start the job of a claimed key unless the key has expired in the meantime."""
         record = self._ledger.add_caller_key_record(key.text, digest)
         try:
@@ -122,7 +123,7 @@
             answer = encode_error(exc, key=key.text)
             self._ledger.finish(record, answer.status, answer.body)
             return record
-        self._service.start_job(record, submission)
+        self._service.start_job(record, submission, size_bytes=size_bytes)
         return record
 
     def find_owner(self, key):
--- a/burdocklug/jobs/_dispatch.py
+++ b/burdocklug/jobs/_dispatch.py
@@ -66,7 +66,7 @@
         self.ctx.configuration.subscribe(self._apply_configuration)
         self._apply_configuration()
 
-    def start(self, record, submission):
+    def start(self, record, submission, *, size_bytes=0):
         """Accept a job and queue its tasks.
 
         Parameters
@@ -75,6 +75,8 @@
             The record of the submission in the ledger.
         submission : JobSubmission
             The job to run.
+        size_bytes : int, optional
+            Memory that the submission takes up.
 
         Raises
         ------
@@ -84,7 +86,7 @@
         deadline_s = submission.deadline_s or self.ctx.settings.default_deadline_s
         admit_job(self.ctx, self._lane(submission.service), submission, deadline_s)
         lane = self.lanes[submission.service]
-        job = self.table.add(record, submission, deadline_s)
+        job = self.table.add(record, submission, deadline_s, size_bytes=size_bytes)
         for task in job.tasks:
             self._enqueue(lane, task, is_retry=False)
         self._schedule_dispatch(lane)
--- a/burdocklug/jobs/_job_table.py
+++ b/burdocklug/jobs/_job_table.py
@@ -26,10 +26,24 @@
         self._ctx = ctx
         self._drop_queued = drop_queued
         self.jobs = {}
+        self.held_bytes = 0  # memory of the submissions of all running jobs
         self.counts = {"jobs_complete": 0, "jobs_failed": 0}
 
-    def add(self, record, submission, deadline_s):
-        """Add and return the job of a record; its deadline is `deadline_s` seconds from now."""
+    def add(self, record, submission, deadline_s, *, size_bytes=0):
+        """Add and return the job of a record; its deadline is `deadline_s` seconds from now.
+
+        Raises
+        ------
+        BurdocklugError
+            Of kind ``queue_full`` if there is no memory for its `size_bytes`.
+        """
+        limit = self._ctx.settings.max_job_bytes
+        if self.held_bytes + size_bytes > limit:
+            raise BurdocklugError(
+                ErrorKind.QUEUE_FULL,
+                f"the job needs {size_bytes} bytes of memory beside {self.held_bytes} of others, "
+                f"at most {limit} allowed",
+            )
         now = self._ctx.timers.now()
         job = Job(
             key=record.key,
@@ -38,6 +52,7 @@
             deadline_s=now + deadline_s,
             created_s=now,
             record=record,
+            size_bytes=size_bytes,
         )
         job.tasks = [
             Task(job, index, task.payload, task.declared_s, task.accelerators)
@@ -47,6 +62,7 @@
         job.timer = self._ctx.timers.after(deadline_s, lambda: self._expire(job))
         record.job = job
         self.jobs[job.key] = job
+        self.held_bytes += size_bytes
         return job
 
     def finish_task(self, task, value):
@@ -106,6 +122,7 @@
         job.timer.cancel()
         self._drop_queued(job)
         del self.jobs[job.key]
+        self.held_bytes -= job.size_bytes
 
     def _store_answer(self, job, answer):
         self._ctx.ledger.finish(job.record, answer.status, answer.body, answer.retry_after_s)
--- a/burdocklug/jobs/_jobs.py
+++ b/burdocklug/jobs/_jobs.py
@@ -55,7 +55,8 @@
     ``deadline_s`` and ``created_s`` are monotonic times, in seconds. ``in_flight`` counts the
     attempts in progress. ``closed`` is true from the moment the job ends: no task starts then, and
     later results are dropped. ``ran`` is ``yes`` if an attempt of a task has finished, and
-    ``unknown`` if the outcome of one is unknown.
+    ``unknown`` if the outcome of one is unknown. ``size_bytes`` is the memory that its submission
+    takes up.
     """
 
     key: str
@@ -70,6 +71,7 @@
     closed: bool = False
     timer: object = None
     ran: Ran = Ran.NO
+    size_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklug/jobs/_models.py
+++ b/burdocklug/jobs/_models.py
@@ -38,10 +38,26 @@
     acknowledged: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
+CONTAINER_BYTES = 96  # of a list, mapping or task, and its place in another one
+VALUE_BYTES = 72  # of a number, or of the head of a string, and its place
+
 _decoder = msgspec.json.Decoder(JobSubmission)
 _encoder = msgspec.json.Encoder(order="deterministic")
 
 
+def decoded_size_bytes(body):
+    """Return the largest number of bytes of memory that a JSON document takes up once decoded.
+
+    Examples
+    --------
+    >>> decoded_size_bytes(b'{"tasks": [[], []]}')
+    547
+    """
+    containers = body.count(b"[") + body.count(b"{")
+    separators = body.count(b",") + body.count(b":")
+    return len(body) + CONTAINER_BYTES * containers + VALUE_BYTES * separators
+
+
 def parse_submission(body, *, max_tasks, max_deadline_s):
     """Decode and validate a submission.
 
--- a/burdocklug/jobs/_service.py
+++ b/burdocklug/jobs/_service.py
@@ -10,7 +10,7 @@
 from burdocklug.jobs._forwarding import Forwarder
 from burdocklug.jobs._jobs import encode_error
 from burdocklug.jobs._keys import CallerKey, mint_session, parse_key
-from burdocklug.jobs._models import parse_submission, submission_digest
+from burdocklug.jobs._models import decoded_size_bytes, parse_submission, submission_digest
 from burdocklug.jobs._peer_requests import PeerRequests
 from burdocklug.jobs._waiting import wait_for_record
 from burdocklug.kernel import BurdocklugError, ErrorKind
@@ -185,18 +185,18 @@
         record, is_new = self.ledger.get_or_add(key.session, key.sequence, digest, now_s=now)
         self.ledger.acknowledge(key.session, min(submission.acknowledged, key.sequence - 1))
         if is_new:
-            self.start_job(record, submission)
+            self.start_job(record, submission, size_bytes=decoded_size_bytes(body))
         else:
             self.counts["resubmitted"] += 1
         return wait_for_record(record, self._wait_s(submission, wait_s))
 
-    def start_job(self, record, submission):
+    def start_job(self, record, submission, *, size_bytes):
         """Start the job of a new record; if it is refused, the refusal becomes its answer."""
         self.counts["submitted"] += 1
         try:
             if self.draining:
                 raise BurdocklugError(ErrorKind.SHUTTING_DOWN, "this process is shutting down")
-            self.dispatcher.start(record, submission)
+            self.dispatcher.start(record, submission, size_bytes=size_bytes)
         except BurdocklugError as exc:
             self.counts["refused"] += 1
             answer = encode_error(exc, key=record.key)
--- a/burdocklug/kernel/_settings.py
+++ b/burdocklug/kernel/_settings.py
@@ -143,6 +143,7 @@
     max_sessions: Count = 10_000
     max_records_per_session: Count = 1000
     max_ledger_bytes: Count = 64_000_000
+    max_job_bytes: Count = 64_000_000
     session_idle_s: Seconds = 900.0
     default_deadline_s: Seconds = 60.0
     max_deadline_s: Seconds = 3600.0
--- a/burdocklug/web/_budget.py
+++ b/burdocklug/web/_budget.py
@@ -193,7 +193,21 @@
         return self._budget.max_bytes
 
     def hold(self, count):
-        """Charge `count` bytes that the request holds until it is answered, beside its body."""
+        """Charge `count` bytes that the request holds until it is answered, beside its body.
+
+        Raises
+        ------
+        BurdocklugError
+            Of kind ``body_too_large`` if the request could not be held even by itself, else as
+            `ClientBudget.charge` does.
+        """
+        needed = self._conn.held_bytes + count
+        if needed > self.max_bytes:
+            self.note(RefusalReason.BODY_TOO_LARGE)
+            raise BurdocklugError(
+                ErrorKind.BODY_TOO_LARGE,
+                f"the request takes up {needed} bytes of memory, at most {self.max_bytes} allowed",
+            )
         self._budget.charge(self._conn, count)
 
     def note(self, reason):
--- a/tests/jobs/nodes.py
+++ b/tests/jobs/nodes.py
@@ -35,7 +35,7 @@
         self.refusal = None
         self.finishes_at_once = True
 
-    def start(self, record, submission):
+    def start(self, record, submission, *, size_bytes=0):
         if self.refusal is not None:
             raise BurdocklugError(self.refusal, "refused by the test")
         self.starts[record.key] += 1
--- a/tests/jobs/test_dispatch.py
+++ b/tests/jobs/test_dispatch.py
@@ -6,7 +6,7 @@
 
 import eventlet
 import msgspec
-from testtools import TestCase
+from testtools import ExpectedException, TestCase
 from testtools.matchers import Equals
 
 from burdocklug.endpoints import AttemptResult
@@ -15,7 +15,7 @@
 from burdocklug.jobs._dispatch import PROBE_INTERVAL_S, Dispatcher
 from burdocklug.jobs._ledger import Ledger, RecordState
 from burdocklug.jobs._models import parse_submission
-from burdocklug.kernel import JobSettings
+from burdocklug.kernel import BurdocklugError, JobSettings
 from burdocklug.peers import Member, MemberState
 from burdocklug.retries import Finished, NotRun, RetryBudget, Unknown
 from burdocklug.routing import SlotRequest
@@ -103,11 +103,11 @@
             return finished(attempt, ok=True)
         return outcome
 
-    def start(self, tasks=1, *, number=1, **more):
+    def start(self, tasks=1, *, number=1, size_bytes=0, **more):
         record, _ = self.ledger.get_or_add("s", number, b"d", now_s=self.clock())
         data = body(tasks=[{"payload": n} for n in range(tasks)], **more)
         submission = parse_submission(data, max_tasks=100, max_deadline_s=100)
-        self.dispatcher.start(record, submission)
+        self.dispatcher.start(record, submission, size_bytes=size_bytes)
         return record
 
     def run_until_finished(self, record, seconds=5.0):
@@ -123,6 +123,19 @@
     return Finished(AttemptResult(attempt.attempt_id, attempt.task_id, ok, value, 0.1, 1, False))
 
 
+class FullMemoryTest(DispatcherTestCase):
+    """Guards against jobs that wait without a caller in such numbers that the memory ends."""
+
+    def test_a_job_beyond_the_memory_is_refused_until_others_have_ended(self):
+        limit = self.dispatcher.ctx.settings.max_job_bytes
+        first = self.start(size_bytes=limit)
+        with ExpectedException(BurdocklugError, ".* bytes of memory beside"):
+            self.start(number=2, size_bytes=1)
+        self.run_until_finished(first)
+        self.run_until_finished(self.start(number=3, size_bytes=limit))
+        self.assertThat(self.dispatcher.table.held_bytes, Equals(0))
+
+
 class DispatcherTest(DispatcherTestCase):
     def test_results_come_in_the_order_of_the_tasks(self):
         answer = self.run_until_finished(self.start(tasks=9))
--- a/tests/jobs/test_models.py
+++ b/tests/jobs/test_models.py
@@ -1,10 +1,12 @@
+import sys
+
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 from testtools.matchers import Equals, StartsWith
 
-from burdocklug.jobs._models import parse_submission, submission_digest
+from burdocklug.jobs._models import decoded_size_bytes, parse_submission, submission_digest
 from burdocklug.kernel import BurdocklugError, ErrorKind
 from tests.scenarios import with_scenarios
 
@@ -19,6 +21,31 @@
     return msgspec.json.encode({**GOOD, **changes})
 
 
+@with_scenarios
+class DecodedSizeTest(TestCase):
+    """The size is no less than what the interpreter says of the objects."""
+
+    scenarios = [
+        ("lists", {"value": [[] for _ in range(1000)]}),
+        ("mappings", {"value": [{} for _ in range(1000)]}),
+        ("nested", {"value": [[[n], [n]] for n in range(1000)]}),
+        ("numbers", {"value": [n / 7 for n in range(1000)]}),
+        ("texts", {"value": {f"key-{n}": f"value-{n}" for n in range(1000)}}),
+    ]
+
+    def size_of(self, value):
+        if isinstance(value, dict):
+            parts = [*value, *value.values()]
+        else:
+            parts = value if isinstance(value, list) else []
+        return sys.getsizeof(value) + sum(self.size_of(part) for part in parts)
+
+    def test_it_bounds_the_objects(self):
+        decoded = msgspec.json.decode(data := msgspec.json.encode(self.value))
+        size = decoded_size_bytes(data)
+        self.assertTrue(self.size_of(decoded) <= size, (self.size_of(decoded), size))
+
+
 @with_scenarios
 class InvalidSubmissionTest(TestCase):
     scenarios = [
--- a/tests/web/crowds.py
+++ b/tests/web/crowds.py
@@ -131,17 +131,21 @@
         """End everything that was started."""
         self._fleet.stop()
 
-    def submission(self, *headers):
+    def submission(self, *headers, key="a~1"):
         """Return the head of a request that submits a job."""
-        return head("/v1/jobs", "Idempotency-Key: a~1", *headers)
+        return head("/v1/jobs", f"Idempotency-Key: {key}", *headers)
+
+    def new_key(self):
+        """Return the first key of a new session."""
+        url = f"http://{self.listeners['callers']}/v1/sessions"
+        return json.loads(_post(url, b"", {}))["session"] + "~1"
 
     def submit(self, _number, *, run_s=0.05):
         """Submit an ordinary job; return whether it completed."""
         url = f"http://{self.listeners['callers']}"
-        session = json.loads(_post(f"{url}/v1/sessions", b"", {}))["session"]
         tasks = [{"payload": {"run_s": run_s, "value": 1}}]
         job = json.dumps({"service": "press", "team": "floor", "tasks": tasks}).encode()
-        answer = _post(f"{url}/v1/jobs?wait_s=10", job, {"Idempotency-Key": f"{session}~1"})
+        answer = _post(f"{url}/v1/jobs?wait_s=10", job, {"Idempotency-Key": self.new_key()})
         return json.loads(answer)["state"] == "complete"
 
     def ask(self, listener):
--- a/tests/web/test_crowds.py
+++ b/tests/web/test_crowds.py
@@ -94,6 +94,30 @@
         self.assert_bounded_and_serving()
 
 
+@with_scenarios
+class DecodedBodiesTest(CrowdTestCase):
+    """Whole bodies of small values, which take up far more memory once they are decoded."""
+
+    scenarios = for_each(
+        {"own": OwnTarget},
+        **{
+            "lists in a payload": {"begin": b'[{"payload":{"run_s":5,"value":[', "end": b"]}}]"},
+            "tasks": {"begin": b"[", "end": b"]"},
+        },
+    )
+
+    def test_their_sum_is_bounded(self):
+        self.start_target()
+        value = b"[]" if b"payload" in self.begin else b"{}"
+        values = b",".join([value] * (self.target.max_body_bytes // 3 - 100))
+        job = b'{"service":"press","team":"floor","tasks":' + self.begin + values + self.end + b"}"
+        for _ in range(6):
+            key = self.target.new_key()
+            head = self.target.submission(f"Content-Length: {len(job)}", key=key)
+            self.send(head + job)
+        self.assert_bounded_and_serving()
+
+
 @with_scenarios
 class LargeHeadersTest(CrowdTestCase):
     scenarios = for_each(
