--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -46,10 +46,16 @@
         Failure domain by name of each daemon.
     workers : int
         Number of workers, in the failure domains in turn.
+    limits : dict, optional
+        Limits of the operator's configuration that differ from those of `CONFIG`.
+    listen : dict, optional
+        Settings of the daemons' listeners that differ from the usual ones.
     """
 
-    def __init__(self, processes, *, workers=4):
+    def __init__(self, processes, *, workers=4, limits=None, listen=None):
         self.processes = dict(processes)
+        self.config = {**CONFIG, "limits": {**CONFIG["limits"], **(limits or {})}}
+        self.listen = listen or {}
         self.directory = Path(tempfile.mkdtemp(prefix="burdocklug-pool-"))
         self.store = free_address()
         self.worker_addresses = [free_address() for _ in range(workers)]
@@ -63,7 +69,7 @@
         self.children["platform"] = launch(
             "standins.platform", *self.platform_arguments(), health=self.store
         )
-        self.control("PUT", "/operator/op/config", CONFIG)
+        self.control("PUT", "/operator/op/config", self.config)
         for name in self.processes:
             self.start_process(name)
         for name in self.processes:
@@ -94,6 +100,7 @@
                 "operators": self.operators[name],
                 "peers": free_address(),
                 "header_timeout_s": 60,
+                **self.listen,
             },
             "peers": {"shared_key": SECRET, "heartbeat_s": 0.25},
             "platform": {"addresses": [self.store], "timeout_s": 1.0},
--- a/tests/web/crowds.py
+++ b/tests/web/crowds.py
@@ -1,6 +1,5 @@
 """Processes of both profiles, and crowds of clients that send without regard to any limit."""
 
-import copy
 import json
 import socket
 import urllib.request
@@ -12,14 +11,14 @@
 
 from standins.deployment import Deployment
 from standins.fleet import Fleet
-from standins.platform_fleet import CONFIG, PlatformFleet
+from standins.platform_fleet import PlatformFleet
 
 __all__ = ["MEMORY_BOUND_KB", "CrowdTestCase", "OwnTarget", "PoolTarget", "head", "in_chunks"]
 
 MEMORY_BOUND_KB = 160 * 1024  # of the smallest host
 SEND_TIMEOUT_S = 5.0
 SLICE_BYTES = 65_536
-BODY_LIMITS = {"max_header_bytes": 16_384, "max_body_bytes": 262_144}
+LIMITS = {"max_header_bytes": 16_384, "max_body_bytes": 262_144}
 
 
 def head(path, *headers, method="POST"):
@@ -44,8 +43,8 @@
     """
 
     def __init__(self, listen=None):
-        self._fleet = _PoolFleet(listen or {})
-        self.max_body_bytes = BODY_LIMITS["max_body_bytes"]
+        self._fleet = PlatformFleet({"north-1": "north"}, workers=2, limits=LIMITS, listen=listen)
+        self.max_body_bytes = LIMITS["max_body_bytes"]
 
     def start(self):
         """Start the process and its stand-ins."""
@@ -82,22 +81,6 @@
         return _status(self.listeners[listener], path)
 
 
-class _PoolFleet(PlatformFleet):
-    def __init__(self, listen):
-        super().__init__({"north-1": "north"}, workers=2)
-        self._listen = listen
-
-    def settings(self, name):
-        settings = super().settings(name)
-        settings["listen"].update(self._listen)
-        return settings
-
-    def control(self, method, path, body=None):
-        if body is CONFIG:
-            body = {**copy.deepcopy(CONFIG), "limits": BODY_LIMITS}
-        return super().control(method, path, body)
-
-
 class OwnTarget:
     """One process of the profile ``own``, with bodies of 2 MB at most.
 
