--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -11,6 +11,7 @@
 import random
 import select
 import shlex
+import shutil
 import signal
 import socket
 import struct
@@ -26,14 +27,25 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 GRACE_S = 6.0
 SECRET = "only-for-this-case"
+FIRST_PORT, PORTS = 12_000, 500  # cases that run side by side take ports from other parts
+_given = set()
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
 def free_address():
-    """Return a loopback address with a port that nothing uses now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address with a port that nothing uses now.
+
+    It lies below the ports that the system gives to outgoing connections, so that none takes it.
+    """
+    first = FIRST_PORT + PORTS * (os.getpid() % 36)
+    while True:
+        port = random.randrange(first, first + PORTS)
+        with socket.socket() as sock:
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", port))
+                if port not in _given:
+                    _given.add(port)
+                    return f"127.0.0.1:{port}"
 
 
 def call(address, method, path, body=None, *, host="platform", headers=None, timeout_s=5.0):
@@ -226,7 +238,7 @@
     def start(self, platform_command=None):
         """Start everything, and wait until each process is ready."""
         for number, address in enumerate(self.worker_addresses):
-            self.proxies[number] = Proxy(address)
+            self.proxies[number] = self._make_proxy(number, address)
         command = platform_command or [sys.executable, "-m", "standins.platform"]
         arguments = ["--listen", self.store, "--zones", ",".join(self.zones)]
         arguments += ["--workers", *self.worker_addresses]
@@ -241,6 +253,10 @@
         time.sleep(1.5)  # workers are listed, and there is a scheduler
         self.record.write("started")
 
+    @staticmethod
+    def _make_proxy(_number, address):
+        return Proxy(address)
+
     def start_process(self, name):
         """Start one process by the command of the deploy file."""
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
@@ -357,6 +373,7 @@
                 child.kill()
         for child in self._children.values():
             child.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
 
 
 def job(count=1, *, run_s=0.05, estimate_ms=None, cpu=1000, **fields):
