--- a/review/standins-3/harness.py
+++ b/review/standins-3/harness.py
@@ -27,25 +27,40 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 GRACE_S = 6.0
 SECRET = "only-for-this-case"
-FIRST_PORT, PORTS = 12_000, 500  # cases that run side by side take ports from other parts
+FIRST_PORT, PORTS, BLOCKS = 12_000, 500, 36
 _given = set()
+_block = []
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_address():
-    """Return a loopback address with a port that nothing uses now.
+def _first_port():
+    """Return the first port of a block that belongs to this program until it ends.
 
-    It lies below the ports that the system gives to outgoing connections, so that none takes it.
+    The blocks lie below the ports that the system gives to outgoing connections. Cases that run
+    side by side take different ones, as each keeps the first port of its own bound.
     """
-    first = FIRST_PORT + PORTS * (os.getpid() % 36)
+    while not _block:
+        port = FIRST_PORT + PORTS * random.randrange(BLOCKS)
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            sock.close()
+        else:
+            _block.extend((port, sock))
+    return _block[0]
+
+
+def free_address():
+    """Return a loopback address with a port that nothing uses now."""
+    first = _first_port()
     while True:
-        port = random.randrange(first, first + PORTS)
-        with socket.socket() as sock:
-            with contextlib.suppress(OSError):
-                sock.bind(("127.0.0.1", port))
-                if port not in _given:
-                    _given.add(port)
-                    return f"127.0.0.1:{port}"
+        port = random.randrange(first + 1, first + PORTS)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            if port not in _given:
+                _given.add(port)
+                return f"127.0.0.1:{port}"
 
 
 def call(address, method, path, body=None, *, host="platform", headers=None, timeout_s=5.0):
