--- a/review/12/case.py
+++ b/review/12/case.py
@@ -39,7 +39,9 @@
     for task, rows in runs.items():
         rows.sort()
         for one, other in zip(rows, rows[1:], strict=False):
-            if other[0] + RESOLUTION_MS < one[1]:
+            # A worker may have answered a higher attempt as if it were the run that is there.
+            is_next = other[3] == one[3] + 1
+            if is_next and other[0] + RESOLUTION_MS < one[1]:
                 pairs.append((task, one, other))
     return pairs
 
