Agents: adopt a newer run of a task that is placed on its endpoint

Cause: the report's run was taken out by the task's name and compared by attempt only then. An order of attempt 1 beside a run of attempt 2, which the scheduler inside the cut had begun there, was dropped as "vanished"; the run was neither adopted nor stopped, and the task started elsewhere.

Change: a run of a later attempt replaces the order and is adopted, or stopped if its task does not count any more. A run of an earlier attempt that the endpoint kept goes on under its own number.

The virtual deployment delays calls and stops if asked to, and draws of cuts are played by tests/pools/drawn_cuts.py.

--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -244,15 +244,39 @@
         return True
 
     def _adopt_run(self, task, run):
-        now = self.now()
-        expected_s = self.scheduler.expected_run_s(task, self.endpoint)
-        started_s = now - run.percent / 100 * expected_s
+        order = self._order_of_run(task, run)
         self.scheduler.adopt(
-            task, self.endpoint, attempt=run.attempt, started_s=started_s, percent=run.percent
+            task, self.endpoint, attempt=run.attempt, started_s=order.sent_s, percent=run.percent
         )
-        self.orders[task.name] = RunOrder(
+
+    def _order_of_run(self, task, run):
+        """Record a run that another scheduler started as an order, and return that."""
+        now = self.now()
+        started_s = now - run.percent / 100 * self.scheduler.expected_run_s(task, self.endpoint)
+        order = self.orders[task.name] = RunOrder(
             task, run.attempt, started_s, confirmed_s=now, percent=run.percent, progressed_s=now
         )
+        return order
+
+    def adopt_newer_run(self, order, run):
+        """Replace an order by the run of a later attempt that another scheduler started here.
+
+        The run is stopped if its task is not wanted any more.
+        """
+        task = order.task
+        log.info(
+            "newer_run_adopted",
+            task=task.name,
+            endpoint=self.endpoint.entry.endpoint_id,
+            attempt=run.attempt,
+            ordered=order.attempt,
+        )
+        order = self._order_of_run(task, run)
+        is_wanted = self.scheduler.adopt_newer(
+            task, self.endpoint, attempt=run.attempt, started_s=order.sent_s, percent=run.percent
+        )
+        if not is_wanted:
+            self.sender.begin_stop(order)
 
     def _find_waiting_task(self, name):
         task = self.scheduler.find_task(name)
--- a/burdocklug/pools/agents/_reports.py
+++ b/burdocklug/pools/agents/_reports.py
@@ -138,7 +138,9 @@
         return not self.missed_reports and not is_adopted and self._agent.loop_lag_s() <= max_lag_s
 
     def _reconcile(self, order, run, sent_s):
-        if run is not None and run.attempt == order.attempt:
+        if run is not None and run.attempt != order.attempt:
+            self._reconcile_other_attempt(order, run, sent_s)
+        elif run is not None:
             self._note_active(order, run)
         elif order.stopped_s is not None and order.stopped_s < sent_s:
             self._agent.drop_order(order, "stopped")
@@ -150,6 +152,18 @@
         ):
             self._agent.drop_order(order, "expired")
 
+    def _reconcile_other_attempt(self, order, run, sent_s):
+        """Handle a run of an order's task that is not the order's attempt.
+
+        A higher attempt was started by another scheduler since, so the order is void. A lower one
+        was there when the order arrived, and the endpoint keeps it in place of the order's.
+        """
+        if run.attempt > order.attempt:
+            self._agent.adopt_newer_run(order, run)
+        elif order.confirmed_s is not None and order.confirmed_s < sent_s:
+            order.attempt = run.attempt
+            self._note_active(order, run)
+
     def _note_active(self, order, run):
         now = self._agent.now()
         if order.confirmed_s is None:
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -161,13 +161,31 @@
         """Adopt an active run that an earlier scheduler started, at about `started_s`."""
         task.job.waiting.remove(task)
         self._update_waiting(task.job)
+        task.endpoint_id = endpoint.entry.endpoint_id
+        task.job.started = True
+        endpoint.add(task)
+        self._note_adopted(task, attempt, started_s, percent)
+
+    def adopt_newer(self, task, endpoint, *, attempt, started_s, percent=0):
+        """Adopt the active run of a later attempt of a task that is placed on the endpoint.
+
+        Returns
+        -------
+        bool
+            Whether the run may go on: the job has not ended and is not suspended.
+        """
+        task.attempt = max(task.attempt, attempt)
+        is_placed = task.state.is_placed and endpoint.runs.get(task.name) is task
+        if not is_placed or task.job.outcome is not None or task.job.suspended:
+            return False
+        self._note_adopted(task, attempt, started_s, percent)
+        return True
+
+    def _note_adopted(self, task, attempt, started_s, percent):
         task.state = TaskState.RUNNING
         task.attempt = max(task.attempt, attempt)
-        task.endpoint_id = endpoint.entry.endpoint_id
         task.started_s = started_s
         task.progress = RunProgress(self._now(), percent, is_adopted=True)
-        task.job.started = True
-        endpoint.add(task)
         self.counts["adopted"] += 1
 
     def adopt_end(self, task, endpoint, kind, *, attempt):
--- a/tests/pools/agents/test_endpoint.py
+++ b/tests/pools/agents/test_endpoint.py
@@ -682,3 +682,46 @@
         self.endpoint.renew = refuse
         self.agent._run_loop(self.agent._loop_number)
         self.assertThat(self.pauses, Equals([0.02]))
+
+
+class OtherAttemptTest(AgentTestCase):
+    """Two schedulers ordered a task at the same endpoint, in turn, during and after a cut."""
+
+    def setUp(self):
+        super().setUp()
+        self.endpoint.run_s = 30.0
+        self.take_over()
+        self.job = self.submit("j1", step(estimate_s=30.0))
+        self.task = self.job.tasks[0]
+
+    def start_elsewhere(self, attempt=2):
+        """Let the run of the first order lapse, and another scheduler start the task again."""
+        self.endpoint.end(self.endpoint.runs["j1.0.0.0"], RunEndKind.LAPSED)
+        self.endpoint.ends.clear()
+        self.endpoint.token += 1
+        self.endpoint.runs["j1.0.0.0"] = Run("j1.0.0.0", attempt, self.clock[0])
+        self.report()  # is fenced
+        self.clock[0] += 0.1
+
+    def test_a_newer_run_of_a_placed_task_is_adopted_and_goes_on(self):
+        """Guards against a start elsewhere beside it (review/12, the same endpoint)."""
+        self.start_elsewhere()
+        self.take_over()
+        self.pass_time(0.2)
+        self.assertThat((self.task.state, self.task.attempt), Equals((TaskState.RUNNING, 2)))
+        self.assertThat(len(self.endpoint.runs), Equals(1))
+        self.assertThat(self.scheduler.counts["starts"], Equals(1))
+
+    def test_a_newer_run_of_a_suspended_job_is_stopped(self):
+        self.start_elsewhere()
+        self.scheduler.suspend(self.job)
+        self.take_over()
+        self.run_greenlets()
+        self.assertThat(self.endpoint.runs, Equals({}))
+
+    def test_an_older_run_that_the_endpoint_kept_goes_on(self):
+        self.endpoint.runs["j1.0.0.0"].attempt = 0
+        self.pass_time(0.2)
+        self.pass_time(0.2)
+        self.assertThat((self.task.state, len(self.endpoint.runs)), Equals((TaskState.RUNNING, 1)))
+        self.assertThat(self.scheduler.counts["starts"], Equals(1))
--- /dev/null
+++ b/tests/pools/test_double_runs.py
@@ -0,0 +1,28 @@
+"""No task runs twice at once: seeds of drawn cuts in which one did, by the cause."""
+
+from testtools import TestCase
+from testtools.matchers import Equals
+
+from tests.pools.drawn_cuts import JOBS, Mix, play_seed
+from tests.scenarios import with_scenarios
+
+CUTS = Mix()
+
+
+def seeds(mix, *numbers):
+    """Return a scenario for each seed of a mix."""
+    return [(f"seed {number}", {"seed": number, "mix": mix}) for number in numbers]
+
+
+@with_scenarios
+class SameEndpointTest(TestCase):
+    """Guards against a start beside a run that another scheduler began at the same endpoint.
+
+    The order that the first scheduler still had there was dropped, and the run was not adopted
+    (review/12).
+    """
+
+    scenarios = seeds(CUTS, 253, 323, 324, 699)
+
+    def test_no_task_runs_twice_at_once_and_each_job_is_answered(self):
+        self.assertThat(play_seed(self.seed, self.mix), Equals(([], JOBS)))
--- a/tests/pools/virtual_deployment.py
+++ b/tests/pools/virtual_deployment.py
@@ -86,13 +86,38 @@
 
 
 class VirtualEndpoint(FakeEndpoint):
-    """Endpoint that records when each run began and ended; `step_run_s` is by step."""
+    """Endpoint that records when each run began and ended; `step_run_s` is by step.
+
+    A stop takes `stop_s` seconds, in which the run goes on and is listed as active.
+    """
 
     step_run_s = {}
+    stop_s = 0.0
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._stopping = []  # runs that are being stopped, and when that is done
 
     def run_time_s(self, task):
         return self.step_run_s.get(int(task.split(".")[2]), self.run_s)
 
+    def advance(self):
+        super().advance()
+        due = [run for run, until_s in self._stopping if now_s() >= until_s]
+        self._stopping = [row for row in self._stopping if row[0] not in due]
+        for run in due:
+            if self.runs.get(run.task) is run:
+                self.end(run, RunEndKind.STOPPED)
+
+    def stop(self, entry, *, task, attempt, token, timeout_s):
+        run = self.runs.get(task)
+        if not self.stop_s or run is None or run.attempt > attempt:
+            super().stop(entry, task=task, attempt=attempt, token=token, timeout_s=timeout_s)
+            return
+        self._enter("stop", token)
+        self.highest_attempts[task] = max(attempt, self.highest_attempts.get(task, 0))
+        self._stopping.append((run, now_s() + self.stop_s))
+
     def _carry_out(self, task, attempt, lease_ms):
         is_new = task not in self.runs
         super()._carry_out(task, attempt, lease_ms)
@@ -123,14 +148,19 @@
         if not links.is_open(self._process.name, endpoint.name):
             eventlet.sleep(timeout_s)
             raise OrderUnanswered("cut")
-        eventlet.sleep(TRIP_S)
+        eventlet.sleep(TRIP_S + self._deployment.draw_delay_s())
         return endpoint
 
     def start(self, entry, *, timeout_s, **order):
-        return self._reach(entry, timeout_s).start(entry, timeout_s=timeout_s, **order)
+        endpoint = self._reach(entry, timeout_s)
+        clock_ms = endpoint.start(entry, timeout_s=timeout_s, **order)
+        self._answer(endpoint, timeout_s)
+        return clock_ms
 
     def stop(self, entry, *, timeout_s, **order):
-        self._reach(entry, timeout_s).stop(entry, timeout_s=timeout_s, **order)
+        endpoint = self._reach(entry, timeout_s)
+        endpoint.stop(entry, timeout_s=timeout_s, **order)
+        self._answer(endpoint, timeout_s)
 
     def renew(self, entry, *, wait_s, timeout_s, acknowledged, **order):
         endpoint = self._reach(entry, timeout_s)
@@ -141,10 +171,15 @@
         while now_s() < until_s and not any(end.number > acknowledged for end in report.ended):
             eventlet.sleep(TICK_S)
             report = endpoint.report()
+        self._answer(endpoint, timeout_s)
+        return report
+
+    def _answer(self, endpoint, timeout_s):
+        """Wait until an answer has arrived."""
         if not self._deployment.links.is_open(endpoint.name, self._process.name):
             eventlet.sleep(timeout_s)
             raise OrderUnanswered("cut")
-        return report
+        eventlet.sleep(self._deployment.draw_delay_s())
 
     def retire(self, entry):
         pass
@@ -266,9 +301,16 @@
         Run time of each task.
     step_run_s : dict, optional
         Run times of the tasks of a step that differ from that.
+    stop_s : float, optional
+        Seconds that the stop of a run takes.
+    max_delay_s : float, optional
+        Longest delay of a call to an endpoint, and of its answer; each one is drawn.
     """
 
-    def __init__(self, processes, endpoints, *, run_s=1.0, step_run_s=None):
+    def __init__(
+        self, processes, endpoints, *, run_s=1.0, step_run_s=None, stop_s=0.0, max_delay_s=0.0
+    ):
+        self._max_delay_s = max_delay_s
         self.links = Links()
         self.store = VirtualStore(now_s)
         self.history = []
@@ -278,7 +320,7 @@
         for name, domain in endpoints.items():
             endpoint = self.endpoints[name] = VirtualEndpoint(Clock(), run_s=run_s)
             endpoint.name, endpoint.history = name, self.history
-            endpoint.step_run_s = step_run_s or {}
+            endpoint.step_run_s, endpoint.stop_s = step_run_s or {}, stop_s
             self.store.put_worker(name, domain)
         self.store.put_configuration(1)
         self.processes = {
@@ -301,6 +343,10 @@
             for endpoint in self.endpoints.values():
                 endpoint.advance()
 
+    def draw_delay_s(self):
+        """Return the delay of a message between a process and an endpoint, in seconds."""
+        return random.uniform(0.0, self._max_delay_s) if self._max_delay_s else 0.0
+
     def scheduler(self):
         """Return the process that schedules with the greatest claim."""
         leaders = [p for p in self.processes.values() if p.pool.election.is_scheduler]
