Agents: start no task while a stop of another run of it is under way

Cause: a run of a task that is placed elsewhere was sent one stop, not repeated, and nobody waited for its result. When the old order was dropped on the other endpoint, the task started on a third one.

Change: such a run is a stray run. Its task starts nowhere until the endpoint reports it gone, restarts, or its leases have lapsed, and the stop is repeated. If the endpoint of the placement has not reported, the run is adopted and the placement becomes the stray one. A job that is given up names the endpoints of its stray runs. An overtaken report does not count any more.

--- a/burdocklug/pools/_endpoint_holder.py
+++ b/burdocklug/pools/_endpoint_holder.py
@@ -1,7 +1,13 @@
 """The endpoints that a scheduler holds: one agent for each, kept in line with the directory."""
 
 from burdocklug.pools._evacuations import mark_evacuated
-from burdocklug.pools.agents import AnswerTimes, EndpointAgent, fenced_domains, holder_number
+from burdocklug.pools.agents import (
+    AgentOrders,
+    AnswerTimes,
+    EndpointAgent,
+    fenced_domains,
+    holder_number,
+)
 from burdocklug.pools.cells import MOVE_DELAY_S, CellView, EndpointShare
 from burdocklug.pools.scheduling import find_placement_obstacle
 
@@ -37,7 +43,8 @@
         self._lease_s = lease_s
         self._is_paused = is_paused
         self._cell = cell or CellView(0)
-        self._agents = {}
+        self._orders = AgentOrders()
+        self._agents = self._orders.agents
         self._times = AnswerTimes()
         self._claim = None
         self._began_s = 0.0
@@ -113,14 +120,20 @@
     def _drop_agent(self, endpoint_id):
         agent = self._agents.pop(endpoint_id)
         agent.close()
+        self._orders.closed_agents.append(agent)
         self._timers.after(
             max(0.0, agent.leases_lapse_s - self._timers.now()),
-            lambda scheduler=self.scheduler, endpoint=agent.endpoint: scheduler.requeue_runs(
-                endpoint, reason="endpoint_gone"
-            ),
+            lambda orders=self._orders: self._forget_agent(orders, agent),
         )
         self.scheduler.endpoints.pop(endpoint_id, None)
 
+    @staticmethod
+    def _forget_agent(orders, agent):
+        """Requeue the tasks of a closed agent, as the leases that it granted have expired."""
+        orders.closed_agents.remove(agent)
+        agent.scheduler.requeue_runs(agent.endpoint, reason="endpoint_gone")
+        agent.strays.clear("endpoint_gone")
+
     @staticmethod
     def _is_restarted(before, entry):
         has_moved = before.address != entry.address
--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -18,7 +18,7 @@
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
 from burdocklug.pools.cells import CellView
-from burdocklug.pools.scheduling import TAKEOVER_DELAY_S, job_size_bytes, progress_of
+from burdocklug.pools.scheduling import TAKEOVER_DELAY_S, job_size_bytes
 
 __all__ = ["JobServer"]
 
@@ -171,7 +171,7 @@
             return SubmitReply(job.outcome)
         if is_suspended or self._leader.scheduler is not scheduler:
             return SubmitReply(
-                resubmit=True, may_have_started=job.started, progress=progress_of(job)
+                resubmit=True, may_have_started=job.started, progress=scheduler.progress_of(job)
             )
         if job.obstacle:
             return self._refuse_unplaceable(scheduler, job.job_id, job.obstacle, job.expires_s)
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -113,12 +113,12 @@
     def _start_scheduling(self, claim):
         self._claim = claim
         self._began_s = self._timers.now()
-        orders = AgentOrders()
+        self._orders = AgentOrders()
         self.scheduler = Scheduler(
-            orders, now=self._timers.now, distance_factor=self._distance_factor
+            self._orders, now=self._timers.now, distance_factor=self._distance_factor
         )
         self.scheduler.is_reconciled = False
-        self._agents = orders.agents
+        self._agents = self._orders.agents
         self._times = AnswerTimes()
         log.info("scheduling_begins", term=claim.term, whole=claim.is_full)
         self._timers.after(RESUBMIT_GRACE_S, self._sync_agents)
--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -12,6 +12,7 @@
     OtherIncarnation,
 )
 from burdocklug.pools.agents._reports import ReportProcessor, order_lifetime_s
+from burdocklug.pools.agents._stray_stops import StrayStops
 from burdocklug.pools.agents._tokens import make_token
 from burdocklug.pools.scheduling import TaskState
 
@@ -115,6 +116,7 @@
         self.is_widely_fenced = is_widely_fenced
         self._fenced_s = self._prompt_retake_s = float("-inf")
         self.orders = {}
+        self.strays = StrayStops(self)
         self.sender = OrderSender(self)
         self.reports = ReportProcessor(self)
         self.clock = EndpointClock(now)
@@ -215,39 +217,43 @@
             active=len(report.active),
             ended=len(report.ended),
         )
-        self._adopt_runs(report)
+        self._adopt_ends(report)
         self.reports.process(report, sent_s)
         for order in list(self.orders.values()):
             if order.confirmed_s is None and order.unanswered_s is not None:
                 self.sender.begin_stop(order)
 
-    def _adopt_runs(self, report):
-        """Adopt the runs of waiting tasks; other runs are stopped when the report is processed.
-
-        Ends that the previous holder has not acknowledged are applied to waiting tasks.
-        """
+    def _adopt_ends(self, report):
+        """Apply ends that the previous holder has not acknowledged to waiting tasks."""
         for end in report.ended:
             task = self._find_waiting_task(end.task)
             if task is not None and end.number > self.reports.acked:
                 self.scheduler.adopt_end(task, self.endpoint, end.kind, attempt=end.attempt)
-        for run in report.active:
-            task = self._find_waiting_task(run.task)
-            if task is not None and not task.job.suspended:
-                self._adopt_run(task, run)
-
-    def adopt_held_run(self, run):
-        """Adopt a run of a job that another scheduler gave up; return whether it was adopted."""
-        task = self._find_waiting_task(run.task)
-        if task is None or task.job.hold is None or task.job.suspended:
-            return False
-        self._adopt_run(task, run)
-        return True
 
-    def _adopt_run(self, task, run):
+    def try_adopt(self, run):
+        """Adopt a run that another scheduler started, if its task waits for one; return whether.
+
+        This includes a task that is placed on an endpoint whose runs are not known, which may have
+        another run of it.
+        """
+        task = self.scheduler.find_task(run.task)
+        if task is None or task.job.outcome is not None or task.job.suspended:
+            return False
+        if task.state.is_placed and not self.scheduler.is_placement_known(task):
+            self.scheduler.release_placement(task)
+        if task.state is not TaskState.WAITING:
+            return False
         order = self._order_of_run(task, run)
         self.scheduler.adopt(
             task, self.endpoint, attempt=run.attempt, started_s=order.sent_s, percent=run.percent
         )
+        return True
+
+    def disown(self, task):
+        """Drop the order of a task that now runs elsewhere; a run of it here is stopped."""
+        order = self.orders.pop(task.name, None)
+        if order is not None:
+            self.strays.add(task.name, order.attempt, reason="runs_elsewhere")
 
     def _order_of_run(self, task, run):
         """Record a run that another scheduler started as an order, and return that."""
@@ -361,6 +367,7 @@
         """Requeue all tasks: another incarnation at the address runs none of the earlier orders."""
         self.reports.reset(reason)
         self.orders.clear()
+        self.strays.clear(reason)
         self.scheduler.requeue_runs(self.endpoint, reason=reason)
         self.wake()
 
@@ -398,8 +405,9 @@
         self.protocol.retire(self.endpoint.entry)
         if self.token is None or (self.answered_s and now - self.answered_s > self.lease_s):
             self.give_up_token()  # no report renews the leases of runs any more, so they expire
-        if now > self._lapses_s and self.orders:
+        if now > self._lapses_s and (self.orders or self.strays):
             self.orders.clear()
+            self.strays.clear("lapsed")
             self.scheduler.requeue_runs(self.endpoint, reason="lapsed")
             self.wake()
 
--- a/burdocklug/pools/agents/_reports.py
+++ b/burdocklug/pools/agents/_reports.py
@@ -1,6 +1,5 @@
 """Processing of an endpoint's reports: reconciles them with the orders sent to it."""
 
-import eventlet
 import structlog
 
 __all__ = ["ReportProcessor", "order_lifetime_s"]
@@ -52,6 +51,7 @@
         self.missed_reports = 0
         self._agent = agent
         self._started_ms = agent.endpoint.entry.started_ms
+        self._newest_ms = 0  # clock of the endpoint in the newest report that was processed
 
     @property
     def is_lossy(self):
@@ -85,14 +85,18 @@
                 self.acked = end.number
                 self._process_end(end)
         self.missed_reports = 0
+        if report.clock_ms < self._newest_ms:
+            return  # overtaken by a newer report, whose runs have been reconciled
+        self._newest_ms = report.clock_ms
         active = {run.task: run for run in report.active}
+        self._agent.strays.reconcile(active)
         for order in list(self._agent.orders.values()):
             self._reconcile(order, active.pop(order.task.name, None), sent_s)
-        unknown = [run for run in active.values() if not self._agent.adopt_held_run(run)]
-        for run in unknown:
-            self._stop_unknown_run(run)
+        for run in active.values():
+            if run.task in self._agent.strays or not self._agent.try_adopt(run):
+                self._agent.strays.add(run.task, run.attempt, reason="unknown")
         self._agent.endpoint.reported_s = sent_s
-        self._agent.set_usable(not unknown)
+        self._agent.set_usable(not self._agent.strays)
 
     def _is_restarted(self, report):
         if not report.started_ms:
@@ -120,7 +124,7 @@
         self._agent.endpoint.usable = False
         self._agent.give_up_token()
         self.acked = 0
-        self._started_ms = 0
+        self._started_ms = self._newest_ms = 0
 
     def _process_end(self, end):
         order = self._agent.orders.get(end.task)
@@ -187,12 +191,6 @@
             self._agent.scheduler.note_fault(order.task, self._agent.endpoint)
             self._agent.sender.begin_stop(order)
 
-    def _stop_unknown_run(self, run):
-        log.info(
-            "unknown_run_stopped", task=run.task, endpoint=self._agent.endpoint.entry.endpoint_id
-        )
-        eventlet.spawn(self._agent.sender.try_stop, run.task, run.attempt)
-
     def _expected_run_s(self, order):
         return self._agent.scheduler.expected_run_s(order.task, self._agent.endpoint)
 
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -8,9 +8,15 @@
 from burdocklug.pools._models import JobOutcome
 from burdocklug.pools.contention import Contention
 from burdocklug.pools.scheduling._capacity import SlotCounts
-from burdocklug.pools.scheduling._jobs import TaskState, apply_progress, make_job
+from burdocklug.pools.scheduling._jobs import (
+    TaskState,
+    apply_progress,
+    make_job,
+    progress_of,
+)
 from burdocklug.pools.scheduling._latency import LatencyCounts
 from burdocklug.pools.scheduling._start_holds import hold_start, merge_holds, release_reason
+from burdocklug.pools.scheduling._stray_runs import StrayRuns
 from burdocklug.pools.speed import RunSamples
 
 __all__ = ["JobRegistry"]
@@ -50,6 +56,8 @@
         Cancelled jobs that a process may still submit.
     passed_on : Cancellations
         Refused jobs that a scheduler of another cell may have got.
+    strays : StrayRuns
+        Runs that endpoints may have of tasks that are not placed there.
     is_reconciled : bool
         Whether all runs of an earlier scheduler are known here or have ended.
     submitted_s : float
@@ -66,6 +74,7 @@
         self.cancellations = Cancellations()
         self.samples = RunSamples(self.counts)
         self.passed_on = Cancellations()
+        self.strays = StrayRuns()
         self.is_reconciled = True
         self.submitted_s = now()
         self._orders = orders
@@ -108,6 +117,17 @@
         self._update_waiting(job)
         return job
 
+    def note_stray(self, name, endpoint_id):
+        """Record that an endpoint may run a task that is not placed there."""
+        self.strays.add(name, endpoint_id)
+        task = self.find_task(name)
+        if task is not None:
+            task.job.started = True
+
+    def progress_of(self, job):
+        """Return the progress of a job, for the scheduler that takes it over."""
+        return progress_of(job, self.strays.endpoint_ids(job.job_id))
+
     def _update_waiting(self, job):
         """Queue a job or remove it from the queue; call this after each change of its state."""
         if job.may_start:
@@ -141,6 +161,7 @@
         times = self.samples.queue(spec.queue.name)
         job = make_job(spec, received_s=received_s, wait_s=wait_s, wave=wave, times=times)
         job.caller_domain = caller_domain
+        job.started = bool(self.strays.endpoint_ids(spec.job_id))
         self.jobs[spec.job_id] = job
         self.held_bytes += job.size_bytes
         self.contention.note_asked(job, self._now())
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -182,18 +182,27 @@
     return spec.size_bytes + TASK_BYTES * spec.task_count
 
 
-def progress_of(job):
-    """Return the progress of a job, for the scheduler that takes it over."""
+def progress_of(job, stray_endpoint_ids=frozenset()):
+    """Return the progress of a job, for the scheduler that takes it over.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    stray_endpoint_ids : set of str, optional
+        Endpoints that may run its tasks, though these are not placed there.
+    """
     return JobProgress(
         tuple(n for n, task in enumerate(job.tasks) if task.state is TaskState.DONE),
         tuple(task.attempt for task in job.tasks),
         tuple(task.failures for task in job.tasks),
-        None if job.hold is not None else _placed_endpoint_ids(job),
+        None if job.hold is not None else _endpoint_ids(job, stray_endpoint_ids),
     )
 
 
-def _placed_endpoint_ids(job):
-    return tuple(sorted({task.endpoint_id for task in job.tasks if task.state.is_placed}))
+def _endpoint_ids(job, stray_endpoint_ids):
+    placed = {task.endpoint_id for task in job.tasks if task.state.is_placed}
+    return tuple(sorted(placed.union(stray_endpoint_ids)))
 
 
 def apply_progress(job, progress):
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -96,6 +96,7 @@
             distance_factor=self._distance_factor,
             median_slowness=self.samples.median_slowness,
             plan_pass=self._plan_pass,
+            has_stray_run=self.strays.has,
         )
         for decision in decide(list(self._waiting.values()), view):
             starts += self._carry_out(decision, now)
@@ -157,6 +158,25 @@
         if task.state is TaskState.STARTING and endpoint.runs.get(task.name) is task:
             task.state = TaskState.RUNNING
 
+    @staticmethod
+    def _is_placed_on(task, endpoint):
+        is_here = task.endpoint_id == endpoint.entry.endpoint_id
+        return task.state.is_placed and is_here and endpoint.runs.get(task.name) is task
+
+    def is_placement_known(self, task):
+        """Return whether a report of a placed task's endpoint has shown what runs there."""
+        endpoint = self.endpoints.get(task.endpoint_id)
+        return endpoint is not None and endpoint.reported_s > float("-inf")
+
+    def release_placement(self, task):
+        """Let a placed task wait, as another endpoint was found to run it."""
+        endpoint = self.endpoints.get(task.endpoint_id)
+        log.info("placement_released", task=task.name, endpoint=task.endpoint_id)
+        if endpoint is not None:
+            endpoint.remove(task)
+        self._orders.disown(task, task.endpoint_id)
+        self._requeue(task)
+
     def adopt(self, task, endpoint, *, attempt, started_s, percent=0):
         """Adopt an active run that an earlier scheduler started, at about `started_s`."""
         task.job.waiting.remove(task)
@@ -175,8 +195,8 @@
             Whether the run may go on: the job has not ended and is not suspended.
         """
         task.attempt = max(task.attempt, attempt)
-        is_placed = task.state.is_placed and endpoint.runs.get(task.name) is task
-        if not is_placed or task.job.outcome is not None or task.job.suspended:
+        is_wanted = task.job.outcome is None and not task.job.suspended
+        if not (is_wanted and self._is_placed_on(task, endpoint)):
             return False
         self._note_adopted(task, attempt, started_s, percent)
         return True
@@ -220,8 +240,9 @@
 
     def requeue_lost(self, task, endpoint, *, reason):
         """Requeue a task whose run is gone without a reported end."""
+        is_placed = self._is_placed_on(task, endpoint)
         endpoint.remove(task)
-        if not task.state.is_placed:
+        if not is_placed:
             return
         log.info(
             "task_waits_again",
@@ -251,7 +272,7 @@
         now = self._now()
         self.counts[f"ends_{kind}"] += 1
         self.contention.returns.note_end(now)
-        is_placed = task.state.is_placed and endpoint.runs.get(task.name) is task
+        is_placed = self._is_placed_on(task, endpoint)
         if kind is RunEndKind.DONE and is_placed:
             endpoint.faults = 0
             if is_prompt:
--- a/burdocklug/pools/scheduling/_starts.py
+++ b/burdocklug/pools/scheduling/_starts.py
@@ -97,6 +97,8 @@
         Median slowness of all endpoints.
     plan_pass : callable
         Takes the waiting jobs and the view, and returns a `PassPlan`.
+    has_stray_run : callable
+        Takes the name of a task and returns whether an endpoint may still run it.
     """
 
     now_s: float
@@ -108,6 +110,7 @@
     distance_factor: float
     median_slowness: float
     plan_pass: object
+    has_stray_run: object
 
     def remove_full(self):
         """Remove the endpoints that have become full, so that other jobs do not consider them."""
@@ -175,7 +178,7 @@
 
 def _start_tasks(job, endpoints, view):
     """Yield starts of the waiting tasks that fit, and reserve forecast slots for the others."""
-    tasks = list(job.waiting)
+    tasks = [task for task in job.waiting if not view.has_stray_run(task.name)]
     factor = view.distance_factor
     for task, endpoint in place_tasks(tasks, endpoints, view.now_s, distance_factor=factor):
         yield Start(task, endpoint)
--- a/tests/pools/agents/test_endpoint.py
+++ b/tests/pools/agents/test_endpoint.py
@@ -725,3 +725,91 @@
         self.pass_time(0.2)
         self.assertThat((self.task.state, len(self.endpoint.runs)), Equals((TaskState.RUNNING, 1)))
         self.assertThat(self.scheduler.counts["starts"], Equals(1))
+
+
+class StrayRunTest(AgentTestCase):
+    """Two endpoints: a run of a task is at the second one, which another scheduler had before."""
+
+    def setUp(self):
+        super().setUp()
+        self.endpoint.run_s = 30.0
+        self.take_over()
+        self.other = self.scheduler.add_endpoint(entry(2))
+        self.job = self.submit("j1", step(estimate_s=30.0))
+        self.task = self.job.tasks[0]
+        self.second = FakeEndpoint(self.clock, run_s=30.0, token=1, started_ms=9)
+        self.second.lease_ms = self.second.clock_ms + 600
+        self.second.runs["j1.0.0.0"] = Run("j1.0.0.0", 2, self.clock[0])
+        first, self.endpoint = self.endpoint, self.second
+        self.second_agent = self.make_agent(self.other, self.scheduler, holder_number=1)
+        self.endpoint = first
+
+    def disown(self, task, endpoint_id):
+        agents = {"e1": self.agent, "e2": self.second_agent}
+        agents[endpoint_id].disown(task)
+
+    def lose_first_run(self):
+        """Let the endpoint drop the run, which the next report of it shows."""
+        self.endpoint.runs.clear()
+        self.pass_time(0.1)
+
+    def test_a_task_waits_until_the_stop_of_its_other_run_is_reported(self):
+        """Guards against a start elsewhere while a stop is under way (review/12)."""
+        self.second.lost_calls.add("stop")
+        self.second_agent._take_over()
+        self.run_greenlets()
+        self.lose_first_run()
+        self.assertThat((self.task.state, len(self.second.runs)), Equals((TaskState.WAITING, 1)))
+        self.assertThat(len(self.endpoint.executed_starts), Equals(1))
+        self.second.runs.clear()
+        self.clock[0] += 0.1
+        self.second_agent._renew()
+        self.report()
+        self.assertThat(len(self.endpoint.executed_starts), Equals(2))
+
+    def test_a_job_with_a_run_to_stop_names_its_endpoint_when_it_is_given_up(self):
+        self.second.lost_calls.add("stop")
+        self.second_agent._take_over()
+        progress = self.scheduler.progress_of(self.job)
+        self.assertThat(progress.endpoint_ids, Equals(("e1", "e2")))
+
+    def test_a_stop_without_an_answer_is_repeated(self):
+        self.second.lost_calls.add("stop")
+        self.second_agent._take_over()
+        self.run_greenlets()
+        self.second.lost_calls.clear()
+        eventlet.sleep(0.05)
+        self.assertThat(self.second.runs, Equals({}))
+
+    def test_a_run_is_adopted_where_the_runs_of_the_task_s_endpoint_are_not_known(self):
+        """Its work is done already, and the order may have lapsed during a cut."""
+        self.agent.give_up_token()
+        self.second_agent._take_over()
+        self.assertThat((self.task.endpoint_id, self.task.attempt), Equals(("e2", 2)))
+        self.assertThat(self.agent.orders, Equals({}))
+        self.clock[0] += 0.1
+        self.take_over()
+        self.run_greenlets()
+        self.assertThat((self.endpoint.runs, len(self.second.runs)), Equals(({}, 1)))
+
+    def test_a_run_of_an_endpoint_that_stays_silent_keeps_its_task_back_until_it_has_lapsed(self):
+        self.agent.give_up_token()
+        self.second_agent._take_over()
+        self.second.runs.clear()
+        self.second_agent._renew()
+        self.endpoint.lost_calls.add("renew")
+        self.pass_time(0.5)
+        self.assertTrue(self.scheduler.strays.has("j1.0.0.0"))
+        self.pass_time(0.6)
+        self.assertFalse(self.scheduler.strays.has("j1.0.0.0"))
+
+    def test_a_report_that_was_overtaken_shows_no_runs(self):
+        """It may list a run that has ended since."""
+        self.endpoint.runs.clear()
+        overtaken = self.second.report()
+        self.clock[0] += 0.01
+        self.second.runs.clear()
+        self.second_agent._take_over()
+        self.agent.give_up_token()
+        self.second_agent.reports.process(overtaken, self.clock[0] - 0.01)
+        self.assertThat(self.task.endpoint_id, Equals("e1"))
