Pools: wait for as long as a lost scheduler may have renewed leases

Cause: a scheduler renewed leases for up to 1.1 s without an acknowledged reply, and they last for 1.07 s; its successor waited for 1.2 s since the last reply, which was enough only if the stops arrived. An endpoint that another scheduler had held for a moment could have leases of that one.

Change: _lease_times.py has one sum of the same constants, and neither a lease nor a start goes past it. The successor waits for it, and starts as early as before where all listed endpoints have reported. A job that is too late is judged by the earliest end of its hold, as before.

--- a/burdocklug/pools/_job_server.py
+++ b/burdocklug/pools/_job_server.py
@@ -5,6 +5,7 @@
 from eventlet.event import Event
 
 from burdocklug.pools._cancellations import forget_after_s
+from burdocklug.pools._lease_times import TAKEOVER_DELAY_S
 from burdocklug.pools._messages import (
     CancelJob,
     CancelledJobs,
@@ -18,13 +19,16 @@
 )
 from burdocklug.pools._retry_after import MAX_RETRY_S, MIN_RETRY_S
 from burdocklug.pools.cells import CellView
-from burdocklug.pools.scheduling import TAKEOVER_DELAY_S, job_size_bytes
+from burdocklug.pools.scheduling import job_size_bytes
 
 __all__ = ["JobServer"]
 
 # Shorter than `SCHEDULER_TIMEOUT_S`: the sender cannot have resubmitted the job elsewhere yet.
 MAX_SUBMISSION_AGE_S = 0.7
 DEFAULT_MAX_JOB_BYTES = 64 * 1024 * 1024
+# Time after a change of the cells by which the former scheduler of a job has given it up, and its
+# runs have ended.
+PLAN_CHANGE_DELAY_S = 1.2
 MAX_KNOWN_DOMAINS = 2000  # bound on the remembered failure domains of incarnations
 
 log = structlog.get_logger(__name__)
@@ -152,15 +156,16 @@
 
         Just after a change of the cells, the scheduler that had the job before may still run it.
         """
-        since_change_s = now - self._cell.changed_s
-        if message.since_heard_s is None and since_change_s < TAKEOVER_DELAY_S:
-            return since_change_s
+        remaining_s = self._cell.changed_s + PLAN_CHANGE_DELAY_S - now
+        if message.since_heard_s is None and remaining_s > 0.0:
+            return TAKEOVER_DELAY_S - remaining_s
         return message.since_heard_s
 
     def _wait_for_outcome(self, scheduler, job, sender):
         done = Event()
         job.waiters.append(lambda job: None if done.ready() else done.send(job.suspended))
         job.callers[sender] += 1
+        self._leader.update_contact(job)
         self._leader.schedule_start_waiting()  # one pass for all submissions of this loop iteration
         try:
             is_suspended = done.wait()
--- a/burdocklug/pools/_leader.py
+++ b/burdocklug/pools/_leader.py
@@ -4,6 +4,7 @@
 
 from burdocklug.pools._endpoint_holder import RESUBMIT_GRACE_S, EndpointHolder
 from burdocklug.pools._job_server import DEFAULT_MAX_JOB_BYTES, JobServer
+from burdocklug.pools._lease_times import ACKNOWLEDGED_TIMEOUT_S, UPKEEP_S
 from burdocklug.pools.agents import AgentOrders, AnswerTimes, fenced_domains
 from burdocklug.pools.election import FENCED
 from burdocklug.pools.scheduling import Scheduler, dump_scheduler, scheduler_load
@@ -13,11 +14,7 @@
 # Exceeds a lease plus clock drift: runs on endpoints that gave no report by then have lapsed.
 SETTLE_S = 1.2
 FOLLOWER_TIMEOUT_S = 0.9  # longer than a follower waits for a scheduler that is lost
-# Since the last reply that a follower received. It submits its jobs elsewhere, where they start
-# `TAKEOVER_DELAY_S` after that reply; the difference is for the upkeep and the stops.
-ACKNOWLEDGED_TIMEOUT_S = 1.0
 ABSENT_AFTER_S = 0.3  # longer than a follower's heartbeat period and a round trip
-UPKEEP_S = 0.1
 LOAD_LOG_S = 1.0
 
 log = structlog.get_logger(__name__)
@@ -171,8 +168,14 @@
                 "endpoint_view", usable=is_usable, age_s=entries_s, evacuations_age_s=operators_s
             )
         if is_usable:
+            self.scheduler.listed_s = self._listed_s()
             self.scheduler.start_waiting()
 
+    def _listed_s(self):
+        """Return when the list was read by which this scheduler holds all endpoints; else -inf."""
+        is_whole = self._claim.is_full and not self.is_moving and not self._orders.closed_agents
+        return self._directory.entries_age.read_s if is_whole else float("-inf")
+
     def _upkeep(self):
         if self.scheduler is None or self._is_paused():
             return
@@ -215,16 +218,28 @@
         for job in list(self.scheduler.jobs.values()):
             if job.outcome is not None or job.suspended or not job.callers:
                 continue
+            self.update_contact(job)
             if all(self._is_lost(sender, now) for sender in job.callers):
                 self.scheduler.suspend(job)
 
+    def update_contact(self, job):
+        """Update until when the processes of a job's callers are known to have heard this one."""
+        job.contact_s = max(self._acknowledged_s(sender) for sender in job.callers)
+
+    def _acknowledged_s(self, sender):
+        """Return when the last reply was sent that a process is known to have received."""
+        if sender == self._network.incarnation:
+            return float("inf")
+        acknowledged_s = self._election.followers.acknowledged_s
+        return max(acknowledged_s.get(sender, 0.0), self._began_s)
+
     def _is_lost(self, sender, now, *, timeout_s=FOLLOWER_TIMEOUT_S):
         if sender == self._network.incarnation:
             return False
         followers = self._election.followers
         heard_s = max(followers.last_heartbeat_s.get(sender, 0.0), self._began_s)
-        acknowledged_s = max(followers.acknowledged_s.get(sender, 0.0), self._began_s)
-        return now - heard_s > timeout_s or now - acknowledged_s > ACKNOWLEDGED_TIMEOUT_S
+        is_unacknowledged = now - self._acknowledged_s(sender) > ACKNOWLEDGED_TIMEOUT_S
+        return now - heard_s > timeout_s or is_unacknowledged
 
     def dump(self):
         """Return the scheduler's state as plain data, None while this process does not lead."""
--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -3,6 +3,7 @@
 import eventlet
 import structlog
 
+from burdocklug.pools._lease_times import MAX_LEASE_S, job_lease_s, order_lifetime_s
 from burdocklug.pools.agents._endpoint_clock import EndpointClock
 from burdocklug.pools.agents._order_sender import OrderSender, RunOrder
 from burdocklug.pools.agents._orders import (
@@ -11,14 +12,15 @@
     OrderUnanswered,
     OtherIncarnation,
 )
-from burdocklug.pools.agents._reports import ReportProcessor, order_lifetime_s
+from burdocklug.pools.agents._reports import ReportProcessor
 from burdocklug.pools.agents._stray_stops import StrayStops
 from burdocklug.pools.agents._tokens import make_token
 from burdocklug.pools.scheduling import TaskState
 
 __all__ = ["EndpointAgent"]
 
-MAX_LEASE_S = 1.0  # less than `TAKEOVER_DELAY_S`, the wait after a scheduler is lost
+# Shortest lease with which runs are started; a shorter one may end before its first renewal.
+MIN_START_LEASE_S = 0.2
 RENEW_FRACTION = 0.4  # longest wait of a report as a share of the lease; the rest is for retries
 # Wait of a report while the pool is idle. An endpoint waits 2 s at most, and 600 idle endpoints get
 # about 300 requests a second.
@@ -105,7 +107,6 @@
         self.protocol = protocol
         self.now = now
         self.lease_s = min(lease_s, MAX_LEASE_S)
-        self._renew_wait_s = RENEW_FRACTION * self.lease_s
         self._holder_number = holder_number
         self.wake = wake
         self.is_paused = is_paused
@@ -189,13 +190,29 @@
         """Whether another process has taken the endpoint over just before."""
         return self.fenced or self.now() - self._fenced_s < FENCED_MEMORY_S
 
+    def allowed_lease_s(self):
+        """Return the longest lease that the runs of the endpoint may have now, in seconds.
+
+        It ends before another scheduler starts tasks of a job again whose callers' processes have
+        not heard this one.
+        """
+        contact_s = min(
+            (order.task.job.contact_s for order in self.orders.values()), default=float("inf")
+        )
+        return min(self.lease_s, job_lease_s(contact_s, self.now()))
+
+    def _note_foreign_leases(self):
+        """Record that another holder may have renewed all runs of the endpoint until now."""
+        self._lapses_s = max(self._lapses_s, self.now() + order_lifetime_s(MAX_LEASE_S))
+
     def lease_end_ms(self):
         """Return the end, on the endpoint's clock, of a lease that begins now.
 
         Also records the time after which no run can still have a lease.
         """
-        self._lapses_s = self.now() + order_lifetime_s(self.lease_s)
-        return self.clock.now_ms() + int(self.lease_s * 1000)
+        lease_s = self.allowed_lease_s()
+        self._lapses_s = max(self._lapses_s, self.now() + order_lifetime_s(lease_s))
+        return self.clock.now_ms() + int(lease_s * 1000)
 
     def _take_over(self):
         entry, started_ms = self.endpoint.entry, self.endpoint.entry.started_ms
@@ -210,6 +227,7 @@
         report = self._request_report(token=token, lease_ms=None, wait_s=0.0)
         self.token = token
         self.fenced = False
+        self._note_foreign_leases()
         log.info(
             "endpoint_taken_over",
             endpoint=entry.endpoint_id,
@@ -293,7 +311,8 @@
     def _renew(self):
         sent_s, loop_number = self.now(), self._loop_number
         wait_s = self._wait_s(sent_s)
-        self._long_report_until_s = sent_s + wait_s if wait_s > self._renew_wait_s else 0.0
+        is_long = wait_s > RENEW_FRACTION * self.lease_s
+        self._long_report_until_s = sent_s + wait_s if is_long else 0.0
         token = self.token
         report = self._request_report(token=token, lease_ms=self.lease_end_ms(), wait_s=wait_s)
         if loop_number == self._loop_number and token == self.token:
@@ -334,7 +353,9 @@
         if self.reports.missed_reports:
             return 0.0  # the lost report may have listed ended runs, so request one at once
         is_lossy = self.orders and self.reports.is_lossy
-        wait_s = LOSSY_WAIT_S if is_lossy else self._renew_wait_s
+        wait_s = RENEW_FRACTION * self.allowed_lease_s()
+        if is_lossy:
+            wait_s = min(wait_s, LOSSY_WAIT_S)
         for order in self.orders.values():
             wait_s = min(wait_s, max(self.reports.overdue_s(order) - now, MIN_WAIT_S))
         return wait_s
@@ -351,12 +372,16 @@
         incarnation, never does.
         """
         is_excluded = self.endpoint.entry.draining or self.reports.is_entry_outdated
-        if self.closed or self.is_leaving or is_excluded:
+        if self.closed or self.is_leaving or is_excluded or not self.may_grant_lease():
             usable = False
         self.endpoint.usable = usable
         if usable:
             self.wake()
 
+    def may_grant_lease(self):
+        """Return whether the lease that runs may have now is long enough to start some."""
+        return self.allowed_lease_s() >= min(MIN_START_LEASE_S, self.lease_s)
+
     def set_leaving(self, is_leaving):
         """Set whether the endpoint goes to another scheduler and may only end its runs here."""
         self.is_leaving = is_leaving
@@ -423,6 +448,7 @@
         self.give_up_token()
         self.fenced = True
         self._fenced_s = self.now()
+        self._note_foreign_leases()
         self.clock.update(exc.clock_ms)
 
     def note_entry(self, entry):
--- a/burdocklug/pools/agents/_order_sender.py
+++ b/burdocklug/pools/agents/_order_sender.py
@@ -93,6 +93,9 @@
             self._agent.drop_order(order, "failure_domain_evacuated")
         elif not self._agent.is_list_usable():
             self._agent.drop_order(order, "endpoint_list_outdated")
+        elif not self._agent.may_grant_lease():
+            self._agent.endpoint.usable = False  # until the next report
+            self._agent.drop_order(order, "lease_too_short")
         else:
             self._call_start(order)
 
--- a/burdocklug/pools/agents/_reports.py
+++ b/burdocklug/pools/agents/_reports.py
@@ -2,10 +2,10 @@
 
 import structlog
 
-__all__ = ["ReportProcessor", "order_lifetime_s"]
+from burdocklug.pools._lease_times import order_lifetime_s
+
+__all__ = ["ReportProcessor"]
 
-CLOCK_DRIFT_FACTOR = 1.021  # an endpoint's clock may be 2 % slow
-LAPSE_MARGIN_S = 0.05  # time for a run to stop after its lease has expired
 LOSS_MEMORY_S = 3.0  # time for which a lost answer of any endpoint counts as recent
 OVERDUE_FACTOR = 1.6  # multiple of the expected run time after which progress is checked
 LOSSY_OVERDUE_FACTOR = 1.2  # the same while answers get lost or runs stall
@@ -19,17 +19,6 @@
 log = structlog.get_logger(__name__)
 
 
-def order_lifetime_s(lease_s):
-    """Return how long an order or a run may take effect without a renewal, on the local clock.
-
-    Examples
-    --------
-    >>> round(order_lifetime_s(1.0), 3)
-    1.071
-    """
-    return lease_s * CLOCK_DRIFT_FACTOR + LAPSE_MARGIN_S
-
-
 class ReportProcessor:
     """Processes the reports of one endpoint for its agent.
 
--- a/burdocklug/pools/scheduling/__init__.py
+++ b/burdocklug/pools/scheduling/__init__.py
@@ -10,11 +10,9 @@
 from burdocklug.pools.scheduling._latency import merge_counts
 from burdocklug.pools.scheduling._load import dump_scheduler, scheduler_load
 from burdocklug.pools.scheduling._scheduler import Scheduler
-from burdocklug.pools.scheduling._start_holds import TAKEOVER_DELAY_S
 
 __all__ = [
     "Scheduler",
-    "TAKEOVER_DELAY_S",
     "TaskState",
     "critical_path_s",
     "dump_scheduler",
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -60,6 +60,9 @@
         Runs that endpoints may have of tasks that are not placed there.
     is_reconciled : bool
         Whether all runs of an earlier scheduler are known here or have ended.
+    listed_s : float
+        When the list was read by which `endpoints` has every endpoint of the pool; ``-inf`` while
+        it may lack some.
     submitted_s : float
         When the last new job was submitted.
     """
@@ -76,6 +79,7 @@
         self.passed_on = Cancellations()
         self.strays = StrayRuns()
         self.is_reconciled = True
+        self.listed_s = float("-inf")
         self.submitted_s = now()
         self._orders = orders
         self._now = now
@@ -180,7 +184,11 @@
             if job.hold is None:
                 continue
             reason = release_reason(
-                job.hold, now, is_reconciled=self.is_reconciled, reported_s=self._reported_s
+                job.hold,
+                now,
+                is_reconciled=self.is_reconciled,
+                reported_s=self._reported_s,
+                listed_ids=self.endpoints if self.listed_s > job.hold.since_s else None,
             )
             if reason:
                 held_s = round(now - job.hold.since_s, 3)
@@ -220,6 +228,7 @@
             return
         now = self._now()
         job.outcome, job.ended_s = outcome, now
+        job.contact_s = float("inf")  # no other scheduler starts its tasks again
         job.waiting.clear()
         self._update_waiting(job)
         self.counts[f"jobs_{outcome}"] += 1
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -105,6 +105,9 @@
         Functions to call with the job when it ends, is refused or moves to another scheduler.
     callers : Counter
         Number of waiting submissions by the incarnation that sent them.
+    contact_s : float
+        Until when the process of a caller is known to have heard this scheduler; infinity if it is
+        this process. Leases of its runs are limited by that.
     caller_domain : str
         Failure domain of the process of its caller; empty if not known.
     account_keys : tuple
@@ -131,6 +134,7 @@
     obstacle: object = None
     waiters: list = field(default_factory=list)
     callers: Counter = field(default_factory=Counter)
+    contact_s: float = float("inf")
     caller_domain: str = ""
     account_keys: tuple = ()
     is_counted_served: bool = False
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from burdocklug.pools._lease_times import MAX_LEASE_S, job_lease_s
 from burdocklug.pools._models import JobOutcome, RunEndKind
 from burdocklug.pools.contention import PassPlan, priority_key
 from burdocklug.pools.scheduling._forecast import CapacityForecast, expected_ends
@@ -96,12 +97,21 @@
             distance_factor=self._distance_factor,
             median_slowness=self.samples.median_slowness,
             plan_pass=self._plan_pass,
-            has_stray_run=self.strays.has,
+            may_start=lambda task: self._may_start(task, now),
         )
         for decision in decide(list(self._waiting.values()), view):
             starts += self._carry_out(decision, now)
         return starts
 
+    def _may_start(self, task, now):
+        """Return whether no run of a task can be active, here or under a later scheduler.
+
+        A process that has not heard this scheduler lately may submit its job to another one, which
+        starts the task before a lease from now on would have ended.
+        """
+        is_heard = job_lease_s(task.job.contact_s, now) >= MAX_LEASE_S
+        return is_heard and not self.strays.has(task.name)
+
     def _plan_pass(self, jobs, view):
         if not view.is_reconciled:
             return PassPlan(sorted(jobs, key=lambda job: priority_key(job, view.now_s)))
--- a/burdocklug/pools/scheduling/_start_holds.py
+++ b/burdocklug/pools/scheduling/_start_holds.py
@@ -6,11 +6,13 @@
 
 from dataclasses import dataclass
 
-__all__ = ["TAKEOVER_DELAY_S", "StartHold", "hold_start", "merge_holds", "release_reason"]
+from burdocklug.pools._lease_times import TAKEOVER_DELAY_S
 
-# Time after the last message of another scheduler by which its runs have been stopped or have
-# lapsed.
-TAKEOVER_DELAY_S = 1.2
+__all__ = ["StartHold", "hold_start", "merge_holds", "release_reason"]
+
+# Time after the last message of another scheduler from which reports of all listed endpoints end a
+# hold. It exceeds the lifetime of an order on an endpoint that only that scheduler had listed.
+REPORTED_DELAY_S = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +33,11 @@
     until_s: float
     endpoint_ids: frozenset | None = None
 
+    @property
+    def earliest_s(self):
+        """When it ends if all endpoints report in time."""
+        return self.until_s - TAKEOVER_DELAY_S + REPORTED_DELAY_S
+
 
 def hold_start(now_s, *, since_heard_s, progress):
     """Return the hold of a job that another scheduler may have started.
@@ -46,8 +53,8 @@
 
     Examples
     --------
-    >>> hold_start(100.0, since_heard_s=0.2, progress=None)
-    StartHold(since_s=100.0, until_s=101.0, endpoint_ids=None)
+    >>> hold_start(100.0, since_heard_s=0.2, progress=None)  # doctest: +ELLIPSIS
+    StartHold(since_s=100.0, until_s=101.97..., endpoint_ids=None)
     """
     until_s = now_s + max(0.0, TAKEOVER_DELAY_S - since_heard_s)
     if progress is None or progress.endpoint_ids is None:
@@ -71,7 +78,7 @@
     return StartHold(max(one.since_s, other.since_s), max(one.until_s, other.until_s), endpoint_ids)
 
 
-def release_reason(hold, now_s, *, is_reconciled, reported_s):
+def release_reason(hold, now_s, *, is_reconciled, reported_s, listed_ids=None):
     """Return why a hold is over, or an empty string if it is not.
 
     Parameters
@@ -85,6 +92,9 @@
     reported_s : callable
         Returns when the last report of an endpoint that obeys this scheduler was requested;
         ``-inf`` if there is none.
+    listed_ids : iterable of str or None, optional
+        Endpoints that any scheduler may have used, by a list that was read since the submission;
+        None if there is no such list.
 
     Notes
     -----
@@ -105,4 +115,9 @@
         if all(reported_s(endpoint_id) > hold.since_s for endpoint_id in hold.endpoint_ids):
             return "endpoints_reported"
         return "leases_lapsed" if now_s >= hold.until_s else ""
-    return "leases_lapsed" if now_s >= hold.until_s and is_reconciled else ""
+    if now_s >= hold.until_s and is_reconciled:
+        return "leases_lapsed"
+    if now_s < hold.earliest_s or not is_reconciled or listed_ids is None:
+        return ""
+    is_reported = all(reported_s(endpoint_id) > hold.since_s for endpoint_id in listed_ids)
+    return "all_endpoints_reported" if is_reported else ""
--- a/burdocklug/pools/scheduling/_starts.py
+++ b/burdocklug/pools/scheduling/_starts.py
@@ -97,8 +97,8 @@
         Median slowness of all endpoints.
     plan_pass : callable
         Takes the waiting jobs and the view, and returns a `PassPlan`.
-    has_stray_run : callable
-        Takes the name of a task and returns whether an endpoint may still run it.
+    may_start : callable
+        Takes a waiting task and returns whether no other run of it can be active.
     """
 
     now_s: float
@@ -110,7 +110,7 @@
     distance_factor: float
     median_slowness: float
     plan_pass: object
-    has_stray_run: object
+    may_start: object
 
     def remove_full(self):
         """Remove the endpoints that have become full, so that other jobs do not consider them."""
@@ -153,7 +153,7 @@
             yield Expire(job)
         elif job.hold is not None:
             is_hold_known = view.is_reconciled and not job.started
-            if is_hold_known and is_too_late(job, job.hold.until_s):
+            if is_hold_known and is_too_late(job, max(now_s, job.hold.earliest_s)):
                 yield Refuse(job, "held_too_long")
         elif job.waiting:
             endpoints = view.endpoints_in_time(job, job.due_s)
@@ -178,7 +178,7 @@
 
 def _start_tasks(job, endpoints, view):
     """Yield starts of the waiting tasks that fit, and reserve forecast slots for the others."""
-    tasks = [task for task in job.waiting if not view.has_stray_run(task.name)]
+    tasks = [task for task in job.waiting if view.may_start(task)]
     factor = view.distance_factor
     for task, endpoint in place_tasks(tasks, endpoints, view.now_s, distance_factor=factor):
         yield Start(task, endpoint)
