Agents: an end that another scheduler's run had is the task's end

What callers saw: a task that had ended done ran once more, under an order that still stood at the scheduler which came back after a cut.

Cause: an end of a later attempt than the order's was acknowledged and forgotten; an end without an order counted only at a take-over; and a task that is done by the progress of another scheduler stayed placed here.

Change: the end of a later attempt is that of the task, an end without an order is applied to a waiting task by each report, and a task that is done elsewhere is done here, where its run is stopped.

--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -235,18 +235,16 @@
             active=len(report.active),
             ended=len(report.ended),
         )
-        self._adopt_ends(report)
         self.reports.process(report, sent_s)
         for order in list(self.orders.values()):
             if order.confirmed_s is None and order.unanswered_s is not None:
                 self.sender.begin_stop(order)
 
-    def _adopt_ends(self, report):
-        """Apply ends that the previous holder has not acknowledged to waiting tasks."""
-        for end in report.ended:
-            task = self._find_waiting_task(end.task)
-            if task is not None and end.number > self.reports.acked:
-                self.scheduler.adopt_end(task, self.endpoint, end.kind, attempt=end.attempt)
+    def adopt_end(self, end):
+        """Apply the end of a run that this agent has no order for, if its task is waiting."""
+        task = self.scheduler.find_task(end.task)
+        if task is not None and task.state is TaskState.WAITING and not task.job.outcome:
+            self.scheduler.adopt_end(task, self.endpoint, end.kind, attempt=end.attempt)
 
     def try_adopt(self, run):
         """Adopt a run that another scheduler started, if its task waits for one; return whether.
@@ -302,12 +300,6 @@
         if not is_wanted:
             self.sender.begin_stop(order)
 
-    def _find_waiting_task(self, name):
-        task = self.scheduler.find_task(name)
-        if task is None or task.state is not TaskState.WAITING or task.job.outcome:
-            return None
-        return task
-
     def _renew(self):
         sent_s, loop_number = self.now(), self._loop_number
         wait_s = self._wait_s(sent_s)
--- a/burdocklug/pools/agents/_reports.py
+++ b/burdocklug/pools/agents/_reports.py
@@ -117,12 +117,16 @@
 
     def _process_end(self, end):
         order = self._agent.orders.get(end.task)
-        if order is None or order.attempt != end.attempt:
-            return
-        del self._agent.orders[end.task]
-        self._agent.scheduler.note_end(
-            order.task, self._agent.endpoint, end.kind, is_prompt=self._is_prompt(order)
-        )
+        if order is None:
+            self._agent.adopt_end(end)
+        elif end.attempt >= order.attempt:
+            # A later attempt was started by another scheduler since, so the order is void.
+            is_prompt = end.attempt == order.attempt and self._is_prompt(order)
+            order.task.attempt = max(order.task.attempt, end.attempt)
+            del self._agent.orders[end.task]
+            self._agent.scheduler.note_end(
+                order.task, self._agent.endpoint, end.kind, is_prompt=is_prompt
+            )
 
     def _is_prompt(self, order):
         """Return whether the time until now tells how long the run of an order took."""
--- a/burdocklug/pools/scheduling/_job_registry.py
+++ b/burdocklug/pools/scheduling/_job_registry.py
@@ -156,7 +156,10 @@
         )
         if progress is None:
             return
-        apply_progress(job, progress)
+        for task in apply_progress(job, progress):
+            endpoint = self.endpoints.get(task.endpoint_id)
+            if endpoint is not None:
+                self._orders.stop(task, endpoint)
         if all(task.state is TaskState.DONE for task in job.tasks):
             self.end_job(job, JobOutcome.COMPLETED, reason="done_elsewhere")
 
--- a/burdocklug/pools/scheduling/_jobs.py
+++ b/burdocklug/pools/scheduling/_jobs.py
@@ -210,17 +210,24 @@
 
 
 def apply_progress(job, progress):
-    """Apply the progress of a job at another scheduler; runs under way here continue."""
+    """Apply the progress of a job at another scheduler.
+
+    Returns
+    -------
+    list of Task
+        Tasks that are done there and have runs or orders here.
+    """
     known = zip(job.tasks, progress.attempts, progress.failures, strict=True)
     for task, attempt, failures in known:
         task.attempt = max(task.attempt, attempt)
         task.failures = max(task.failures, failures)
+    placed = [job.tasks[n] for n in progress.done if job.tasks[n].state.is_placed]
     for number in progress.done:
-        if not job.tasks[number].state.is_placed:
-            job.tasks[number].state = TaskState.DONE
+        job.tasks[number].state = TaskState.DONE
     job.waiting = [task for task in job.tasks if task.state is TaskState.WAITING]
     job.started = True
     job.unblock()
+    return placed
 
 
 def critical_path_s(steps, wave=UNLIMITED_WAVE):
--- a/tests/pools/agents/test_endpoint.py
+++ b/tests/pools/agents/test_endpoint.py
@@ -725,6 +725,14 @@
         self.run_greenlets()
         self.assertThat(self.endpoint.runs, Equals({}))
 
+    def test_the_end_of_a_newer_run_is_that_of_the_task(self):
+        """Guards against a task that has completed and starts again under its old order."""
+        self.start_elsewhere()
+        self.endpoint.end(self.endpoint.runs["j1.0.0.0"], RunEndKind.DONE)
+        self.take_over()
+        self.assertThat(self.job.outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat(self.scheduler.counts["starts"], Equals(1))
+
     def test_an_older_run_that_the_endpoint_kept_goes_on(self):
         self.endpoint.runs["j1.0.0.0"].attempt = 0
         self.pass_time(0.2)
@@ -773,6 +781,17 @@
         self.report()
         self.assertThat(len(self.endpoint.executed_starts), Equals(2))
 
+    def test_a_run_that_ends_done_before_its_stop_is_not_repeated(self):
+        """Guards against a task that has completed and starts again once its stop is reported."""
+        self.second.lost_calls.add("stop")
+        self.second_agent._take_over()
+        self.lose_first_run()
+        self.second.end(self.second.runs["j1.0.0.0"], RunEndKind.DONE)
+        self.second_agent._renew()
+        self.report()
+        self.assertThat(self.job.outcome, Equals(JobOutcome.COMPLETED))
+        self.assertThat(len(self.endpoint.executed_starts), Equals(1))
+
     def test_a_job_with_a_run_to_stop_names_its_endpoint_when_it_is_given_up(self):
         self.second.lost_calls.add("stop")
         self.second_agent._take_over()
--- a/tests/pools/scheduling/test_scheduler.py
+++ b/tests/pools/scheduling/test_scheduler.py
@@ -175,6 +175,18 @@
         self.resubmit(done=(0,))
         self.assertThat(self.starts_after(TAKEOVER_DELAY_S + 0.1), Equals(["j1.0.0.1"]))
 
+    def test_an_order_that_stands_here_for_a_task_done_there_is_stopped_and_not_repeated(self):
+        """Guards against a task that has completed and starts again when its order is dropped."""
+        pool = VirtualPool(entry(1))
+        job = pool.submit("j1", step(2, estimate_s=0.9), wait_s=9.0)
+        progress = JobProgress((0,), (3, 3), (0, 0), ())
+        pool.submit("j1", step(2, estimate_s=0.9), since_heard_s=0.0, progress=progress)
+        task, endpoint = pool.orders.stopped[0]
+        pool.scheduler.requeue_lost(task, endpoint, reason="vanished")
+        pool.scheduler.start_waiting()
+        self.assertThat((task, task.state), Equals((job.tasks[0], TaskState.DONE)))
+        self.assertThat(pool.started_names(), Equals(["j1.0.0.0", "j1.0.0.1"]))
+
     def test_a_job_whose_tasks_are_all_done_completes(self):
         self.resubmit(done=(0, 1))
         self.assertThat(self.job.outcome, Equals(JobOutcome.COMPLETED))
