--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -27,7 +27,8 @@
 IDLE_WAIT_S = 1.9
 IDLE_AFTER_S = 2.0  # time since the last submitted job after which a pool counts as idle
 LOSSY_WAIT_S = 0.06  # longest wait while answers get lost, as a lost report delays the ends of runs
-MIN_WAIT_S = 0.04  # shortest wait of a report that checks on an overdue run
+# Shortest wait of a report that checks on an overdue run or renews a short lease.
+MIN_WAIT_S = 0.04
 # Timeout of a report request beyond the wait of the report: tens of cross-domain trips. It is short
 # because a lost answer delays the ends of runs.
 ANSWER_TIMEOUT_S = 0.1
@@ -345,7 +346,7 @@
         if self.reports.missed_reports:
             return 0.0  # the lost report may have listed ended runs, so request one at once
         is_lossy = self.orders and self.reports.is_lossy
-        wait_s = RENEW_FRACTION * self.allowed_lease_s()
+        wait_s = max(RENEW_FRACTION * self.allowed_lease_s(), MIN_WAIT_S)
         if is_lossy:
             wait_s = min(wait_s, LOSSY_WAIT_S)
         for order in self.orders.values():
--- a/burdocklug/pools/agents/_order_sender.py
+++ b/burdocklug/pools/agents/_order_sender.py
@@ -167,7 +167,7 @@
             error=str(exc)[:120],
         )
         for _ in range(MAX_REPORT_TRIES):
-            if self.try_fetch_report() or not self._is_unresolved(order):
+            if self._try_fetch_report() or not self._is_unresolved(order):
                 break
         if self._is_unresolved(order):
             self.begin_stop(order)
@@ -176,7 +176,7 @@
         is_current = self._agent.orders.get(order.task.name) is order
         return is_current and order.confirmed_s is None and not self._agent.closed
 
-    def try_fetch_report(self):
+    def _try_fetch_report(self):
         """Request a report, and return whether it arrived."""
         try:
             self._agent.fetch_report()
@@ -213,7 +213,7 @@
                 order.stopped_s = self._agent.now()
                 break
             eventlet.sleep(STOP_RETRY_PAUSE_S)
-        if not self.try_fetch_report():
+        if not self._try_fetch_report():
             log.info("stop_not_seen", task=order.task.name)
 
     def try_stop(self, task, attempt):
--- a/burdocklug/pools/agents/_stray_stops.py
+++ b/burdocklug/pools/agents/_stray_stops.py
@@ -42,7 +42,9 @@
         self._attempts[name] = max(attempt, self._attempts.get(name, 0))
         if not is_new:
             return
-        log.info("stray_run", task=name, attempt=attempt, endpoint=self._endpoint_id, reason=reason)
+        log.info(
+            "stray_run_found", task=name, attempt=attempt, endpoint=self._endpoint_id, reason=reason
+        )
         self._agent.scheduler.note_stray(name, self._endpoint_id)
         eventlet.spawn(self._stop, name)
 
@@ -64,7 +66,7 @@
 
     def _forget(self, name, reason):
         del self._attempts[name]
-        log.info("stray_run_over", task=name, endpoint=self._endpoint_id, reason=reason)
+        log.info("stray_run_ended", task=name, endpoint=self._endpoint_id, reason=reason)
         self._agent.scheduler.strays.discard(name, self._endpoint_id)
         self._agent.wake()
 
--- a/tests/pools/agents/test_endpoint.py
+++ b/tests/pools/agents/test_endpoint.py
@@ -868,6 +868,10 @@
             self.pass_time(0.05)
         self.assertThat(len(self.endpoint.runs), Equals(1))
 
+    def test_reports_are_not_requested_without_a_wait_once_no_lease_is_granted(self):
+        self.job.contact_s = self.clock[0] - TAKEOVER_DELAY_S
+        self.assertThat(self.agent._wait_s(self.clock[0]), Equals(_endpoint.MIN_WAIT_S))
+
     def test_none_of_its_other_tasks_is_started(self):
         self.job.contact_s = self.clock[0] - ACKNOWLEDGED_TIMEOUT_S - 2 * UPKEEP_S
         self.endpoint.end(self.endpoint.runs["j1.0.0.0"], RunEndKind.STOPPED)
