Agents: a closed agent gives up a placement that another one has adopted

Cause: since the new agent adopts the run and releases the former placement, which stayed on the endpoint of the closed agent. Once that one's leases had expired, it put the task back, and it started elsewhere.

Change: to disown a task takes it off the agent's endpoint, also where the agent is closed.

--- a/burdocklug/pools/agents/_endpoint.py
+++ b/burdocklug/pools/agents/_endpoint.py
@@ -268,6 +268,7 @@
 
     def disown(self, task):
         """Drop the order of a task that now runs elsewhere; a run of it here is stopped."""
+        self.endpoint.remove(task)
         order = self.orders.pop(task.name, None)
         if order is not None:
             self.strays.add(task.name, order.attempt, reason="runs_elsewhere")
--- a/burdocklug/pools/scheduling/_scheduler.py
+++ b/burdocklug/pools/scheduling/_scheduler.py
@@ -180,10 +180,7 @@
 
     def release_placement(self, task):
         """Let a placed task wait, as another endpoint was found to run it."""
-        endpoint = self.endpoints.get(task.endpoint_id)
         log.info("placement_released", task=task.name, endpoint=task.endpoint_id)
-        if endpoint is not None:
-            endpoint.remove(task)
         self._orders.disown(task, task.endpoint_id)
         self._requeue(task)
 
--- a/tests/pools/test_double_runs.py
+++ b/tests/pools/test_double_runs.py
@@ -1,9 +1,13 @@
 """No task runs twice at once: seeds of drawn cuts in which one did, by the cause."""
 
+import eventlet
 from testtools import TestCase
 from testtools.matchers import Equals
 
-from tests.pools.drawn_cuts import Mix, play_seed
+from burdocklug.pools._models import JobOutcome
+from tests.pools.builders import spec, step
+from tests.pools.drawn_cuts import QUEUE, Mix, play_seed
+from tests.pools.virtual_deployment import VirtualDeployment, run_in_virtual_time
 from tests.scenarios import with_scenarios
 
 CUTS = Mix()
@@ -41,3 +45,26 @@
 
     def test_no_task_runs_twice_at_once_and_each_job_is_answered(self):
         self.assertThat(play_seed(self.seed, self.mix), Equals(([], [])))
+
+
+class RelistedEndpointTest(TestCase):
+    def test_a_run_of_an_endpoint_that_is_listed_again_goes_on_alone(self):
+        """Guards against a start beside a run that the endpoint's next agent has adopted.
+
+        The agent of the first listing put the task back once its own leases had expired.
+        """
+
+        def scenario():
+            endpoints = {"w1": "north", "w2": "north"}
+            deployment = VirtualDeployment({"n1": "north"}, endpoints, run_s=2.0).start()
+            job = spec("j1", step(cpu=1000, estimate_s=2.0), rule=QUEUE)
+            answer = deployment.submit("n1", job, wait_s=8.0)
+            eventlet.sleep(0.3)
+            name = deployment.history[0][4]
+            deployment.store.delete(f"servers/{name}")
+            eventlet.sleep(0.4)
+            deployment.store.put_worker(name, "north")
+            eventlet.sleep(4.0)
+            return answer, len(deployment.history)
+
+        self.assertThat(run_in_virtual_time(scenario), Equals(([JobOutcome.COMPLETED], 1)))
