--- a/tests/pools/drawn_cuts.py
+++ b/tests/pools/drawn_cuts.py
@@ -20,6 +20,8 @@
 WAIT_S = 12.0
 CUT_S = (0.2, 4.0)
 MAX_CUTS = 3
+RELISTED = 6
+UNLISTED_S = (0.1, 2.5)
 MAX_PAUSE_S = 2.0  # between the end of a cut and the next one
 ANSWER_S = 0.5  # by then a caller is answered after its waiting time
 POLL_S = 0.1
@@ -36,6 +38,8 @@
         Directions in which a failure domain is cut off: "both", "in", "out".
     loss_share : float
         Share of the cuts in which a process is killed or loses its power, too.
+    relist_share : float
+        Share of the cuts in which endpoints leave the store's list for a while, too.
     max_delay_s, stop_s : float
         See `VirtualDeployment`.
     cpu : int
@@ -44,6 +48,7 @@
 
     ways: tuple = ("both",)
     loss_share: float = 0.0
+    relist_share: float = 0.0
     max_delay_s: float = 0.0
     stop_s: float = 0.0
     cpu: int = 1000
@@ -79,6 +84,15 @@
     rng.choice([deployment.kill, deployment.lose_power])(name)
 
 
+def relist_endpoint(deployment, rng):
+    """Take an endpoint from the list and list it again, as after a lapsed entry."""
+    eventlet.sleep(rng.uniform(0.0, 2.0))
+    name = rng.choice(list(ENDPOINTS))
+    deployment.store.delete(f"servers/{name}")
+    eventlet.sleep(rng.uniform(*UNLISTED_S))
+    deployment.store.put_worker(name, ENDPOINTS[name])
+
+
 def play_seed(seed, mix):
     """Play a seed and return the overlapping runs and the jobs without an answer."""
     rng = random.Random(seed)
@@ -100,6 +114,9 @@
         for _ in range(rng.randint(1, MAX_CUTS)):
             if rng.random() < mix.loss_share:
                 eventlet.spawn(lose_process, deployment, rng)
+            if rng.random() < mix.relist_share:
+                for _ in range(RELISTED):
+                    eventlet.spawn(relist_endpoint, deployment, rng)
             cut_s = rng.uniform(*CUT_S)
             domain, how = rng.choice(["north", "south"]), rng.choice(mix.ways)
             deployment.cut_off(domain, how=how, for_s=cut_s)
--- a/tests/pools/test_double_runs.py
+++ b/tests/pools/test_double_runs.py
@@ -12,6 +12,14 @@
 
 CUTS = Mix()
 LOSSES = Mix(loss_share=0.5)
+RELISTINGS = Mix(
+    ways=("both", "in", "out"),
+    loss_share=0.3,
+    relist_share=1.0,
+    max_delay_s=0.015,
+    stop_s=0.03,
+    cpu=8000,
+)
 ONE_WAY_LOSSES = Mix(ways=("both", "in", "out"), loss_share=0.5)
 
 
@@ -47,6 +55,16 @@
         self.assertThat(play_seed(self.seed, self.mix), Equals(([], [])))
 
 
+@with_scenarios
+class DrawnRelistingTest(TestCase):
+    """Guards against tasks that the agent of an earlier listing puts back."""
+
+    scenarios = seeds(RELISTINGS, 0, 6, 7)
+
+    def test_no_task_runs_twice_at_once_and_each_job_is_answered(self):
+        self.assertThat(play_seed(self.seed, self.mix), Equals(([], [])))
+
+
 class RelistedEndpointTest(TestCase):
     def test_a_run_of_an_endpoint_that_is_listed_again_goes_on_alone(self):
         """Guards against a start beside a run that the endpoint's next agent has adopted.
