Tests: delete a worker's entry by the virtual store's own method

Cause: the tests of double runs named the key of an entry, which only the tests of the platform do elsewhere.

Change: VirtualStore.delete_worker.

--- a/tests/platform/virtual_store.py
+++ b/tests/platform/virtual_store.py
@@ -122,6 +122,10 @@
         }
         self.put(f"servers/{name}", json.dumps(fields).encode())
 
+    def delete_worker(self, name):
+        """Delete a worker's entry, as when it has lapsed."""
+        self.delete(f"servers/{name}")
+
     def set_worker_state(self, name, state):
         """Change the state in a worker's entry."""
         fields = json.loads(self.records[f"servers/{name}"].value)
--- a/tests/pools/drawn_cuts.py
+++ b/tests/pools/drawn_cuts.py
@@ -88,7 +88,7 @@
     """Take an endpoint from the list and list it again, as after a lapsed entry."""
     eventlet.sleep(rng.uniform(0.0, 2.0))
     name = rng.choice(list(ENDPOINTS))
-    deployment.store.delete(f"servers/{name}")
+    deployment.store.delete_worker(name)
     eventlet.sleep(rng.uniform(*UNLISTED_S))
     deployment.store.put_worker(name, ENDPOINTS[name])
 
--- a/tests/pools/test_double_runs.py
+++ b/tests/pools/test_double_runs.py
@@ -79,7 +79,7 @@
             answer = deployment.submit("n1", job, wait_s=8.0)
             eventlet.sleep(0.3)
             name = deployment.history[0][4]
-            deployment.store.delete(f"servers/{name}")
+            deployment.store.delete_worker(name)
             eventlet.sleep(0.4)
             deployment.store.put_worker(name, "north")
             eventlet.sleep(4.0)
